SIGHUP moves discovery instead of ending the front door

Nothing of ours heard it, so there was nothing else to rule out. Now it is heard (sun.misc.Signal), the file is read again and discovery moves at once with a fresh whole list; a file that can't be used leaves a line and the old address.

--- a/src/main/java/nettletrail/net/Config.java
+++ b/src/main/java/nettletrail/net/Config.java
@@ -51,6 +51,12 @@
                 new SettingsReader(text.toString()));
     }
 
+    /** Where the file, perhaps replaced since the start, says that discovery's agent listens now. */
+    static InetSocketAddress discoveryNow(Map<String, String> env) throws Unusable {
+        Object told = file(variable(env, "EDGE_CONFIG")).get("discovery");
+        return address(String.valueOf(told), "EDGE_CONFIG: discovery");
+    }
+
     /** {@code HOST:PORT} with a numeric host: there is no DNS, and a look-up would block the event loop. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/nettletrail/net/Discovery.java
+++ b/src/main/java/nettletrail/net/Discovery.java
@@ -62,7 +62,7 @@
             double weight, long sinceMs) { }
 
     private final EventLoop loop;
-    private final InetSocketAddress agent;
+    private InetSocketAddress agent;
     private final Listener listener;
     private final Bootstrap bootstrap;
     private Channel channel;
@@ -86,6 +86,18 @@
                 });
     }
 
+    /**
+     * Goes over to another agent: the old one's connection is dropped, and the whole list asked for, as versions
+     * of one agent say nothing to the other. What was listed so far stays in force until then.
+     */
+    void move(InetSocketAddress to) {
+        Log.line("discovery: from " + agent + " to " + to);
+        agent = to;
+        index = -1;
+        drop();
+        follow();
+    }
+
     /** Calls for the whole list, and then for ever for what is newer. */
     void follow() {
         if (channel != null) {
--- a/src/main/java/nettletrail/net/FrontDoor.java
+++ b/src/main/java/nettletrail/net/FrontDoor.java
@@ -78,6 +78,7 @@
             System.exit(2);
             return;
         }
+        onHangup(() -> door.reload(env));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             door.drain();
             // Out of a hook the exit status would be the signal's.
@@ -85,6 +86,21 @@
         }, "drain"));
     }
 
+    /** By itself a JVM ends on SIGHUP, with all that it holds; the standard library has no other way to hear it. */
+    static void onHangup(Runnable reload) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload.run());
+    }
+
+    /** Takes in where the replaced configuration puts discovery; one that can't be used changes nothing. */
+    void reload(Map<String, String> env) {
+        try {
+            InetSocketAddress agent = Config.discoveryNow(env);
+            loop.execute(() -> discovery.move(agent));
+        } catch (Config.Unusable e) {
+            Log.line("SIGHUP: " + e.getMessage() + "; the old configuration stays");
+        }
+    }
+
     static FrontDoor start(Config config, Maker module) throws InterruptedException {
         FrontDoor door = new FrontDoor(config, module);
         try {
--- a/src/test/java/nettletrail/net/FrontDoorTest.java
+++ b/src/test/java/nettletrail/net/FrontDoorTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -409,6 +410,39 @@
         }
     }
 
+    /** Not heard, the signal would end the process that runs this test. */
+    @Test
+    void aHangupIsHeard() throws Exception {
+        BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        FrontDoor.onHangup(() -> heard.add("HUP"));
+        sun.misc.Signal.raise(new sun.misc.Signal("HUP"));
+        assertNotNull(heard.poll(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void aNewConfigurationMovesTheWatchAndABadOneChangesNothing() throws Exception {
+        Once module = new Once();
+        ServerSocket backend = rig.backend();
+        FrontDoor door = rig.start(module.module(), serving(backend, "s-1"));
+        Peer client = rig.client().write(Rig.request("buy", "a", 30_000, "x"));
+        try (Peer server = Peer.accept(backend); ServerSocket agent = rig.backend()) {
+            server.read();
+            door.reload(rig.agent(-1).env());
+            door.reload(Map.of("EDGE_CONFIG", "none"));
+            rig.watch.answer("200 OK", "", Rig.list(8, false));
+            assertTrue(rig.watch.read().start().contains("index=8"));
+            door.reload(rig.agent(agent.getLocalPort()).env());
+            assertTrue(rig.watch.ended());
+            try (Peer moved = Peer.accept(agent)) {
+                assertEquals("GET /api/targets HTTP/1.1", moved.read().start());
+                moved.answer("200 OK", "", Rig.list(2, true, serving(backend, "s-2")));
+                assertTrue(moved.read().start().contains("index=2&wait="));
+                server.answer("200 OK", "", "sold");
+                assertEquals("sold", client.read().body());
+            }
+        }
+    }
+
     @Test
     void aNameThatTheWholeListLacksGetsNothingMore() throws Exception {
         Once module = new Once();
--- a/src/test/java/nettletrail/net/Rig.java
+++ b/src/test/java/nettletrail/net/Rig.java
@@ -28,6 +28,7 @@
     private String known = "";
     private long connectTimeoutMs = 250;
     private int sockets = 1024;
+    private int agentPort = -1;
     private FrontDoor door;
     /** The watch that the front door keeps, once started. */
     Peer watch;
@@ -46,6 +47,12 @@
         return this;
     }
 
+    /** The agent that the file names; the variable goes on naming the first. */
+    Rig agent(int port) {
+        agentPort = port;
+        return this;
+    }
+
     ServerSocket backend(int backlog) throws IOException {
         ServerSocket made = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
         open.add(made);
@@ -71,7 +78,8 @@
 
     Map<String, String> env() throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n0\",\"seed\":\"f0000000000000ff\",\"limits\":{\"sockets\":" + sockets
+        Files.writeString(file, "{\"name\":\"n0\",\"discovery\":\"127.0.0.1:" + agentPort
+                + "\",\"seed\":\"f0000000000000ff\",\"limits\":{\"sockets\":" + sockets
                 + "},\"known\":" + list(7, true, known) + ",\"settings\":" + SETTINGS.formatted(
                         connectTimeoutMs * 1_000_000) + "}");
         return Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
