The module's bound on all in flight grows again out of its dead zone

A JVM's first answers are slow, one of them cuts the bound to 0.8 x 2, and Brain.judge let it grow only if inFlight + 1 >= 0.8 x bound, which between 1.25 and 2 can't hold as inFlight + 1 stays at 1. Test: theBoundGrowsAgainFromItsLeast, seen to fail without the change.

--- a/src/main/java/nettletrail/Brain.java
+++ b/src/main/java/nettletrail/Brain.java
@@ -659,7 +659,8 @@
                 bound = Math.max(LEAST_BOUND, Math.min(bound, inFlight + 1) * LIMIT_CUT);
                 boundCutAt = now;
             }
-        } else if (inFlight + 1 >= LIMIT_CUT * bound) {
+        } else if (inFlight + 2 > bound || inFlight + 1 >= LIMIT_CUT * bound) {
+            // In use when one more would not have fitted: a bound between 1.25 and 2 would else never grow again.
             double more = Math.max(1, fleetSize / settings.gateways());
             bound = Math.min(MOST_LIMIT * fleetSize, bound + more / Math.max(1, bound));
         }
--- a/src/test/java/nettletrail/BrainTest.java
+++ b/src/test/java/nettletrail/BrainTest.java
@@ -660,6 +660,23 @@
         assertTrue(after >= 1 && after <= before / 2, "closed to " + after + " from " + before);
     }
 
+    /** On real sockets a slow start cut the bound to 1.6, and it stayed there: one request at a time, for the whole day. */
+    @Test
+    void theBoundGrowsAgainFromItsLeast() {
+        Door door = new Door(2, Effect.REPEATABLE, FREE, 9);
+        door.arrive(1, 5, 1, 2);
+        door.arrive(2, 5, 1, 2);
+        door.now += 100 * MS;
+        door.brain.answered(door.now, new Answer(1, 0, door.sentTo.get(1L), Outcome.OK, true, 1_500 * MS, -1, 0, null));
+        door.ok(2);
+        for (long id = 3; id <= 60; id++) {
+            door.arrive(id, 5, 1, 2);
+            door.ok(id);
+        }
+        int after = burst(door, 2_000);
+        assertTrue(after >= 4, "open again for " + after);
+    }
+
     /** How many of 30 requests at once are sent; they are answered then. */
     static int burst(Door door, long first) {
         int sent = 0;
