A cap on attempts out is kept by holding for a slot, not by a store

A cap has no rate; the store was a guess of ours. And mayOpen rounded parts up: 3 / 2 let two gateways have two out each. Now a capped plan's request is let in if one of this gateway's whole slots comes free for it while its aim can be met.

--- a/src/main/java/nettletrail/Brain.java
+++ b/src/main/java/nettletrail/Brain.java
@@ -291,6 +291,9 @@
     /** The customer's store holds it, or it pays though beyond the quota and the fleet has room. */
     private boolean withinQuota(Customer customer, Request request) {
         Plan plan = customer.plan;
+        if (plan.rate() <= 0 && plan.mostOut() > 0) {
+            return soonOpen(customer, request);
+        }
         if (rate(plan) <= 0 || customer.store >= request.units()) {
             return true;
         }
@@ -301,6 +304,23 @@
         return plan.beyondEarns() > plan.beyondCost() && held == 0 && fleetPace < 1;
     }
 
+    /**
+     * A cap on attempts out has no store to measure: what is over it is held, and let in if one of this gateway's
+     * slots comes free for it while its aim can still be met.
+     */
+    private boolean soonOpen(Customer customer, Request request) {
+        int part = partOfCap(customer);
+        double need = usual[request.requestClass()];
+        int ahead = Math.max(0, customer.out + customer.waiting.size() + 1 - part);
+        long aim = settings.classes().get(request.requestClass()).aimNs();
+        return (double) ahead / part * need + HOPE * need <= Math.min(aim, request.patienceNs());
+    }
+
+    /** Slots of a cap that this gateway may use: its even part in whole slots, but one at least. */
+    private static int partOfCap(Customer customer) {
+        return Math.max(1, customer.plan.mostOut() / customer.setSize);
+    }
+
     /** The ceiling is kept by each gateway on its own: an even share of its store and of its rate. */
     private boolean withinCeiling(Customer customer, Request request) {
         return customer.plan.ceilingRate() <= 0
@@ -413,8 +433,7 @@
 
     /** A cap on attempts out: this gateway's even part, one at least; what is over it is held. */
     private boolean mayOpen(Customer customer) {
-        double part = (double) customer.plan.mostOut() / customer.setSize;
-        return part <= 0 || customer.out < Math.max(1, part);
+        return customer.plan.mostOut() <= 0 || customer.out < partOfCap(customer);
     }
 
     /** Too late to be of worth: its slot does more for another. */
