A customer first seen late starts with the ceiling that has filled since this gateway's start

What has filled since the start is surely there, so the ceiling's rule keeps its margin. Test: aCustomerFirstSeenLate..., seen to fail without.

--- a/src/main/java/nettletrail/Brain.java
+++ b/src/main/java/nettletrail/Brain.java
@@ -159,6 +159,7 @@
     private final Settings settings;
     private final Actions out;
     private final SplittableRandom random;
+    private final long startedAt;
     private final LinkedHashMap<Long, Customer> customers = new LinkedHashMap<>(16, 0.75f, true);
     private final ArrayList<Customer> waiting = new ArrayList<>();
     private final LinkedHashMap<Long, Job> jobs = new LinkedHashMap<>();
@@ -186,6 +187,7 @@
     public Brain(Settings settings, long now, Actions actions) {
         this.settings = Gateway.present(settings, "settings");
         this.out = Gateway.present(actions, "actions");
+        startedAt = now;
         random = new SplittableRandom(settings.seed());
         leastLimit = Math.min(1, LEAST_TOGETHER / settings.gateways());
         usual = new double[settings.classes().size()];
@@ -267,8 +269,11 @@
             customer.filledAt = now;
             customer.slice = sliceOf(now);
             Arrays.fill(customer.letThen, customer.let);
-            // After a restart it is not known what was spent of the ceiling before: it starts from nothing.
-            customer.ceiling = customer.plan.ceilingSlack() / customer.setSize;
+            // After a restart it is not known what was spent of the ceiling before: it starts from nothing, and only
+            // what has filled since this gateway's start is surely there for a customer first seen later.
+            double filled = customer.plan.ceilingRate() * (now - startedAt) / SECOND;
+            customer.ceiling = Math.min(customer.plan.ceilingBurst(), customer.plan.ceilingSlack() + filled)
+                    / customer.setSize;
             customers.put(request.customer(), customer);
         }
         customer.setSize = request.setSize();
--- a/src/test/java/nettletrail/BrainTest.java
+++ b/src/test/java/nettletrail/BrainTest.java
@@ -499,6 +499,17 @@
         assertEquals(5, door.sentTo.size(), "the part of a full store");
     }
 
+    /** Nobody spent of it since the start: on days of ever new customers, refusing their first requests cost most. */
+    @Test
+    void aCustomerFirstSeenLateFindsWhatHasFilledSinceTheStart() {
+        Door door = new Door(2, Effect.REPEATABLE, new Plan(100, 100, 0, 2, 8, 2, 1, 0, 1));
+        door.pass(20 * SECOND);
+        for (long id = 1; id <= 10; id++) {
+            door.arrive(id, 5, 1, 2);
+        }
+        assertEquals(4, door.sentTo.size(), "the part of a full store");
+    }
+
     @Test
     void aHoldDoesNotLetTheCeilingFillUpBehindIt() {
         Plan plan = new Plan(100, 100, 0, 2, 8, 2, 1, 0, 1);
