--- a/src/main/java/nettletrail/Brain.java
+++ b/src/main/java/nettletrail/Brain.java
@@ -25,7 +25,11 @@
     /** ns before the client leaves at which a held request gets its final answer: two looks and a tick. */
     private static final long ANSWER_MARGIN = 30 * MS;
     /** ns without a request after which a customer whose stores are full again is forgotten. */
-    private static final long FORGET_AFTER = 60 * SECOND;
+    private static final long FORGET_AFTER = 20 * SECOND;
+    /** Customers looked at for that at an arrival: more than one, so that their number also falls again. */
+    private static final int FORGET_LOOKS = 2;
+    /** A let-in share below this is worth remembering. */
+    private static final double LET_NEAR_ALL = 0.9;
 
     // Quota and meter.
     /** Slices a meter period is kept in, so that a reading can be laid over what was let in then. */
@@ -269,8 +273,8 @@
             customer.filledAt = now;
             customer.slice = sliceOf(now);
             Arrays.fill(customer.letThen, customer.let);
-            // After a restart it is not known what was spent of the ceiling before: it starts from nothing, and only
-            // what has filled since this gateway's start is surely there for a customer first seen later.
+            // After a restart it is not known what was spent of the ceiling before: it starts from nothing. For one
+            // first seen later, what has filled since this gateway's start is surely there.
             double filled = customer.plan.ceilingRate() * (now - startedAt) / SECOND;
             customer.ceiling = Math.min(customer.plan.ceilingBurst(), customer.plan.ceilingSlack() + filled)
                     / customer.setSize;
@@ -283,16 +287,28 @@
         return customer;
     }
 
-    /** One look an arrival, at the customer longest unseen: no sweep over all, and state stays bounded. */
+    /** A few looks an arrival, at the customers longest unseen: no sweep over all, and state stays bounded. */
     private void forget(long now) {
-        Customer eldest = customers.values().iterator().next();
-        refill(eldest, now);
-        if (now - eldest.seenAt > FORGET_AFTER && eldest.out == 0 && eldest.waiting.isEmpty()
-                && eldest.store >= burst(eldest.plan) / eldest.setSize) {
-            customers.remove(eldest.id);
+        for (int looks = 0; looks < FORGET_LOOKS; looks++) {
+            Customer eldest = customers.values().iterator().next();
+            if (now - eldest.seenAt <= FORGET_AFTER) {
+                return;
+            }
+            refill(eldest, now);
+            if (eldest.out == 0 && eldest.waiting.isEmpty() && eldest.let > LET_NEAR_ALL
+                    && eldest.store >= burst(eldest.plan) / eldest.setSize) {
+                customers.remove(eldest.id);
+            } else {
+                customers.get(eldest.id); // goes behind the others: it must not keep them all from being forgotten
+            }
         }
     }
 
+    /** Customers remembered. */
+    int customers() {
+        return customers.size();
+    }
+
     /** The customer's store holds it, or it pays though beyond the quota and the fleet has room. */
     private boolean withinQuota(Customer customer, Request request) {
         Plan plan = customer.plan;
--- a/src/test/java/nettletrail/BrainTest.java
+++ b/src/test/java/nettletrail/BrainTest.java
@@ -374,6 +374,23 @@
         assertTrue(sent <= 2, "forgetting would have filled its store: " + sent);
     }
 
+    @Test
+    void oneThatCannotBeForgottenHoldsUpNobody() {
+        Door door = new Door(1, Effect.REPEATABLE, quota(0.01, 2));
+        door.arrive(1, 1, 2, 1); // its store takes 200 s to fill again
+        door.ok(1);
+        for (long id = 2; id <= 101; id++) {
+            door.arrive(id, id, 0.001, 1);
+            door.ok(id);
+        }
+        assertEquals(101, door.brain.customers());
+        door.pass(60 * SECOND);
+        for (long id = 102; id <= 202; id++) {
+            door.arrive(id, 102, 0.001, 1);
+        }
+        assertEquals(2, door.brain.customers(), "the one in debt and the one now asking");
+    }
+
     @Test
     void aClientAboutToLeaveIsAnsweredAtOnce() {
         Door door = new Door(2, Effect.ONCE, FREE, 0);
