--- a/src/main/java/nettletrail/Brain.java
+++ b/src/main/java/nettletrail/Brain.java
@@ -273,8 +273,8 @@
             customer.filledAt = now;
             customer.slice = sliceOf(now);
             Arrays.fill(customer.letThen, customer.let);
-            // After a restart it is not known what was spent of the ceiling before: it starts from nothing. For one
-            // first seen later, what has filled since this gateway's start is surely there.
+            // After a restart it is not known what was spent of the ceiling before: it starts from nothing.
+            // For one first seen later, what has filled since this gateway's start is surely there.
             double filled = customer.plan.ceilingRate() * (now - startedAt) / SECOND;
             customer.ceiling = Math.min(customer.plan.ceilingBurst(), customer.plan.ceilingSlack() + filled)
                     / customer.setSize;
@@ -287,7 +287,7 @@
         return customer;
     }
 
-    /** A few looks an arrival, at the customers longest unseen: no sweep over all, and state stays bounded. */
+    /** A few looks an arrival, at those longest unseen: no sweep over all, and state stays bounded. */
     private void forget(long now) {
         for (int looks = 0; looks < FORGET_LOOKS; looks++) {
             Customer eldest = customers.values().iterator().next();
@@ -299,7 +299,7 @@
                     && eldest.store >= burst(eldest.plan) / eldest.setSize) {
                 customers.remove(eldest.id);
             } else {
-                customers.get(eldest.id); // goes behind the others: it must not keep them all from being forgotten
+                customers.get(eldest.id); // goes behind the others, or none of them would be forgotten
             }
         }
     }
@@ -326,8 +326,8 @@
     }
 
     /**
-     * A cap on attempts out has no store to measure: what is over it is held, and let in if one of this gateway's
-     * slots comes free for it while its aim can still be met.
+     * A cap on attempts out has no store to measure: what is over it is held, and let in if one of this
+     * gateway's slots comes free for it while its aim can still be met.
      */
     private boolean soonOpen(Customer customer, Request request) {
         int part = partOfCap(customer);
@@ -700,7 +700,7 @@
                 boundCutAt = now;
             }
         } else if (inFlight + 2 > bound || inFlight + 1 >= LIMIT_CUT * bound) {
-            // In use when one more would not have fitted: a bound between 1.25 and 2 would else never grow again.
+            // In use when one more would not have fitted: between 1.25 and 2 it would else never grow again.
             double more = Math.max(1, fleetSize / settings.gateways());
             bound = Math.min(MOST_LIMIT * fleetSize, bound + more / Math.max(1, bound));
         }
