--- a/src/test/java/nettletrail/BrainTest.java
+++ b/src/test/java/nettletrail/BrainTest.java
@@ -583,7 +583,8 @@
     void anAttemptThatStaysSilentGivesItsSlotOfACapFree() {
         Door door = new Door(1, Effect.REPEATABLE, new Plan(0, 0, 1, 0, 0, 0, 1, 0, 1));
         door.arrive(1, 5, 1, 1);
-        assertTrue(door.timeouts.get(1L) > 0 && door.timeouts.get(1L) < 3 * SECOND);
+        long aim = settings(1, Effect.REPEATABLE, FREE, 7).classes().get(0).aimNs();
+        assertEquals(aim * 3 / 2, door.timeouts.get(1L));
         Door free = new Door(1, Effect.REPEATABLE, FREE);
         free.arrive(1, 5, 1, 1);
         assertEquals(0, free.timeouts.get(1L), "elsewhere what is cut short would only run twice");
