A silent attempt no longer fills the bound, cuts it, or stretches the usual latency

At fault: judge() (TIMED_OUT taken as a latency), choose() (inFlight + 1 > bound; server.out >= limit).

Ruled out there: cold (0), blocked (0), on trial (0), own lateness (under 10 ms from second 3 on).

The loopback test gets no request through without the change. One run of the whole tests failed in aDrainAnswersWhatIsHeldAndEnds, which has to do with none of this; the next passed.

--- a/src/main/java/nettletrail/Brain.java
+++ b/src/main/java/nettletrail/Brain.java
@@ -87,6 +87,8 @@
     private static final double HOPE = 2;
     /** Weight of a new gap between two sends while others wait. */
     private static final double GAP_WEIGHT = 0.03;
+    /** An attempt out for more than this many usual latencies says nothing more of what fits. */
+    private static final double SILENT = 5;
     /** Extra cost of a backend in another zone, where crossing has a price. */
     private static final double CROSS_EXTRA = 0.5;
 
@@ -489,7 +491,11 @@
     // ---- It is sent -------------------------------------------------------------------------------------
 
     private Server choose(Job job, long now) {
-        if (inFlight + 1 > Math.max(LEAST_BOUND, bound)) {
+        int silent = 0;
+        for (Server server : servers.values()) {
+            silent += silent(server, now);
+        }
+        if (inFlight - silent + 1 > Math.max(LEAST_BOUND, bound)) {
             return null;
         }
         Server best = null;
@@ -506,7 +512,7 @@
             ready++;
             boolean sound = now >= server.blockedUntil && !server.onTrial;
             blocked += sound ? 0 : 1;
-            if (server.out >= Math.max(1, server.limit * warmth(server, now))
+            if (server.out - silent(server, now) >= Math.max(1, server.limit * warmth(server, now))
                     || !keepsKey(job, server) || warmth(server, now) < 1 && server.coldCredit < 1) {
                 continue;
             }
@@ -535,6 +541,30 @@
         return crosses ? cost * (1 + CROSS_EXTRA) : cost;
     }
 
+    /**
+     * Attempts out there for so long that they say nothing more of what fits: one that never ends would hold
+     * all of a small bound, or its backend's one place, until its client leaves, and no request would go
+     * anywhere. It guards as well against a cut of the network, whose attempts all stay out. Harm: a backend
+     * that is only slow gets that many more, where its pace still makes it the best.
+     */
+    private int silent(Server server, long now) {
+        if (server.out == 0 || !silent(server.jobs.peekFirst(), now)) {
+            return 0;
+        }
+        int silent = 0;
+        for (Job job : server.jobs) {
+            if (!silent(job, now)) {
+                break;
+            }
+            silent++;
+        }
+        return silent;
+    }
+
+    private boolean silent(Job job, long now) {
+        return now - job.sentAt >= SILENT * usual[job.request.requestClass()];
+    }
+
     private double pace(Server server, long now) {
         double kept = Math.exp((server.pacedAt - now) / PACE_FORGET);
         double pace = 1 + (server.pace - 1) * kept;
@@ -708,6 +738,16 @@
         }
         int kind = job.request.requestClass();
         double took = answer.tookNs();
+        if (outcome == Outcome.TIMED_OUT) {
+            // How long one was waited for that never came tells when it was given up: of its backend alone it
+            // says something. A few of them would cut the bound on all, and drive the usual latency to many
+            // times what it is, and with it the time that requests are thought to need: those of capped plans
+            // were all refused for seconds, with no slot in use. It guards as well against requests that
+            // hang wherever they go. Harm: were all to slow down past every deadline, only the paces tell.
+            server.pace = Math.max(pace(server, now), Math.min(20, took / usual[kind] / 2));
+            server.pacedAt = now;
+            return;
+        }
         // The bound on all in flight from here: each backend alone tells a gateway among many too little.
         double full = Math.max(BOUND_PACE * unloaded[kind], BOUND_AIM * job.kind.aimNs());
         double stretch = took / full / Math.max(1, pace(server, now));
--- a/src/test/java/nettletrail/net/Rig.java
+++ b/src/test/java/nettletrail/net/Rig.java
@@ -109,6 +109,12 @@
         return client;
     }
 
+    /** Closed at the end. */
+    Peer keep(Peer peer) {
+        open.add(peer);
+        return peer;
+    }
+
     /** An id of the form that clients send. */
     static String txn(String end) {
         return "0".repeat(16 - end.length()) + end;
--- a/src/test/java/nettletrail/net/RoughDayTest.java
+++ b/src/test/java/nettletrail/net/RoughDayTest.java
@@ -50,4 +50,22 @@
             }
         }
     }
+
+    /** The first list allows twelve attempts out at once; here all twelve stay silent for longer than their aim. */
+    @Test
+    void attemptsThatStaySilentDoNotKeepAllOthersOut() throws Exception {
+        ServerSocket backend = rig.backend();
+        rig.start(Rig.entry("s-1", backend.getLocalPort(), "SERVING"));
+        for (int i = 0; i < 12; i++) {
+            rig.client().write(Rig.request("look", "a" + Integer.toHexString(i), 9000, ""));
+            rig.keep(Peer.accept(backend)).read();
+        }
+        Thread.sleep(1_200);
+        Peer client = rig.client().write(Rig.request("look", "c", 9000, ""));
+        try (Peer next = Peer.accept(backend)) {
+            assertEquals(Rig.txn("c"), next.read().header("X-Txn"));
+            next.answer("200 OK", "", "served");
+            assertEquals("served", client.read().body());
+        }
+    }
 }
