Kept connections are not used at an age at which they were seen to break

The settings promise 15 s (ConnIdle, and the pool used 2/3 of it); closes that were told came at 0-20 ms (right behind an answer) and at 0.2-1.5 s. At fault: BackendPool.start(), which took any idle connection. Resets that come at any age alike (7%) are no reason to drop the young.

The loopback test fails without the change.

--- a/src/main/java/nettletrail/net/BackendPool.java
+++ b/src/main/java/nettletrail/net/BackendPool.java
@@ -93,6 +93,7 @@
     private final long idleNs;
     private final int most;
     private final LongObjectHashMap<Backend> backends = new LongObjectHashMap<>();
+    private final IdleAges ages = new IdleAges(System.nanoTime());
     private int connections;
 
     /**
@@ -160,10 +161,16 @@
         }
         attempt.backend = backend;
         Connection connection = backend.idle.pollLast();
-        if (connection != null) {
+        long now = System.nanoTime();
+        if (connection != null && now - connection.idleSince <= ages.most(now)) {
             connection.carry(attempt);
             return;
         }
+        if (connection != null) {
+            // The youngest is too old, and so are all others.
+            connection.channel.close();
+            closeIdle(backend);
+        }
         backend.waiting.addLast(attempt);
         connectIfNeeded(backend);
     }
@@ -239,7 +246,7 @@
         if (next != null) {
             connection.carry(next);
         } else {
-            connection.idleSince = System.nanoTime();
+            connection.idleSince = connection.idleSince == 0 ? System.nanoTime() : connection.idleSince;
             backend.idle.addLast(connection);
         }
     }
@@ -316,9 +323,12 @@
         boolean written;
         HttpResponse head;
         ByteBuf body = Unpooled.EMPTY_BUFFER;
+        /** Since when it stands idle, its rest included; 0 until it has done so. */
         long idleSince;
         private Future<?> partClock;
         private boolean resting;
+        /** For how long it had stood idle when its request came; -1 if that is its first, or once it is told. */
+        private long age = -1;
 
         Connection(Backend backend) {
             this.backend = backend;
@@ -329,6 +339,7 @@
             attempt = next;
             next.connection = this;
             written = false;
+            age = idleSince == 0 ? -1 : System.nanoTime() - idleSince;
             channel.writeAndFlush(next.request()).addListener(this);
         }
 
@@ -393,6 +404,8 @@
             ended.connection = null;
             body = Unpooled.EMPTY_BUFFER;
             stopClock();
+            toldAge(false);
+            idleSince = System.nanoTime();
             if (written && HttpUtil.isKeepAlive(answer) && !decoder.hasMore()) {
                 rest();
             } else {
@@ -402,6 +415,13 @@
             gathered.release();
         }
 
+        private void toldAge(boolean broke) {
+            if (age >= 0) {
+                ages.used(age, broke, System.nanoTime());
+                age = -1;
+            }
+        }
+
         private void rest() {
             if (!resting) {
                 resting = true;
@@ -484,6 +504,9 @@
             backend.idle.remove(this);
             body.release();
             body = Unpooled.EMPTY_BUFFER;
+            if (attempt != null && head == null && !decoder.hasMore()) {
+                toldAge(true);
+            }
             stopClock();
             if (resting) {
                 endRest();
--- a/src/test/java/nettletrail/net/RoughDayTest.java
+++ b/src/test/java/nettletrail/net/RoughDayTest.java
@@ -102,4 +102,38 @@
         backend.setSoTimeout(1);
         assertThrows(SocketTimeoutException.class, backend::accept);
     }
+
+    /** What a backend, or a balancer before it, drops without a word is told only by the next request, which is lost. */
+    @Test
+    void connectionsAreNotUsedAtAnAgeAtWhichTheyWereSeenToBreak() throws Exception {
+        ServerSocket listening = rig.backend();
+        rig.start(Rig.entry("s-1", listening.getLocalPort(), "SERVING"));
+        Peer client = rig.client();
+        for (int i = 0; i < 3; i++) {
+            client.write(Rig.request("buy", "a" + i, 3000, "x"));
+            try (Peer backend = Peer.accept(listening)) {
+                backend.read();
+                backend.answer("200 OK", "", "seen");
+                assertEquals("seen", client.read().body());
+                Thread.sleep(300);
+                client.write(Rig.request("buy", "b" + i, 3000, "x"));
+                backend.read();
+                backend.reset();
+                assertEquals(502, client.read().status());
+            }
+        }
+        client.write(Rig.request("buy", "c", 3000, "x"));
+        try (Peer old = Peer.accept(listening)) {
+            old.read();
+            old.answer("200 OK", "", "seen");
+            client.read();
+            Thread.sleep(300);
+            client.write(Rig.request("buy", "d", 3000, "x"));
+            try (Peer fresh = Peer.accept(listening)) {
+                assertEquals(Rig.txn("d"), fresh.read().header("X-Txn"));
+                fresh.answer("200 OK", "", "served");
+                assertEquals("served", client.read().body());
+            }
+        }
+    }
 }
