A crowd of clients stays under the cap, and a log line no longer ends the event loop

Seen: silent clients connect by hundreds to a front door that has just restarted; by a count of /proc/self/fd every 0.2 s the clients were 162-171 until then, as the cap of 168 wants, then 185 and growing with 57 that could have gone, and 384 of 384 descriptors. At fault: closeOldest(), which closed the same connection for all that are accepted in one turn, as it stays in `clients` until the loop's next; and java.util.logging's formatter, which opens a file at its first line. Ruled out: backends' connections (51), leaked descriptors (214 in all with 168 clients), the drain (those that got SIGTERM ended with 0 as they should).

The crowd's test fails without the change (only FrontDoor put back).

--- a/src/main/java/nettletrail/net/FrontDoor.java
+++ b/src/main/java/nettletrail/net/FrontDoor.java
@@ -70,6 +70,7 @@
 
     /** Serves until SIGTERM. Exits with 2 and one line on standard error if it can't start. */
     public static void serve(Map<String, String> env) throws InterruptedException {
+        Log.takeOver();
         FrontDoor door;
         try {
             door = start(Config.read(env), MODULE);
@@ -184,6 +185,11 @@
         }
     }
 
+    /** Client connections open; to be asked on the loop. */
+    int clients() {
+        return clients.size();
+    }
+
     private void sweep() {
         long now = System.nanoTime();
         for (ClientHandler client : List.copyOf(clients)) {
@@ -226,6 +232,9 @@
             }
         }
         if (oldest != null) {
+            // Left out at once: the channel tells its end only at the loop's next turn, and for all that are taken
+            // in the same turn the same one would be found again. A crowd would grow past every descriptor.
+            clients.remove(oldest);
             oldest.close();
         } else {
             listening.config().setAutoRead(false);
--- a/src/main/java/nettletrail/net/Log.java
+++ b/src/main/java/nettletrail/net/Log.java
@@ -1,11 +1,39 @@
 package nettletrail.net;
 
 import java.time.Instant;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 
 /** The front door's log: a line for each noteworthy event, on standard error. */
 final class Log {
     private Log() { }
 
+    /**
+     * What libraries log goes here too. The standard formatter reads the file of time zones at its first line: with no
+     * descriptor left, just when an accept fails and Netty says so, that throws an Error, and it ended the event loop.
+     */
+    static void takeOver() {
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord told) {
+                if (told.getThrown() == null) {
+                    line(told.getMessage());
+                } else {
+                    line(told.getMessage(), told.getThrown());
+                }
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        });
+    }
+
     static void line(String text) {
         System.err.println(Instant.now() + " " + text);
     }
--- a/src/test/java/nettletrail/net/FrontDoorTest.java
+++ b/src/test/java/nettletrail/net/FrontDoorTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import nettletrail.Gateway;
@@ -672,6 +673,40 @@
         assertTrue(first.ended());
     }
 
+    /** The loop is kept busy, so that the crowd is taken in one turn of it. */
+    @Test
+    void aCrowdThatConnectsAtOnceStaysUnderTheCap() throws Exception {
+        BlockingQueue<Integer> open = new LinkedBlockingQueue<>();
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch crowd = new CountDownLatch(1);
+        FrontDoor[] door = new FrontDoor[1];
+        Rig.Scripted module = new Rig.Scripted() {
+            @Override
+            public void arrived(long now, Request request) {
+                busy.countDown();
+                try {
+                    crowd.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                open.add(door[0].clients());
+                actions.refuse(request.id(), 0);
+            }
+        };
+        rig.sockets(68); // ten for clients
+        door[0] = rig.start(module.module(), serving(rig.backend(), "s-1"));
+        rig.client().write(Rig.request("look", "a", 9000, ""));
+        busy.await();
+        Peer last = null;
+        for (int i = 0; i < 40; i++) {
+            last = rig.client();
+        }
+        crowd.countDown();
+        assertEquals(429, last.write(Rig.request("look", "b", 9000, "")).read().status());
+        assertEquals(1, open.take());
+        assertTrue(open.take() <= 10);
+    }
+
     @Test
     void requestsInOnePieceAreAnsweredInTurn() throws Exception {
         ServerSocket backend = rig.backend();
