Connections that merely stand make room before clients can open no more

In the first 5 s 15-20% of the requests came to no front door. At fault: nothing was closed before the cap of 168 or 2 s of standing, so that about 60 clients a second could come to a front door that was asked 114 times. Ruled out: own lateness (0 outside the starts), the module (482 refusals of 1,909 arrivals in the first 5.4 s, nearly all for the quota), backends (45 connections, no reset).

The test fails without the change.

--- a/src/main/java/nettletrail/net/FrontDoor.java
+++ b/src/main/java/nettletrail/net/FrontDoor.java
@@ -32,6 +32,13 @@
     private static final long SWEEP_MS = 200;
     /** A connection with no request open is closed after so long; with the sweep's period, well inside 3 s. */
     private static final long MOST_STANDING_NS = 2_000_000_000L;
+    /**
+     * Over a quarter of the descriptors, a connection that has stood for so long makes room for a new one. Clients may
+     * hold a third of them for requests, and many ask once and keep theirs: with all of these standing for 2 s, who
+     * comes next could not connect at all. It guards as well against silent crowds, long before the cap. Harm: a pool
+     * of clients larger than that opens some connections anew.
+     */
+    private static final long SPARED_NS = 300_000_000L;
     /** Descriptors that are neither clients' nor backends': files of the JVM, the selector, discovery. */
     private static final int OTHER_SOCKETS = 48;
 
@@ -42,6 +49,7 @@
     private final Dispatcher dispatcher;
     private final Discovery discovery;
     private final int mostClients;
+    private final int roomyClients;
     private final Set<ClientHandler> clients = new LinkedHashSet<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private Channel listening;
@@ -62,6 +70,7 @@
         settings = config.settings().settings(config.seed());
         int shared = config.sockets() - OTHER_SOCKETS;
         mostClients = shared / 2;
+        roomyClients = config.sockets() / 4;
         BackendPool pool = new BackendPool(loop, config.settings().time("Ceilings.ConnectTimeout"),
                 config.settings().time("Ceilings.ConnIdle"), shared - mostClients);
         dispatcher = new Dispatcher(loop, pool, config.settings(), settings, module);
@@ -213,19 +222,24 @@
     public void opened(ClientHandler connection) {
         clients.add(connection);
         if (clients.size() > mostClients) {
-            closeOldest(connection);
+            if (!closeOldest(connection, 0)) {
+                listening.config().setAutoRead(false);
+            }
+        } else if (clients.size() > roomyClients) {
+            closeOldest(connection, SPARED_NS);
         }
     }
 
     /**
      * Makes room by a connection with no request open: refusing the new one could lose a request written to it.
      * First one that never said anything, as those that come by hundreds do, then one that stopped within a
-     * request, then the one longest idle.
+     * request, then the one longest idle. False if there is none that has stood for so long.
      */
-    private void closeOldest(ClientHandler newest) {
+    private boolean closeOldest(ClientHandler newest, long leastNs) {
+        long now = System.nanoTime();
         ClientHandler oldest = null;
         for (ClientHandler client : clients) {
-            if (client != newest && client.spare() < ClientHandler.NOT_SPARE
+            if (client != newest && client.spare() < ClientHandler.NOT_SPARE && now - client.idleSince() >= leastNs
                     && (oldest == null || client.spare() < oldest.spare()
                     || client.spare() == oldest.spare() && client.idleSince() - oldest.idleSince() < 0)) {
                 oldest = client;
@@ -236,9 +250,8 @@
             // in the same turn the same one would be found again. A crowd would grow past every descriptor.
             clients.remove(oldest);
             oldest.close();
-        } else {
-            listening.config().setAutoRead(false);
         }
+        return oldest != null;
     }
 
     @Override
--- a/src/test/java/nettletrail/net/FrontDoorTest.java
+++ b/src/test/java/nettletrail/net/FrontDoorTest.java
@@ -673,6 +673,22 @@
         assertTrue(first.ended());
     }
 
+    @Test
+    void whoAskedOnceAndKeepsItsConnectionMakesRoomBeforeAllAreTaken() throws Exception {
+        rig.sockets(128); // forty for clients
+        rig.start(serving(rig.backend(), "s-1"));
+        List<Peer> kept = new ArrayList<>();
+        for (int i = 0; i < 32; i++) {
+            kept.add(rig.client().write("GET /x HTTP/1.1\r\n\r\n"));
+            assertEquals(404, kept.get(i).read().status());
+        }
+        Thread.sleep(400);
+        Peer next = rig.client().write("GET /x HTTP/1.1\r\n\r\n");
+        assertEquals(404, next.read().status());
+        // One that is still open would answer.
+        assertTrue(kept.get(0).write("GET /x HTTP/1.1\r\n\r\n").ended());
+    }
+
     /** The loop is kept busy, so that the crowd is taken in one turn of it. */
     @Test
     void aCrowdThatConnectsAtOnceStaysUnderTheCap() throws Exception {
