Good answers of more than 64 KiB are passed on instead of taken for spoilt

PROTOCOL speaks of 64 KiB at most, these backends send more, and the request has run. At fault: hasEnd() and take(), which held answers against the limit for requests. Ruled out: the part clock of 250 ms, other statuses (one 500), answers without an end (60 of 2,100).

Requests of more than 64 KiB are still refused, answers of more than 512 KB still spoilt. The test fails without the change.

--- a/src/main/java/nettletrail/net/BackendPool.java
+++ b/src/main/java/nettletrail/net/BackendPool.java
@@ -41,6 +41,12 @@
 final class BackendPool {
     /** The largest body that the protocol knows. */
     static final int MOST_BODY = 64 << 10;
+    /**
+     * The largest answer that is passed on. Backends were seen to send good ones of 400 KB, and to take these for
+     * spoilt loses a request that has run. It is held whole, so it could do harm where very many such answers wait for
+     * clients that do not read: what comes then fails for want of buffers.
+     */
+    private static final int MOST_ANSWER = 512 << 10;
     private static final AsciiString TURNED_AWAY = AsciiString.cached("X-Turned-Away");
     private static final long SWEEP_MS = 1_000;
     /**
@@ -382,7 +388,7 @@
 
         private void take(HttpContent content) {
             boolean whole = content instanceof LastHttpContent;
-            if (body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
+            if (body.readableBytes() + content.content().readableBytes() > MOST_ANSWER) {
                 spoilt();
             } else if (whole && !body.isReadable()) {
                 answered(content.content());
@@ -482,7 +488,8 @@
         /** An answer ends with its length or its last chunk; the end of the connection could as well be a break. */
         private static boolean hasEnd(HttpResponse answer) {
             return HttpUtil.isTransferEncodingChunked(answer)
-                    || answer.headers().contains(HttpHeaderNames.CONTENT_LENGTH) && HttpUtil.getContentLength(answer, -1L) <= MOST_BODY;
+                    || answer.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                    && HttpUtil.getContentLength(answer, -1L) <= MOST_ANSWER;
         }
 
         private static Outcome outcome(HttpResponse answer) {
--- a/src/test/java/nettletrail/net/FrontDoorTest.java
+++ b/src/test/java/nettletrail/net/FrontDoorTest.java
@@ -336,6 +336,19 @@
         assertEquals(Gateway.Outcome.CONNECT_FAILED, module.answer().outcome());
     }
 
+    @Test
+    void anAnswerLargerThanTheProtocolKnowsIsPassedOn() throws Exception {
+        ServerSocket backend = rig.backend();
+        rig.start(serving(backend, "s-1"));
+        Peer client = rig.client().write(Rig.request("buy", "a", 9000, "x"));
+        String body = "0123456789abcdef".repeat(25_000);
+        try (Peer server = Peer.accept(backend)) {
+            server.read();
+            server.answer("200 OK", "", body);
+            assertEquals(body, client.read().body());
+        }
+    }
+
     @Test
     void anAnswerThatIsNotWholeServesNobody() throws Exception {
         Once module = new Once();
