One customer's tokens take a part of what may wait and be asked about at most

Now each customer has a part of both (most_part_pct, 25). A flood of 5,000 tokens in one name beside 100 of another's: all 100 served, 10 of 40 places taken.

--- a/app/src/test/java/nettletrail/app/TokensAtTheDoorTest.java
+++ b/app/src/test/java/nettletrail/app/TokensAtTheDoorTest.java
@@ -99,7 +99,7 @@
         Path secret = folder.resolve("secret");
         TokensSettings tokens = new TokensSettings(servers.stream().map(StandInIntrospection::address).toList(), path, metadataPath,
                 "gw", secret.toString(), TokensSettings.ClientAuth.BASIC, "", false, false, "", null, "gw", issuer, "", "customer", Map.of("order-submit", "orders:write"), Map.of(), 60, 5,
-                300, 100, 100, 300, 30, 2_500, 1_000, 2_000, 64, 8_192, 4_096, 1_024);
+                300, 100, 100, 300, 30, 2_500, 1_000, 2_000, 64, 8_192, 4_096, 1_024, 100);
         Path file = folder.resolve("n0.json");
         Files.writeString(file, "{\"name\":\"n0\",\"discovery\":\"\",\"seed\":\"1\",\"limits\":{\"sockets\":1024},"
                 + "\"known\":" + agent.list(-1) + ",\"settings\":" + SiteSettings.usual(1).json() + "}");
--- a/tokens/src/main/java/nettletrail/tokens/TokensAdmission.java
+++ b/tokens/src/main/java/nettletrail/tokens/TokensAdmission.java
@@ -69,7 +69,7 @@
                 settings.failedMs() * MS, settings.patienceMs() * MS, settings.reserveMs() * MS,
                 TimeUnit.SECONDS.toNanos(settings.skewS()), settings.issuer(), settings.audience(),
                 !settings.customerClaim().isEmpty(), bytes - bytes / BAD_PART, bytes / BAD_PART, settings.mostWaiting(),
-                settings.mostAsking(), rules), this);
+                settings.mostAsking(), settings.mostPartPct() / 100.0, rules), this);
         TrustedKeys authority = authority(settings.keysFile());
         calls = new IntrospectionCalls(settings, loop, clock, name, authority);
         local = settings.localJwts() ? new LocalJwt(authority, settings.issuer(), settings.customerClaim()) : null;
--- a/tokens/src/main/java/nettletrail/tokens/TokensDecider.java
+++ b/tokens/src/main/java/nettletrail/tokens/TokensDecider.java
@@ -34,7 +34,8 @@
  * Validity is checked at each verdict, not only when the answer comes: exp and nbf with the skew allowed between clocks.
  *
  * <p><b>Memory.</b> Good and bad tokens are kept apart, each within a bound (W-TinyLFU, by Caffeine), so that a flood of
- * rubbish moves no good one out; requests that wait and tokens asked about are bounded by number.
+ * rubbish moves no good one out; requests that wait and tokens asked about are bounded by number, and those of one customer
+ * to a part of it, so that a flood in one customer's name leaves room for the others.
  *
  * <p>Sources: RFC 7662 sections 2.2 and 4 (liveness of cached answers), RFC 6750 section 3.
  */
@@ -69,11 +70,12 @@
      * @param mostBadBytes memory for others
      * @param mostWaiting requests that wait at once
      * @param mostAsking tokens asked about at once
+     * @param mostPart of both bounds that one customer's requests take at most, 0 to 1
      * @param rules by the class's position
      */
     public record Terms(long freshNs, long badNs, long revokedNs, long failedNs, long patienceNs, long reserveNs, long skewNs,
             String issuer, String audience, boolean mapsCustomer, long mostGoodBytes, long mostBadBytes, int mostWaiting,
-            int mostAsking, List<Rule> rules) {
+            int mostAsking, double mostPart, List<Rule> rules) {
         public Terms {
             rules = List.copyOf(rules);
         }
@@ -114,8 +116,20 @@
     private record Bad(Why why, long until) { }
 
     private static final class Asking {
+        /** Whose request it was asked for first. */
+        final String payer;
         final Map<Long, Waiter> waiters = new LinkedHashMap<>();
         boolean revoked;
+
+        Asking(String payer) {
+            this.payer = payer;
+        }
+    }
+
+    /** What one customer has here; kept only while it has something. */
+    private static final class Share {
+        int asking;
+        int waiting;
     }
 
     /** One that waits, and until when. */
@@ -128,6 +142,7 @@
     private final Map<TokenKey, Asking> asking = new HashMap<>();
     private final PriorityQueue<Waiter> due = new PriorityQueue<>((a, b) -> a.until() == b.until()
             ? Long.compare(a.order(), b.order()) : Long.compare(a.until(), b.until()));
+    private final Map<String, Share> shares = new HashMap<>();
     private int waiting;
     private long order;
     private long calls;
@@ -191,7 +206,9 @@
             noTime++;
             return mayBeStale ? judged(had.grant(), asker, now, true) : new Verdict.Unknown(Why.NO_TIME, 0);
         }
-        if (waiting >= terms.mostWaiting() || !call(token, asker)) {
+        Share share = shares.get(asker.customer());
+        boolean full = waiting >= terms.mostWaiting() || share != null && share.waiting >= part(terms.mostWaiting());
+        if (full || !call(token, asker)) {
             busy++;
             return mayBeStale ? judged(had.grant(), asker, now, true) : new Verdict.Unknown(Why.BUSY, terms.failedNs());
         }
@@ -200,6 +217,7 @@
         asking.get(token).waiters.put(asker.id(), waiter);
         due.add(waiter);
         waiting++;
+        shares.computeIfAbsent(asker.customer(), name -> new Share()).waiting++;
         return new Verdict.Wait();
     }
 
@@ -208,11 +226,39 @@
         Asking call = asking.get(token);
         Waiter waiter = call == null ? null : call.waiters.remove(id);
         if (waiter != null) {
-            due.remove(waiter);
-            waiting--;
+            noLongerWaits(waiter);
+        }
+    }
+
+    private void noLongerWaits(Waiter waiter) {
+        due.remove(waiter);
+        waiting--;
+        String customer = waiter.asker().customer();
+        shares.get(customer).waiting--;
+        dropIfEmpty(customer);
+    }
+
+    private void dropIfEmpty(String customer) {
+        Share share = shares.get(customer);
+        if (share.asking == 0 && share.waiting == 0) {
+            shares.remove(customer);
         }
     }
 
+    private int part(int bound) {
+        return (int) Math.max(1, Math.ceil(bound * terms.mostPart()));
+    }
+
+    /** The call for this token is over; null if none was out. */
+    private Asking over(TokenKey token) {
+        Asking call = asking.remove(token);
+        if (call != null) {
+            shares.get(call.payer).asking--;
+            dropIfEmpty(call.payer);
+        }
+        return call;
+    }
+
     private long staleUntil(Good had, Asker asker) {
         return had.freshUntil() + terms.rules().get(asker.requestClass()).staleNs();
     }
@@ -227,10 +273,13 @@
         if (asking.containsKey(token)) {
             return true;
         }
-        if (asking.size() >= terms.mostAsking()) {
+        Share share = shares.computeIfAbsent(first.customer(), name -> new Share());
+        if (asking.size() >= terms.mostAsking() || share.asking >= part(terms.mostAsking())) {
+            dropIfEmpty(first.customer());
             return false;
         }
-        asking.put(token, new Asking());
+        share.asking++;
+        asking.put(token, new Asking(first.customer()));
         calls++;
         actions.introspect(token, first);
         return true;
@@ -282,7 +331,7 @@
             failed(now, token);
             return;
         }
-        Asking call = asking.remove(token);
+        Asking call = over(token);
         if (call == null) {
             return;
         }
@@ -324,14 +373,13 @@
     private List<Waiter> ended(Asking call) {
         List<Waiter> waiters = new ArrayList<>(call.waiters.values());
         call.waiters.clear();
-        waiters.forEach(due::remove);
-        waiting -= waiters.size();
+        waiters.forEach(this::noLongerWaits);
         return waiters;
     }
 
     /** No answer that could be used came of the call. */
     public void failed(long now, TokenKey token) {
-        Asking call = asking.remove(token);
+        Asking call = over(token);
         if (call == null) {
             return;
         }
--- a/tokens/src/main/java/nettletrail/tokens/TokensSettings.java
+++ b/tokens/src/main/java/nettletrail/tokens/TokensSettings.java
@@ -28,7 +28,7 @@
 public record TokensSettings(List<InetSocketAddress> servers, String path, String metadataPath, String clientId, String secretFile, ClientAuth auth,
         String assertionAudience, boolean signedAnswers, boolean localJwts, String keysFile, InetSocketAddress revocationsListen, String realm, String issuer, String audience, String customerClaim, Map<String, String> scopes,
         Map<String, String> staleS, long freshS, long badS, long revokedS, long failedMs, long patienceMs, long reserveMs,
-        long skewS, long callMs, long callsPerS, long callsAtOnce, int mostOut, long mostKb, int mostWaiting, int mostAsking) {
+        long skewS, long callMs, long callsPerS, long callsAtOnce, int mostOut, long mostKb, int mostWaiting, int mostAsking, int mostPartPct) {
     /** How this front door proves who it is (RFC 6749 section 2.3.1, RFC 7523). */
     public enum ClientAuth {
         NONE, BASIC, POST, PRIVATE_KEY_JWT;
@@ -91,7 +91,8 @@
                 .whole("most_out", 1, 10_000, 64, "calls out at once")
                 .whole("most_kb", 64, 1_048_576, 8_192, "KiB for what is known of tokens")
                 .whole("most_waiting", 1, 1_000_000, 4_096, "requests that wait at once; beyond, they are told to come again")
-                .whole("most_asking", 1, 1_000_000, 1_024, "tokens asked about at once; beyond, the same");
+                .whole("most_asking", 1, 1_000_000, 1_024, "tokens asked about at once; beyond, the same")
+                .whole("most_part_pct", 1, 100, 25, "percent of both that one customer's requests take at most");
     }
 
     /** Rules between the values. */
@@ -164,7 +165,8 @@
                 values.whole("bad_s"), values.whole("revoked_s"), values.whole("failed_ms"), values.whole("patience_ms"),
                 values.whole("reserve_ms"), values.whole("skew_s"), values.whole("call_ms"), values.whole("calls_per_s"),
                 values.whole("calls_at_once"), (int) values.whole("most_out"), values.whole("most_kb"),
-                (int) values.whole("most_waiting"), (int) values.whole("most_asking"));
+                (int) values.whole("most_waiting"), (int) values.whole("most_asking"),
+                (int) values.whole("most_part_pct"));
     }
 
     private static List<InetSocketAddress> addresses(String text) {
--- a/tokens/src/test/java/nettletrail/tokens/TokensDeciderTest.java
+++ b/tokens/src/test/java/nettletrail/tokens/TokensDeciderTest.java
@@ -107,7 +107,7 @@
         all.forEach(id -> assertInstanceOf(Verdict.Pass.class, run.decided.get(id)));
 
         Terms few = new Terms(10 * SECOND, 2 * SECOND, 60 * SECOND, 250 * MS, 100 * MS, 200 * MS, 0, "", "", true, 1 << 20,
-                1 << 20, 5_000, 256, TokensRun.RULES);
+                1 << 20, 5_000, 256, 1, TokensRun.RULES);
         TokensRun flood = new TokensRun(few);
         int busy = 0;
         for (int i = 0; i < 10_000; i++) {
@@ -135,6 +135,36 @@
         assertTrue(run.decider.status().bad() <= (1 << 20) / 100, run.decider.status().toString());
     }
 
+    /** Hard case 3, its last part: a flood in one customer's name leaves room for the others, in calls and in waiting. */
+    @Test
+    void aFloodOfRubbishInOneCustomersNameStarvesNobodyElse() {
+        TokensRun flood = new TokensRun(new Terms(10 * SECOND, 2 * SECOND, 60 * SECOND, 250 * MS, 100 * MS, 200 * MS, 0, "", "",
+                true, 1 << 20, 1 << 20, 400, 40, 0.25, TokensRun.RULES));
+        int served = 0;
+        for (int i = 0; i < 5_000; i++) {
+            flood.ask(key(i), 1, "flooder", 3 * SECOND);
+            if (i % 50 == 49) {
+                TokenKey token = key(100_000 + i);
+                assertInstanceOf(Verdict.Wait.class, flood.ask(token, 1, "c", 3 * SECOND), "room for others");
+                flood.answer(token, ORDER);
+                served += flood.decided.get(flood.lastId()) instanceof Verdict.Pass ? 1 : 0;
+                flood.pass(20 * MS);
+            }
+            if (i % 100 == 99) {
+                List.copyOf(flood.out.keySet()).stream().limit(3).forEach(each -> flood.answer(each, new Introspected.Inactive()));
+            }
+        }
+        assertEquals(100, served);
+        assertTrue(flood.decider.status().asking() <= 10, flood.decider.status().toString());
+        TokensRun one = new TokensRun(new Terms(10 * SECOND, 2 * SECOND, 60 * SECOND, 250 * MS, 100 * MS, 200 * MS, 0, "", "",
+                true, 1 << 20, 1 << 20, 40, 40, 0.25, TokensRun.RULES));
+        for (int i = 0; i < 30; i++) {
+            one.ask(TOKEN, 1, "flooder", 3 * SECOND); // one token, many that wait for it
+        }
+        assertEquals(10, one.decider.status().waiting());
+        assertInstanceOf(Verdict.Wait.class, one.ask(key(2), 1, "c", 3 * SECOND));
+    }
+
     /** Hard case 4: what the grant says is checked, with 30 s between the clocks. */
     @Test
     void activeIsNotEnough() {
@@ -163,7 +193,7 @@
         assertEquals(new Verdict.Denied(Why.SCOPE, "order"), run.decided.get(run.lastId()));
         assertInstanceOf(Verdict.Pass.class, run.ask(key(2), 0, "c", 3 * SECOND), "another class needs none");
         Terms strict = new Terms(10 * SECOND, 2 * SECOND, 60 * SECOND, 250 * MS, 100 * MS, 200 * MS, 0, "https://as", "gw", false,
-                1 << 20, 1 << 20, 10, 10, TokensRun.RULES);
+                1 << 20, 1 << 20, 10, 10, 1, TokensRun.RULES);
         List<Verdict> verdicts = new ArrayList<>();
         for (String[] each : new String[][] {{"https://as", "gw"}, {"https://as2", "gw"}, {"https://as", "other"}}) {
             TokensDecider decider = new TokensDecider(strict, new TokensDecider.Actions() {
@@ -249,7 +279,7 @@
             @ForAll @Size(max = 120) List<@IntRange(max = 9) Integer> moves) {
         SplittableRandom random = new SplittableRandom(seed);
         TokensRun any = new TokensRun(new Terms(2 * SECOND, SECOND, 5 * SECOND, 250 * MS, 100 * MS, 200 * MS, random.nextInt(2)
-                * 30 * SECOND, "", "", true, 1 << 20, 1 << 20, 6, 4, TokensRun.RULES));
+                * 30 * SECOND, "", "", true, 1 << 20, 1 << 20, 6, 4, 0.5, TokensRun.RULES));
         for (int move : moves) {
             TokenKey token = key(random.nextInt(6));
             switch (move) {
--- a/tokens/src/test/java/nettletrail/tokens/TokensRun.java
+++ b/tokens/src/test/java/nettletrail/tokens/TokensRun.java
@@ -24,7 +24,7 @@
     /** 0: any scope, nothing stale; 1: needs "order", may be stale for 30 s. */
     static final List<Rule> RULES = List.of(new Rule("", 0), new Rule("order", 30 * SECOND));
     static final Terms TERMS = new Terms(10 * SECOND, 2 * SECOND, 60 * SECOND, 250 * MS, 100 * MS, 200 * MS, 30 * SECOND, "",
-            "", true, 1 << 20, 1 << 20, 20_000, 20_000, RULES);
+            "", true, 1 << 20, 1 << 20, 20_000, 20_000, 1, RULES);
 
     final Terms terms;
     final TokensDecider decider;
@@ -68,6 +68,8 @@
         } else {
             check(asker, verdict);
         }
+        long mine = waiting.values().stream().filter(each -> each.customer().equals(customer)).limit(100).count();
+        assertTrue(mine >= 100 || mine <= Math.ceil(terms.mostWaiting() * terms.mostPart()), mine + " of one customer wait");
         assertTrue(decider.status().waiting() <= terms.mostWaiting() && decider.status().asking() <= terms.mostAsking());
         return verdict;
     }
