One DoorProcesses for three copies; the rule on stale answers written once

No behaviour changes. try, measure limits and measure tokens each started their front doors by the same lines; the stale-or- unknown rule stood five times in TokensDecider; TokensAdmission read credentials in three places and checked for unusable answers as the decider does; a dead assignment, two unused accessors, a header written twice.

--- a/app/src/main/java/nettletrail/app/LimitsProcesses.java
+++ b/app/src/main/java/nettletrail/app/LimitsProcesses.java
@@ -1,7 +1,6 @@
 package nettletrail.app;
 
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -54,38 +53,17 @@
         SiteSettings settings = new SiteSettings(DOORS, usual.classes(), List.of(new SiteSettings.Plan("shared", 10_000, 10_000,
                 0, 0, 0, 0, 1)), usual.coldFrom(), usual.rampMs(), usual.overloadFactor(), usual.fallMs(),
                 usual.drainGraceMs(), false);
-        Path folder = Files.createTempDirectory("nettletrail-limits");
         NioEventLoopGroup group = new NioEventLoopGroup(1);
-        List<ChildJvm> doors = new ArrayList<>();
         try (Site site = new Site(settings, BACKENDS, new SiteBackend.Machine(8, 64, 10), seed);
-                StandInCounter counter = new StandInCounter(group.next(), null)) {
-            Path operator = folder.resolve("operator.toml");
+                StandInCounter counter = new StandInCounter(group.next(), null);
+                DoorProcesses doors = new DoorProcesses("limits")) {
+            Path operator = doors.file("operator.toml");
             Files.writeString(operator, "[limits]\nenabled = true\ncounter = \"127.0.0.1:" + counter.address().getPort()
                     + "\"\nceilings = \"shared=" + CEILING_RATE + "/" + CEILING_BURST + "\"\n");
-            List<InetSocketAddress> addresses = new ArrayList<>();
-            for (int i = 0; i < DOORS; i++) {
-                Path config = folder.resolve("n" + i + ".json");
-                Files.writeString(config, site.config("n" + i));
-                doors.add(new ChildJvm(Map.of("EDGE_NAME", "n" + i, "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
-                        "127.0.0.1:" + site.agent().address().getPort(), "EDGE_CONFIG", config.toString()), "serve",
-                        "--operator", operator.toString()));
-            }
-            for (int i = 0; i < DOORS; i++) {
-                String at = doors.get(i).await("n" + i + " listens on ");
-                addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))));
-                Try.awaitReady(addresses.get(i));
-            }
-            return play(site, counter, doors, addresses, lossSeconds);
+            List<InetSocketAddress> addresses = doors.start(site, "--operator", operator.toString());
+            return play(site, counter, doors.processes(), addresses, lossSeconds);
         } finally {
-            doors.forEach(ChildJvm::close);
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            try (var files = Files.list(folder)) {
-                for (Path each : files.toList()) {
-                    Files.deleteIfExists(each);
-                }
-            }
-            Files.deleteIfExists(folder);
         }
     }
 
--- a/app/src/main/java/nettletrail/app/MeasureTokens.java
+++ b/app/src/main/java/nettletrail/app/MeasureTokens.java
@@ -1,7 +1,6 @@
 package nettletrail.app;
 
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -192,22 +191,22 @@
 
     private static Run play(boolean withTokens, int outage, int rate, long seed) throws Exception {
         Run run = new Run();
-        Path folder = Files.createTempDirectory("nettletrail-tokens");
         NioEventLoopGroup group = new NioEventLoopGroup(1);
-        List<ChildJvm> doors = new ArrayList<>();
         List<StandInIntrospection> servers = new ArrayList<>();
         SiteSettings settings = SiteSettings.usual(DOORS);
-        try (Site site = new Site(settings, BACKENDS, new SiteBackend.Machine(8, 64, 10), seed)) {
-            Path secret = folder.resolve("secret");
+        try (Site site = new Site(settings, BACKENDS, new SiteBackend.Machine(8, 64, 10), seed);
+                DoorProcesses doors = new DoorProcesses("tokens")) {
+            Path secret = doors.file("secret");
             Files.writeString(secret, "measured\n");
             Files.setPosixFilePermissions(secret, PosixFilePermissions.fromString("rw-------"));
             for (int i = 0; i < 2; i++) {
                 servers.add(new StandInIntrospection(group, "gw", "measured", seed + i));
             }
-            Path operator = folder.resolve("operator.toml");
+            Path operator = doors.file("operator.toml");
             Files.writeString(operator, "[tokens]\nenabled = " + withTokens + "\nservers = \"" + address(servers.get(0)) + ","
                     + address(servers.get(1)) + "\"\nclient_id = \"gw\"\nclient_secret_file = \"" + secret
-                    + "\"\ncustomer_claim = \"customer\"\nscopes = \"order-submit=orders:write\"\nstale = \"order-status=120\"\nfresh_s = " + FRESH_S + "\n");
+                    + "\"\ncustomer_claim = \"customer\"\nscopes = \"order-submit=orders:write\"\nstale = \"order-status=120\""
+                    + "\nfresh_s = " + FRESH_S + "\n");
             for (int plan = 0; plan < settings.plans().size(); plan++) {
                 for (int each = 0; each < 40; each++) {
                     String customer = String.format("%016x", plan * 1_000 + each);
@@ -218,20 +217,7 @@
                     }
                 }
             }
-            List<InetSocketAddress> addresses = new ArrayList<>();
-            for (int i = 0; i < DOORS; i++) {
-                Path config = folder.resolve("n" + i + ".json");
-                Files.writeString(config, site.config("n" + i));
-                doors.add(new ChildJvm(Map.of("EDGE_NAME", "n" + i, "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
-                        "127.0.0.1:" + site.agent().address().getPort(), "EDGE_CONFIG", config.toString()), "serve",
-                        "--operator", operator.toString()));
-            }
-            for (int i = 0; i < DOORS; i++) {
-                String at = doors.get(i).await("n" + i + " listens on ");
-                addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))));
-                Try.awaitReady(addresses.get(i));
-            }
+            List<InetSocketAddress> addresses = doors.start(site, "--operator", operator.toString());
             SiteClients clients = site.clients(addresses);
             if (withTokens) {
                 clients.credentials((id, customer) -> {
@@ -248,15 +234,8 @@
             run.breaks = site.audit();
             return run;
         } finally {
-            doors.forEach(ChildJvm::close);
             servers.forEach(StandInIntrospection::close);
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            try (var files = Files.list(folder)) {
-                for (Path each : files.toList()) {
-                    Files.deleteIfExists(each);
-                }
-            }
-            Files.deleteIfExists(folder);
         }
     }
 
--- a/app/src/main/java/nettletrail/app/Try.java
+++ b/app/src/main/java/nettletrail/app/Try.java
@@ -1,16 +1,8 @@
 package nettletrail.app;
 
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.HttpURLConnection;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import nettletrail.site.Auditor;
 import nettletrail.site.Site;
@@ -50,22 +42,9 @@
             spec.commandLine().getErr().println("try: --seconds must be 5 or more, --rate 1 or more");
             return App.UNUSABLE;
         }
-        Path folder = Files.createTempDirectory("nettletrail-try");
-        List<ChildJvm> doors = new ArrayList<>();
-        try (Site site = new Site(SiteSettings.usual(DOORS), BACKENDS, new SiteBackend.Machine(4, 24, 40), seed)) {
-            List<InetSocketAddress> addresses = new ArrayList<>();
-            for (int i = 0; i < DOORS; i++) {
-                Path config = folder.resolve("n" + i + ".json");
-                Files.writeString(config, site.config("n" + i));
-                doors.add(new ChildJvm(Map.of("EDGE_NAME", "n" + i, "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
-                        "127.0.0.1:" + site.agent().address().getPort(), "EDGE_CONFIG", config.toString()), "serve"));
-            }
-            for (int i = 0; i < DOORS; i++) {
-                String at = doors.get(i).await("n" + i + " listens on ");
-                addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))));
-                awaitReady(addresses.get(i));
-            }
+        try (Site site = new Site(SiteSettings.usual(DOORS), BACKENDS, new SiteBackend.Machine(4, 24, 40), seed);
+                DoorProcesses doors = new DoorProcesses("try")) {
+            List<InetSocketAddress> addresses = doors.start(site);
             out.println(BACKENDS + " backends, discovery and " + DOORS + " front doors are up; " + rate
                     + " new requests a second for " + seconds + " s (seed " + seed + ")");
             out.flush();
@@ -79,12 +58,6 @@
                 hold(addresses, out);
             }
             return breaks.isEmpty() ? 0 : 1;
-        } finally {
-            doors.forEach(ChildJvm::close);
-            for (int i = 0; i < DOORS; i++) {
-                Files.deleteIfExists(folder.resolve("n" + i + ".json"));
-            }
-            Files.deleteIfExists(folder);
         }
     }
 
@@ -151,16 +124,4 @@
         out.flush();
         Thread.currentThread().join();
     }
-
-    static void awaitReady(InetSocketAddress door) throws IOException, InterruptedException {
-        for (int i = 0; i < 300; i++) {
-            HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + "/-/ready")
-                    .toURL().openConnection();
-            if (call.getResponseCode() == 200) {
-                return;
-            }
-            Thread.sleep(50);
-        }
-        throw new IOException("the front door on port " + door.getPort() + " never became ready");
-    }
 }
--- a/ext-proc/src/main/java/nettletrail/extproc/Answers.java
+++ b/ext-proc/src/main/java/nettletrail/extproc/Answers.java
@@ -77,7 +77,10 @@
 
     /** 0 ns: no word on when to come again. */
     static ProcessingResponse refuse(int status, long retryAfterNs, String why) {
-        ImmediateResponse.Builder answer = immediate(status, "refuse", why);
+        return comeAgain(immediate(status, "refuse", why), retryAfterNs);
+    }
+
+    private static ProcessingResponse comeAgain(ImmediateResponse.Builder answer, long retryAfterNs) {
         if (retryAfterNs > 0) {
             answer.getHeadersBuilder().addSetHeaders(header("retry-after", retryAfter(retryAfterNs)));
         }
@@ -98,10 +101,7 @@
         if (!denial.challenge().isEmpty()) {
             answer.getHeadersBuilder().addSetHeaders(header("www-authenticate", denial.challenge()));
         }
-        if (denial.retryAfterNs() > 0) {
-            answer.getHeadersBuilder().addSetHeaders(header("retry-after", retryAfter(denial.retryAfterNs())));
-        }
-        return ProcessingResponse.newBuilder().setImmediateResponse(answer).build();
+        return comeAgain(answer, denial.retryAfterNs());
     }
 
     static ProcessingResponse malformed(String what) {
--- a/ext-proc/src/main/java/nettletrail/extproc/HttpAsks.java
+++ b/ext-proc/src/main/java/nettletrail/extproc/HttpAsks.java
@@ -51,8 +51,6 @@
     private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private Processor.OpenAsk ask;
-    /** Of the answer that is being made; "" for none. */
-    private String challenge = "";
     private boolean asking;
     private boolean keepAlive;
     private boolean denyAs403;
@@ -203,9 +201,7 @@
 
     @Override
     public void deny(Admission.Denial denial) {
-        challenge = denial.challenge();
-        answer(denial.status(), "deny", denial.retryAfterNs(), denial.text());
-        challenge = "";
+        answer(denial.status(), "deny", denial.retryAfterNs(), denial.challenge(), denial.text());
     }
 
     @Override
@@ -214,6 +210,10 @@
     }
 
     private void answer(int status, String decision, long retryAfterNs, String why) {
+        answer(status, decision, retryAfterNs, "", why);
+    }
+
+    private void answer(int status, String decision, long retryAfterNs, String challenge, String why) {
         boolean denied = denyAs403 && status >= 400;
         respond(denied ? 403 : status, Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), headers -> {
             headers.set(DECISION, decision);
--- a/tokens/src/main/java/nettletrail/tokens/SignedAnswer.java
+++ b/tokens/src/main/java/nettletrail/tokens/SignedAnswer.java
@@ -4,6 +4,7 @@
 import com.nimbusds.jwt.JWTClaimsSet;
 import java.nio.charset.StandardCharsets;
 import java.text.ParseException;
+import java.util.Map;
 
 /**
  * An introspection answer that is a signed JWT (RFC 9701 section 5): made by the issuer, for this front door, not long ago.
@@ -43,11 +44,11 @@
                     || claims.getIssueTime().getTime() < nowMs - (mostAgeS + skewS) * 1_000) {
                 return new Introspected.Unusable("the signed answer was not made just now");
             }
-            Object inner = claims.getClaim(CLAIM);
-            if (!(inner instanceof java.util.Map<?, ?>)) {
+            Map<String, Object> inner = claims.getJSONObjectClaim(CLAIM);
+            if (inner == null) {
                 return new Introspected.Unusable("the signed answer has no " + CLAIM);
             }
-            return Introspected.read("application/json", JSONObjectUtils.toJSONString(claims.getJSONObjectClaim(CLAIM))
+            return Introspected.read("application/json", JSONObjectUtils.toJSONString(inner)
                     .getBytes(StandardCharsets.UTF_8), customerClaim);
         } catch (TrustedKeys.Untrusted e) {
             return new Introspected.Unusable("the signed answer: " + e.getMessage());
--- a/tokens/src/main/java/nettletrail/tokens/TokensAdmission.java
+++ b/tokens/src/main/java/nettletrail/tokens/TokensAdmission.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -87,11 +86,6 @@
         }
     }
 
-    /** Where revocations are pushed to, or null. */
-    public InetSocketAddress revocationsAddress() {
-        return revocations == null ? null : revocations.address();
-    }
-
     private static void known(String key, Map<String, String> byClass, List<String> classes) {
         for (String each : byClass.keySet()) {
             if (!classes.contains(each)) {
@@ -119,8 +113,7 @@
 
     @Override
     public Word ask(long id, Arrival arrival, long leftNs, Waiting listener) {
-        BearerToken credentials = BearerToken.read(arrival.authorization() == null ? List.of()
-                : List.of(arrival.authorization()));
+        BearerToken credentials = credentials(arrival);
         if (credentials instanceof BearerToken.Malformed malformed) {
             return denial(Verdict.Why.MALFORMED, "", malformed.why(), 0);
         }
@@ -146,6 +139,10 @@
         return word(verdict);
     }
 
+    private static BearerToken credentials(Arrival arrival) {
+        return BearerToken.read(arrival.authorization() == null ? List.of() : List.of(arrival.authorization()));
+    }
+
     /** As {@code X-Customer} has it. */
     private static String customer(long number) {
         return String.format(Locale.ROOT, "%016x", number);
@@ -153,8 +150,7 @@
 
     @Override
     public void left(long id, Arrival arrival) {
-        if (waiting.remove(id) != null && BearerToken.read(List.of(arrival.authorization()))
-                instanceof BearerToken.Present present) {
+        if (waiting.remove(id) != null && credentials(arrival) instanceof BearerToken.Present present) {
             decider.left(keys.of(present.text()), id);
         }
     }
@@ -180,13 +176,7 @@
         // At the loop's next turn: an answer that comes at once would come while the decider is in the middle of this.
         String text = asked;
         long customer = asking.customer();
-        loop.execute(() -> answer(text, customer, answer -> {
-            if (answer instanceof Introspected.Unusable) {
-                decider.failed(now(), token);
-            } else {
-                decider.told(now(), token, answer);
-            }
-        }));
+        loop.execute(() -> answer(text, customer, answer -> decider.told(now(), token, answer)));
     }
 
     private void answer(String text, long customer, Consumer<Introspected> answered) {
@@ -216,8 +206,8 @@
 
     @Override
     public void revoked(TokenKey token) {
-        loop.execute(() -> withdrawn.turnAway(arrival -> BearerToken.read(List.of(arrival.authorization()))
-                instanceof BearerToken.Present present && keys.of(present.text()).equals(token),
+        loop.execute(() -> withdrawn.turnAway(arrival -> credentials(arrival) instanceof BearerToken.Present present
+                && keys.of(present.text()).equals(token),
                 denial(Verdict.Why.REVOKED, "", Verdict.Why.REVOKED.text(), 0)));
     }
 
@@ -255,11 +245,6 @@
         told = now;
     }
 
-    /** For tests and operators; on the loop. */
-    Status status() {
-        return decider.status();
-    }
-
     @Override
     public void close() {
         clocks.forEach(each -> each.cancel(false));
--- a/tokens/src/main/java/nettletrail/tokens/TokensDecider.java
+++ b/tokens/src/main/java/nettletrail/tokens/TokensDecider.java
@@ -174,17 +174,12 @@
             return new Verdict.Denied(known.why(), "");
         }
         Good had = good.getIfPresent(token);
-        if (had != null) {
-            Why lapsed = lapsed(had.grant(), now);
-            if (lapsed == Why.EXPIRED) {
-                good.invalidate(token);
-                had = null;
-                remember(token, Why.EXPIRED, now + terms.badNs());
-                return new Verdict.Denied(lapsed, "");
-            }
+        if (had != null && lapsed(had.grant(), now) == Why.EXPIRED) {
+            good.invalidate(token);
+            remember(token, Why.EXPIRED, now + terms.badNs());
+            return new Verdict.Denied(Why.EXPIRED, "");
         }
-        boolean fresh = had != null && now < had.freshUntil();
-        if (fresh) {
+        if (had != null && now < had.freshUntil()) {
             if (now >= had.refreshFrom() && !holdsOff(token, now)) {
                 call(token, asker);
             }
@@ -196,23 +191,21 @@
     /** It is not known, or no longer: the request waits, if there is somebody to wait for and time for it. */
     private Verdict later(long now, Asker asker, Good had) {
         TokenKey token = asker.token();
-        boolean mayBeStale = had != null && now < staleUntil(had, asker);
         if (holdsOff(token, now)) {
-            return mayBeStale ? judged(had.grant(), asker, now, true)
-                    : new Verdict.Unknown(Why.UNAVAILABLE, bad.getIfPresent(token).until() - now);
+            return staleOr(now, asker, had, Why.UNAVAILABLE, bad.getIfPresent(token).until() - now);
         }
         long last = asker.deadline() - terms.reserveNs();
         if (last <= now) {
             noTime++;
-            return mayBeStale ? judged(had.grant(), asker, now, true) : new Verdict.Unknown(Why.NO_TIME, 0);
+            return staleOr(now, asker, had, Why.NO_TIME, 0);
         }
         Share share = shares.get(asker.customer());
         boolean full = waiting >= terms.mostWaiting() || share != null && share.waiting >= part(terms.mostWaiting());
         if (full || !call(token, asker)) {
             busy++;
-            return mayBeStale ? judged(had.grant(), asker, now, true) : new Verdict.Unknown(Why.BUSY, terms.failedNs());
+            return staleOr(now, asker, had, Why.BUSY, terms.failedNs());
         }
-        long until = mayBeStale ? Math.min(last, now + terms.patienceNs()) : last;
+        long until = mayBeStale(now, asker, had) ? Math.min(last, now + terms.patienceNs()) : last;
         Waiter waiter = new Waiter(asker, until, order++);
         asking.get(token).waiters.put(asker.id(), waiter);
         due.add(waiter);
@@ -259,8 +252,13 @@
         return call;
     }
 
-    private long staleUntil(Good had, Asker asker) {
-        return had.freshUntil() + terms.rules().get(asker.requestClass()).staleNs();
+    private boolean mayBeStale(long now, Asker asker, Good had) {
+        return had != null && now < had.freshUntil() + terms.rules().get(asker.requestClass()).staleNs();
+    }
+
+    /** By the answer that is no longer fresh, where the request's class may; else nobody knows, for this reason. */
+    private Verdict staleOr(long now, Asker asker, Good had, Why why, long retryAfterNs) {
+        return mayBeStale(now, asker, had) ? judged(had.grant(), asker, now, true) : new Verdict.Unknown(why, retryAfterNs);
     }
 
     private boolean holdsOff(TokenKey token, long now) {
@@ -391,9 +389,7 @@
         remember(token, Why.UNAVAILABLE, now + terms.failedNs());
         Good had = good.getIfPresent(token);
         for (Waiter each : ended(call)) {
-            boolean may = had != null && now < staleUntil(had, each.asker());
-            actions.decided(each.asker().id(), may ? judged(had.grant(), each.asker(), now, true)
-                    : new Verdict.Unknown(Why.UNAVAILABLE, terms.failedNs()));
+            actions.decided(each.asker().id(), staleOr(now, each.asker(), had, Why.UNAVAILABLE, terms.failedNs()));
         }
     }
 
@@ -424,14 +420,8 @@
             Asker asker = first.asker();
             left(asker.token(), asker.id());
             Good had = good.getIfPresent(asker.token());
-            Verdict verdict;
-            if (had != null && now < staleUntil(had, asker)) {
-                verdict = judged(had.grant(), asker, now, true);
-            } else {
-                noTime++;
-                verdict = new Verdict.Unknown(Why.NO_TIME, 0);
-            }
-            actions.decided(asker.id(), verdict);
+            noTime += mayBeStale(now, asker, had) ? 0 : 1;
+            actions.decided(asker.id(), staleOr(now, asker, had, Why.NO_TIME, 0));
         }
     }
 
