Many gateways: doubt about bad answers, quotas that allow for chance, worth first

(1) Nine of 60 backends answer 500 after 3 ms, draining ones turn away after 2 ms: with nothing out there, Brain.cost made them the best of all, and judge took no notice (a quarter to a half of all attempts). (2) A part of a store at 12 gateways is smaller than a request: withinQuota refused 35 to 45 % of what was asked inside quotas. (3) read() let capped plans' readings of 240 % go by: two of 26 customers made most of the excess.

Now: a cumulative sum of doubt for each backend, trials by repeatable requests, rarer at many gateways; overdrafts within chance; the let-in share for the dearest class first and for caps as well; one more slot of a cap while the meter tells of room.

--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -14,6 +14,9 @@
  * <p>The sections follow a request's life: it arrives and is measured against its customer's quota, waits in
  * its customer's queue, is sent when its customer has the lowest counter and a backend has a free slot, and
  * is settled by its answer. After these come the meter, the list of backends and the clock.
+ *
+ * <p>Where many gateways each see little (FEW_GATEWAYS), a part of a store or of a cap is smaller than one
+ * request: chance is allowed for, and of what is beyond a quota the least worth is refused first.
  */
 public final class Brain implements Gateway {
     private static final long MS = 1_000_000L;
@@ -41,8 +44,18 @@
     private static final int RING = 5 * SLICES;
     /** Periods from the end of a metered period to the first answer that tells it, until learned better. */
     private static final double USUAL_LAG = 0.75;
-    /** Requests by which a part may be overdrawn at most, so that it comes back within seconds. */
-    private static final double MOST_OVERDRAWN = 4;
+    /** Requests by which all parts may be overdrawn together, so that each comes back within seconds. */
+    private static final double MOST_OVERDRAWN = 12;
+    /** But each by one at least: at a small part of many, one request is more than the part holds at all. */
+    private static final double LEAST_OVERDRAWN = 1;
+    /**
+     * What comes to one of so few gateways tells what comes to all. Beyond, one request more or less is
+     * chance, and the let-in share alone decides up to this part of what may be overdrawn.
+     */
+    private static final double FEW_GATEWAYS = 3;
+    private static final double CHANCE = 0.9;
+    /** Parts of a cap that a meter tells, as the most out at once, where good use is made of the cap. */
+    private static final double CAP_IN_USE = 1.1;
     /** Share of the room that a reading tells which this gateway's part gains. */
     private static final double GAIN = 0.3;
     /** Requests that a reading is weighed against: few in a period say little of the rate. */
@@ -105,6 +118,16 @@
     private static final long MOST_BLOCK = 4 * SECOND;
     /** If more than this share of the backends is blocked, the trouble is elsewhere: use them all. */
     private static final double MOST_BLOCKED = 0.5;
+    /** Share of bad answers of an unwell backend; and at least, where none were seen, of the others. */
+    private static final double BAD_RATE = 0.8;
+    private static final double LEAST_BAD = 0.002;
+    /** Log of the odds from which on bad answers say that a backend is unwell, and what they are held to. */
+    private static final double UNWELL = 4;
+    private static final double MOST_DOUBT = 5;
+    /** Weight of an answer in the share of bad ones among sound backends. */
+    private static final double BAD_WEIGHT = 0.02;
+    /** ns that an unwell backend's trial waits for a request that can be repeated. */
+    private static final long UNSAFE_TRIAL = 8 * SECOND;
     /** A further attempt costs one; each request earns this much, up to the most. */
     private static final double RETRY_EARNED = 0.2;
     private static final double MOST_RETRIES = 20;
@@ -166,6 +189,9 @@
         long block;
         boolean onTrial;
         boolean unreached;
+        boolean unwell;
+        double doubt;
+        int badAnswers;
         boolean dead;
         int broken;
         long brokeAt;
@@ -202,6 +228,10 @@
     private long lastSentAt;
     private double publishedAt;
     private boolean published;
+    private double badShare;
+    /** Of all requests, the share of each class, and their mean worth. */
+    private final double[] asked;
+    private double meanWorth;
 
     public Brain(Settings settings, long now, Actions actions) {
         this.settings = Gateway.present(settings, "settings");
@@ -212,6 +242,8 @@
         usual = new double[settings.classes().size()];
         unloaded = new double[settings.classes().size()];
         answers = new int[usual.length];
+        asked = new double[usual.length];
+        Arrays.fill(asked, 1.0 / usual.length);
         Arrays.fill(answers, CLASS_PRIOR);
         for (int i = 0; i < usual.length; i++) {
             usual[i] = settings.classes().get(i).aimNs() / 5.0;
@@ -236,6 +268,11 @@
         job.leavesAt = now + request.patienceNs();
         retries = Math.min(MOST_RETRIES, retries + RETRY_EARNED);
         meanUnits += 0.01 * (request.units() - meanUnits);
+        meanWorth = 0;
+        for (int i = 0; i < asked.length; i++) {
+            asked[i] += 0.01 * ((i == request.requestClass() ? 1 : 0) - asked[i]);
+            meanWorth += asked[i] * settings.classes().get(i).worth();
+        }
         Customer customer = job.customer;
         // A client about to leave is answered at once: the next look at what waits would be too late.
         boolean leaving = request.patienceNs() < ANSWER_MARGIN;
@@ -332,13 +369,18 @@
     private boolean withinQuota(Customer customer, Request request) {
         Plan plan = customer.plan;
         if (plan.rate() <= 0 && plan.mostOut() > 0) {
-            return soonOpen(customer, request);
+            boolean even = customer.setSize <= FEW_GATEWAYS;
+            return soonOpen(customer, request) && (even || letIn(customer, request));
         }
         if (rate(plan) <= 0 || customer.store >= request.units()) {
             return true;
         }
-        // Overdrawn once, with chance a: a chance at each repeat would let heavy customers in after all.
-        if (customer.store >= 0 && random.nextDouble() < customer.let) {
+        // Overdrawn once, with chance a: a chance at each repeat would let heavy customers in after all. Of
+        // 14 gateways each saw one request of a usual customer in 15 s, and refused the next for having let
+        // in that one.
+        double few = Math.min(1, FEW_GATEWAYS / customer.setSize);
+        double chance = worth(request) < meanWorth ? 0 : CHANCE * (1 - few) * mostOverdrawn(customer);
+        if (customer.store >= -chance && letIn(customer, request)) {
             return true;
         }
         return plan.beyondEarns() > plan.beyondCost() && held == 0 && fleetPace < 1;
@@ -349,16 +391,22 @@
      * gateway's slots comes free for it while its aim can still be met.
      */
     private boolean soonOpen(Customer customer, Request request) {
-        int part = partOfCap(customer);
+        int part = partOfCap(customer, request);
         double need = usual[request.requestClass()];
         int ahead = Math.max(0, customer.out + customer.waiting.size() + 1 - part);
         long aim = settings.classes().get(request.requestClass()).aimNs();
         return (double) ahead / part * need + HOPE * need <= Math.min(aim, request.patienceNs());
     }
 
-    /** Slots of a cap that this gateway may use: its even part in whole slots, but one at least. */
-    private static int partOfCap(Customer customer) {
-        return Math.max(1, customer.plan.mostOut() / customer.setSize);
+    /**
+     * Slots of a cap that this gateway may use: its even part in whole slots, but one at least. One of many
+     * gateways has one more while the meter tells of room, for what is worth more than the mean: what comes
+     * to it comes unevenly, and the others' slots are mostly free.
+     */
+    private int partOfCap(Customer customer, Request request) {
+        int part = Math.max(1, customer.plan.mostOut() / customer.setSize);
+        boolean room = customer.lastReading >= 0 && customer.let > LET_NEAR_ALL;
+        return customer.setSize > FEW_GATEWAYS && room && worth(request) >= meanWorth ? part + 1 : part;
     }
 
     /** The ceiling is kept by each gateway on its own: an even share of its store and of its rate. */
@@ -396,8 +444,35 @@
         customer.counter -= job.charged;
     }
 
+    /**
+     * With chance a over all requests; of a part that must be refused, first what is worth least. Here the
+     * design, whose chance is the same for all, is departed from: at 14 gateways that earned a tenth of all.
+     */
+    private boolean letIn(Customer customer, Request request) {
+        double let = customer.let;
+        if (let >= 1) {
+            return true;
+        }
+        double worth = worth(request);
+        double dearer = 0;
+        double same = 0;
+        for (int i = 0; i < asked.length; i++) {
+            dearer += settings.classes().get(i).worth() > worth ? asked[i] : 0;
+            same += settings.classes().get(i).worth() == worth ? asked[i] : 0;
+        }
+        return random.nextDouble() < (let - dearer) / Math.max(same, 1e-9);
+    }
+
+    private double worth(Request request) {
+        return settings.classes().get(request.requestClass()).worth();
+    }
+
+    private double mostOverdrawn(Customer customer) {
+        return Math.max(LEAST_OVERDRAWN, MOST_OVERDRAWN / customer.setSize) * meanUnits;
+    }
+
     private void draw(Customer customer, double units) {
-        customer.store = Math.max(-MOST_OVERDRAWN * meanUnits,
+        customer.store = Math.max(-mostOverdrawn(customer),
                 Math.min(burst(customer.plan) / customer.setSize, customer.store - units));
     }
 
@@ -490,7 +565,8 @@
 
     /** A cap on attempts out: this gateway's even part, one at least; what is over it is held. */
     private boolean mayOpen(Customer customer) {
-        return customer.plan.mostOut() <= 0 || customer.out < partOfCap(customer);
+        return customer.plan.mostOut() <= 0
+                || customer.out < partOfCap(customer, customer.waiting.peekFirst().request);
     }
 
     /** Too late to be of worth: its slot does more for another. */
@@ -552,13 +628,20 @@
                 best = server;
                 bestCost = cost;
             }
-            boolean usable = sound || now >= server.blockedUntil && server.out == 0;
+            boolean free = now >= server.blockedUntil && server.out == 0;
+            boolean usable = sound || free && mayTry(job, server, now);
             if (usable && (cost < bestSoundCost || server == best)) {
                 bestSound = server;
                 bestSoundCost = cost;
             }
         }
-        return blocked > MOST_BLOCKED * ready ? best : bestSound;
+        return bestSound == null && blocked > MOST_BLOCKED * ready ? best : bestSound;
+    }
+
+    /** Its trial at one that answers badly may cost a request: one that can be repeated. */
+    private boolean mayTry(Job job, Server server, long now) {
+        boolean repeatable = job.kind.effect() != Effect.ONCE;
+        return !server.unwell || repeatable || now >= server.blockedUntil + UNSAFE_TRIAL;
     }
 
     /**
@@ -742,15 +825,16 @@
             server.broken = now - server.brokeAt > BROKEN_SPAN ? 1 : server.broken + 1;
             server.brokeAt = now;
             if ((server.unreached || server.broken >= DEAD_AFTER) && now >= server.blockedUntil) {
-                server.block = Math.min(MOST_BLOCK, Math.max(FIRST_BLOCK, 2 * server.block));
-                server.blockedUntil = now + server.block;
                 server.dead |= server.onTrial && outcome == Outcome.CONNECT_FAILED;
-                server.onTrial = true;
+                block(server, now);
             }
             return;
         }
         if (outcome == Outcome.FULL) {
             server.limit = Math.max(leastLimit, server.limit * LIMIT_CUT);
+        }
+        if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
+            doubt(server, outcome, now);
             return;
         }
         if (outcome != Outcome.OK && outcome != Outcome.TIMED_OUT) {
@@ -765,10 +849,9 @@
                 turnedCold(server, now);
             }
             server.dead = false;
-            server.onTrial = false;
             server.unreached = false;
-            server.block = 0;
             server.broken = 0;
+            trust(server);
         }
         int kind = job.request.requestClass();
         double took = answer.tookNs();
@@ -813,6 +896,50 @@
         }
     }
 
+    /** What answers badly costs each gateway a request at each trial: of many, each tries more rarely. */
+    private void block(Server server, long now) {
+        double many = server.doubt < UNWELL ? 1 : Math.max(1, settings.gateways() / FEW_GATEWAYS);
+        double block = Math.max(FIRST_BLOCK * many, 2 * server.block);
+        server.block = (long) Math.min(MOST_BLOCK * many, block);
+        server.blockedUntil = now + server.block;
+        server.onTrial = true;
+    }
+
+    /**
+     * A backend that answers badly and at once looks like the fastest and idlest of all, and one that drains
+     * turns all away long before the list tells: both drew a third of all attempts, each gateway finding out
+     * alone. Each bad answer adds the log of how much likelier it is from an unwell backend than from the
+     * others (Page's cumulative sum), each good one takes off as much; where all answer badly now and then,
+     * one says little. Harm: while that is not known yet, some sound backends are left alone for half a
+     * second.
+     */
+    private void doubt(Server server, Outcome outcome, long now) {
+        server.badAnswers++;
+        server.doubt += Math.max(0, Math.log(BAD_RATE / Math.max(LEAST_BAD, badShare)));
+        if (server.doubt < UNWELL) {
+            return;
+        }
+        server.doubt = Math.min(MOST_DOUBT, server.doubt);
+        server.unwell = outcome == Outcome.ERROR;
+        if (now >= server.blockedUntil) {
+            block(server, now);
+        }
+    }
+
+    /** A good answer: it is well when those outweigh the bad ones, and these then were such as all give. */
+    private void trust(Server server) {
+        server.doubt += Math.log((1 - BAD_RATE) / (1 - Math.min(BAD_RATE, badShare)));
+        badShare -= BAD_WEIGHT * badShare;
+        if (server.doubt <= 0) {
+            badShare = Math.min(1, badShare + BAD_WEIGHT * server.badAnswers);
+            server.badAnswers = 0;
+            server.doubt = 0;
+            server.unwell = false;
+            server.onTrial = false;
+            server.block = 0;
+        }
+    }
+
     // ---- The meter --------------------------------------------------------------------------------------
 
     private long sliceOf(long now) {
@@ -852,6 +979,11 @@
             let += customer.letThen[index(s)] / SLICES;
         }
         double used = percent / 100.0;
+        if (customer.plan.rate() <= 0) {
+            // Of a cap it tells the most out at once in a period, which is above the mean by chance.
+            customer.let = Math.min(1, let * CAP_IN_USE / Math.max(CAP_IN_USE / 2, used));
+            return;
+        }
         double noise = READING_NOISE * meanUnits;
         double due = rate(customer.plan) * period / SECOND;
         customer.let = Math.min(1, let * (noise + due) / (noise + due * used));
@@ -878,6 +1010,8 @@
             if (restarted && entry.startedAt() > 0) {
                 turnedCold(server, entry.startedAt());
                 server.blockedUntil = 0;
+                server.doubt = 0;
+                server.unwell = false;
                 server.pace = 1;
             }
         }
--- /dev/null
+++ b/decision/src/test/java/nettletrail/decision/ManyGatewaysTest.java
@@ -0,0 +1,270 @@
+package nettletrail.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.LongPredicate;
+import nettletrail.decision.BrainTest.Door;
+import nettletrail.decision.Gateway.Answer;
+import nettletrail.decision.Gateway.Backend;
+import nettletrail.decision.Gateway.Effect;
+import nettletrail.decision.Gateway.Group;
+import nettletrail.decision.Gateway.Outcome;
+import nettletrail.decision.Gateway.Plan;
+import nettletrail.decision.Gateway.Request;
+import nettletrail.decision.Gateway.RequestClass;
+import nettletrail.decision.Gateway.Settings;
+import nettletrail.decision.Gateway.State;
+import org.junit.jupiter.api.Test;
+
+/** What is harmless at one gateway and hurts in the sum of many, each of which sees few requests. */
+class ManyGatewaysTest {
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+    private static final int GATEWAYS = 14;
+    private static final int BACKENDS = 60;
+    private static final Plan FREE = new Plan(0, 0, 0, 0, 0, 0, 0, 0, 1);
+
+    /** What a backend does with an attempt, and after how many ns. */
+    private record Says(Outcome outcome, long afterNs) { }
+
+    private interface Backends {
+        Says to(long backend, long now, SplittableRandom chance);
+    }
+
+    /** Gateways and backends in virtual time; half of the requests must not run twice. */
+    private static final class Fleet {
+        private record Event(long at, long order, Runnable run) { }
+
+        final List<Brain> gateways = new ArrayList<>();
+        final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at()
+                ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+        final SplittableRandom chance = new SplittableRandom(11);
+        final Backends backends;
+        long now = 1_000 * SECOND;
+        long countsFrom;
+        long order;
+        int[] sent = new int[BACKENDS + 1];
+        int[] sentUnsafe = new int[BACKENDS + 1];
+        int attempts;
+        int served;
+        int arrived;
+        int refused;
+        int failed;
+
+        Fleet(Backends backends) {
+            this.backends = backends;
+            RequestClass look = new RequestClass(SECOND, 2, 0, Effect.REPEATABLE, Group.ALL, 0);
+            RequestClass buy = new RequestClass(SECOND, 5, 0, Effect.ONCE, Group.ALL, 0);
+            List<Backend> list = new ArrayList<>();
+            for (long id = 1; id <= BACKENDS; id++) {
+                list.add(BrainTest.backend(id, State.READY, 0));
+            }
+            for (int i = 0; i < GATEWAYS; i++) {
+                int at = i;
+                Gateway.Actions actions = new Gateway.Actions() {
+                    @Override
+                    public void send(long requestId, long backendId, long timeoutNs) {
+                        sentOne(at, requestId, backendId);
+                    }
+
+                    @Override
+                    public void refuse(long requestId, long retryAfterNs) {
+                        refused += counts() ? 1 : 0;
+                    }
+
+                    @Override
+                    public void fail(long requestId) {
+                        failed += counts() ? 1 : 0;
+                    }
+
+                    @Override
+                    public void wakeIn(int token, long ns) {
+                        in(ns, () -> gateways.get(at).woken(now, token));
+                    }
+
+                    @Override
+                    public void followList() { }
+
+                    @Override
+                    public void log(String line) { }
+                };
+                Brain brain = new Brain(new Settings(GATEWAYS, 0, 100 + i, MS, 4, false, 0.17, 17 * SECOND, 3,
+                        3 * SECOND / 2, 0, SECOND, List.of(look, buy), List.of(FREE)), now, actions);
+                gateways.add(brain);
+                brain.listed(now, true, list);
+            }
+        }
+
+        boolean counts() {
+            return now >= countsFrom;
+        }
+
+        void in(long ns, Runnable run) {
+            events.add(new Event(now + ns, ++order, run));
+        }
+
+        void sentOne(int at, long requestId, long backendId) {
+            if (counts()) {
+                attempts++;
+                sent[(int) backendId]++;
+                sentUnsafe[(int) backendId] += requestId % 2;
+            }
+            Says says = backends.to(backendId, now, chance);
+            in(says.afterNs(), () -> {
+                boolean ok = says.outcome() == Outcome.OK;
+                served += ok && counts() ? 1 : 0;
+                gateways.get(at).answered(now, new Answer(requestId, 0, backendId, says.outcome(), ok,
+                        says.afterNs(), -1, 0, null));
+            });
+        }
+
+        /** So many requests a second through gateways by chance, counted after the first few seconds. */
+        Fleet play(int perSecond, int seconds, int notCounted) {
+            countsFrom = now + notCounted * SECOND;
+            long until = now + seconds * SECOND;
+            for (long id = 1; id <= (long) perSecond * seconds; id++) {
+                long requestId = id;
+                in(id * SECOND / perSecond, () -> {
+                    arrived += counts() ? 1 : 0;
+                    gateways.get(chance.nextInt(GATEWAYS)).arrived(now, new Request(requestId,
+                            (int) (requestId % 2), 0, requestId % 500, 1, GATEWAYS, 4 * SECOND));
+                });
+            }
+            while (!events.isEmpty() && events.peek().at() <= until) {
+                Event next = events.poll();
+                now = next.at();
+                next.run().run();
+            }
+            return this;
+        }
+
+        int sent(LongPredicate which) {
+            int sum = 0;
+            for (int id = 1; id <= BACKENDS; id++) {
+                sum += which.test(id) ? sent[id] : 0;
+            }
+            return sum;
+        }
+    }
+
+    private static Says well(SplittableRandom chance) {
+        return new Says(Outcome.OK, 50 * MS + chance.nextLong(200 * MS));
+    }
+
+    /** Nine of 60 answer with an error after 3 ms and so are the fastest and idlest. More than half of all went there. */
+    @Test
+    void backendsThatFailAtOnceAreLeftAlone() {
+        Fleet fleet = new Fleet((backend, now, chance) -> backend <= 9 ? new Says(Outcome.ERROR, 3 * MS)
+                : well(chance)).play(400, 14, 6);
+        assertTrue(fleet.sent(id -> id <= 9) < 0.1 * fleet.attempts, fleet.sent(id -> id <= 9) + " of " + fleet.attempts);
+        int unsafe = 0;
+        for (int id = 1; id <= 9; id++) {
+            unsafe += fleet.sentUnsafe[id];
+        }
+        assertTrue(unsafe < 0.2 * fleet.sent(id -> id <= 9), unsafe + " that must not run twice spent on finding out what was known");
+    }
+
+    /** Half of them drain and turn all away, and the list doesn't tell yet. */
+    @Test
+    void backendsThatTurnAllAwayAreLeftAlone() {
+        Fleet fleet = new Fleet((backend, now, chance) -> backend <= 30 ? new Says(Outcome.FULL, 2 * MS)
+                : well(chance)).play(300, 14, 6);
+        assertTrue(fleet.attempts < 1.25 * fleet.arrived, fleet.attempts + " attempts for " + fleet.arrived);
+        assertTrue(fleet.served > 0.9 * fleet.arrived, fleet.served + " served, " + fleet.refused + " refused, " + fleet.failed + " failed of " + fleet.arrived);
+    }
+
+    /** Where one answer in 25 is bad, from any backend alike, none is taken for unwell for long. */
+    @Test
+    void badAnswersFromAllAlikeSayLittleOfOne() {
+        Fleet fleet = new Fleet((backend, now, chance) -> chance.nextInt(25) == 0 ? new Says(Outcome.ERROR, 3 * MS)
+                : well(chance)).play(400, 20, 8);
+        assertEquals(0, fleet.refused);
+        for (int id = 1; id <= BACKENDS; id++) {
+            assertTrue(fleet.sent[id] > 0.3 * fleet.attempts / BACKENDS, "backend " + id + ": " + fleet.sent[id]);
+        }
+    }
+
+    /** A customer who asks a third of its quota, two units at a time, through 12 gateways by chance. */
+    @Test
+    void aCalmCustomerIsLetInAtEachOfMany() {
+        int in = letIn(0.2, 33, 1);
+        assertTrue(in >= 57, in + " of 60 let in");
+    }
+
+    /** One that asks six times its quota is held near it: a door lets in what the meter leaves it. */
+    @Test
+    void aHeavyCustomerIsHeldNearItsQuota() {
+        int in = letIn(3.6, 250, 1);
+        assertTrue(in < 0.5 * 3.6 * 300, in + " of " + 3.6 * 300 + " let in while the meter told 250 %");
+    }
+
+    /** Requests let in within 300 s, with this reading on each answer; all of them are of a class. */
+    private static int letIn(double perSecond, int percent, double units) {
+        int in = 0;
+        SplittableRandom chance = new SplittableRandom(5);
+        List<Door> doors = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            doors.add(new Door(12, Effect.REPEATABLE, BrainTest.quota(1.2, 12), 3, i));
+        }
+        for (long id = 1; id <= 300 * perSecond; id++) {
+            for (Door door : doors) {
+                door.now += (long) (SECOND / perSecond);
+            }
+            Door door = doors.get(chance.nextInt(doors.size()));
+            door.arrive(id, 5, 2 * units, 12);
+            if (door.sent(id)) {
+                in++;
+                door.answer(id, Outcome.OK, percent, 0);
+            }
+        }
+        return in;
+    }
+
+    /** Of what is beyond a quota, what is worth least is refused first, and the share stays what the meter says. */
+    @Test
+    void ofAnExcessTheLeastWorthIsRefusedFirst() {
+        int[] sent = new int[2];
+        int[] asked = new int[2];
+        RequestClass look = new RequestClass(SECOND, 2, 0, Effect.REPEATABLE, Group.ALL, 0);
+        RequestClass buy = new RequestClass(SECOND, 5, 0, Effect.ONCE, Group.ALL, 0);
+        Door door = new Door(12, Effect.REPEATABLE, FREE, 3);
+        Brain brain = new Brain(new Settings(12, 0, 3, MS, 4, false, 0.2, SECOND, 3, SECOND, 0, SECOND,
+                List.of(look, buy), List.of(BrainTest.quota(12, 12))), door.now, door);
+        brain.listed(door.now, true, List.of(BrainTest.backend(1, State.READY, 0), BrainTest.backend(2, State.READY, 0)));
+        for (long id = 1; id <= 2_000; id++) {
+            door.now += 200 * MS;
+            int kind = (int) (id % 2);
+            brain.arrived(door.now, new Request(id, kind, 0, 5, 1, 12, 4 * SECOND));
+            asked[kind]++;
+            if (door.sent(id)) {
+                sent[kind]++;
+                brain.answered(door.now, new Answer(id, 0, door.sentTo.get(id), Outcome.OK, true, 50 * MS, 160, 0, null));
+            }
+        }
+        assertTrue(sent[1] > 3 * sent[0], sent[1] + " dear and " + sent[0] + " cheap ones of " + asked[0] + " each");
+        assertTrue(sent[0] + sent[1] < 0.8 * 2_000, "the meter tells 160 %");
+    }
+
+    /** A slot more than the even part of a cap, while the meter tells of room; without its word, or beyond, none. */
+    @Test
+    void oneMoreSlotOfACapWhileTheMeterTellsOfRoom() {
+        for (int percent : new int[] {-1, 50, 240}) {
+            Door door = new Door(12, Effect.REPEATABLE, new Plan(0, 0, 3, 0, 0, 0, 1, 0, 1));
+            door.arrive(1, 5, 1, 12);
+            door.answer(1, Outcome.OK, percent, 0);
+            door.pass(3 * SECOND);
+            for (long id = 2; id <= 40 && door.sentTo.size() < 3; id++) {
+                door.arrive(id, 5, 1, 12);
+            }
+            int out = door.sentTo.size() - 1;
+            assertEquals(percent == 50 ? 2 : 1, out, "with a reading of " + percent);
+            assertFalse(door.sentTo.size() > 3);
+        }
+    }
+}
