A front door listens only when its dry run is over: restarts took requests too early

Ruled out by it: survivors' load, the module's cost. At fault: FrontDoor.start, which listened before warmUp; clients come to a restarted address at once, whatever /-/ready says.

Now prepare, warmUp, open: nobody can connect before. nobodyCanComeBeforeTheDryRunIsOver fails where start listens at once.

--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -80,12 +80,12 @@
     private final List<Front> fronts = new ArrayList<>();
     private final Set<ClientHandler> clients = new LinkedHashSet<>();
     private final CountDownLatch drained = new CountDownLatch(1);
-    private Channel listening;
+    /** Null until others can connect. */
+    private volatile Channel listening;
     private boolean listed;
     private boolean late;
     private long sweptAt = System.nanoTime();
-    private boolean warm = true;
-    private boolean draining;
+    private volatile boolean draining;
 
     /** The project's own. */
     public static final Dispatcher.Maker MODULE = Brain::new;
@@ -121,19 +121,26 @@
         Log.takeOver();
         FrontDoor door;
         try {
-            door = start(Config.read(env), MODULE, more);
+            door = prepare(Config.read(env), MODULE, more);
         } catch (Config.Unusable | WireFault | IllegalArgumentException e) {
             System.err.println("nettletrail: " + e.getMessage());
             System.exit(2);
             return;
         }
-        onHangup(() -> door.reload(env));
-        door.warmUp();
+        FrontDoor prepared = door;
+        onHangup(() -> prepared.reload(env));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            door.drain();
+            prepared.drain();
             // Out of a hook the exit status would be the signal's.
             Runtime.getRuntime().halt(0);
         }, "drain"));
+        try {
+            prepared.warmUp().await();
+            prepared.open();
+        } catch (IllegalArgumentException e) {
+            System.err.println("nettletrail: " + e.getMessage());
+            Runtime.getRuntime().halt(2); // by exit, the hook would make it 0
+        }
     }
 
     /** By itself a JVM ends on SIGHUP, with all that it holds; the standard library has no other way to hear it. */
@@ -163,32 +170,58 @@
 
     /** The same with all that an operator file may turn on. */
     public static FrontDoor start(Config config, Dispatcher.Maker module, Additions more) throws InterruptedException {
+        FrontDoor door = prepare(config, module, more);
+        door.open();
+        return door;
+    }
+
+    /** The same, but nobody can come yet: that is for {@link #open}. */
+    static FrontDoor prepare(Config config, Dispatcher.Maker module, Additions more) throws InterruptedException {
         FrontDoor door = new FrontDoor(config, module, more);
         try {
             door.loop.submit(() -> {
                 door.dispatcher.listed(true, Discovery.entries(config.known()));
                 return null;
             }).get();
-            for (Front front : door.fronts) {
-                front.open(door.dispatcher);
-            }
-            door.listen();
             door.loop.execute(door.discovery::follow);
             door.loop.schedule(() -> door.listed = true, MOST_LIST_WAIT_MS, TimeUnit.MILLISECONDS);
             door.loop.scheduleWithFixedDelay(door::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        } catch (ExecutionException | IOException | IllegalArgumentException e) {
+        } catch (ExecutionException | IllegalArgumentException e) {
             door.stop();
             throw new IllegalArgumentException(e.getMessage(), e);
         }
         return door;
     }
 
-    /** Not ready until a dry run is over: what clients ask first would otherwise be served by cold code. */
-    void warmUp() {
-        loop.execute(() -> {
-            warm = false;
-            new DryRun(loop, config.settings(), config.settings().settings(config.seed())).start(() -> warm = true);
-        });
+    /**
+     * From here on others can connect, on all fronts. Any thread but the loop.
+     *
+     * @throws IllegalArgumentException if it can't listen, with a line that says why; it is stopped then
+     */
+    void open() throws InterruptedException {
+        try {
+            for (Front front : fronts) {
+                front.open(dispatcher);
+            }
+            listen();
+        } catch (IOException | IllegalArgumentException e) {
+            stop();
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
+    /**
+     * A dry run, before anybody can come: what clients ask first would otherwise be served by cold code. It keeps the loop
+     * late, by a second and more on a part of a core, so that a front door that could be reached meanwhile (after a restart
+     * clients come at once) would answer late, and go on sending by a list that is superseded by one it has not read.
+     *
+     * @return counted down when it is over
+     */
+    CountDownLatch warmUp() {
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() ->
+                new DryRun(loop, config.settings(), config.settings().settings(config.seed())).start(over::countDown));
+        return over;
     }
 
     private void listen() throws InterruptedException {
@@ -208,6 +241,9 @@
                     + bound.cause().getMessage());
         }
         listening = bound.channel();
+        if (draining) {
+            listening.close(); // told to end while it warmed up
+        }
         Log.line(config.name() + " listens on " + listening.localAddress());
     }
 
@@ -231,7 +267,9 @@
             draining = true;
             fronts.forEach(Front::drain);
             loop.schedule(() -> {
-                listening.close();
+                if (listening != null) {
+                    listening.close();
+                }
                 List.copyOf(clients).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
                 loop.scheduleWithFixedDelay(this::checkDrained, 0, 10, TimeUnit.MILLISECONDS);
             }, ACCEPT_AFTER_TERM_MS, TimeUnit.MILLISECONDS);
@@ -274,7 +312,7 @@
 
     @Override
     public boolean ready() {
-        return listed && warm && !draining;
+        return listed && !draining;
     }
 
     @Override
--- a/front-door/src/test/java/nettletrail/door/Rig.java
+++ b/front-door/src/test/java/nettletrail/door/Rig.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import nettletrail.core.Additions;
 import nettletrail.core.Dispatcher;
 import nettletrail.decision.Gateway;
 
@@ -30,6 +31,7 @@
     private long connectTimeoutMs = 250;
     private int sockets = 1024;
     private int agentPort = -1;
+    private int listenPort;
     private FrontDoor door;
     /** The watch that the front door keeps, once started. */
     Peer watch;
@@ -83,10 +85,18 @@
                 + "\",\"seed\":\"f0000000000000ff\",\"limits\":{\"sockets\":" + sockets
                 + "},\"known\":" + list(7, true, known) + ",\"settings\":" + SETTINGS.formatted(
                         connectTimeoutMs * 1_000_000) + "}");
-        return Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
+        return Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:" + listenPort, "EDGE_DISCOVERY",
                 "127.0.0.1:" + discovery.getLocalPort(), "EDGE_CONFIG", file.toString());
     }
 
+    /** Up to where others could connect, at this port. */
+    FrontDoor prepare(int port, String... entries) throws Exception {
+        known = String.join(",", entries);
+        listenPort = port;
+        door = FrontDoor.prepare(config(), FrontDoor.MODULE, new Additions(List.of(), Additions.NONE.bound()));
+        return door;
+    }
+
     /** Starts it with the project's own module. */
     FrontDoor start(String... entries) throws Exception {
         return start(FrontDoor.MODULE, entries);
--- a/front-door/src/test/java/nettletrail/door/RoughDayTest.java
+++ b/front-door/src/test/java/nettletrail/door/RoughDayTest.java
@@ -7,6 +7,9 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
@@ -91,11 +94,21 @@
         }
     }
 
+    /** A restarted one that could be reached before took requests that it answered late or not at all. */
     @Test
-    void aFrontDoorIsReadyWhenItsDryRunIsOverAndNobodyHearsOfIt() throws Exception {
+    void nobodyCanComeBeforeTheDryRunIsOverAndNoBackendHearsOfIt() throws Exception {
         ServerSocket backend = rig.backend();
-        FrontDoor door = rig.start(Rig.entry("s-1", backend.getLocalPort(), "SERVING"));
-        door.warmUp();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        FrontDoor door = rig.prepare(port, Rig.entry("s-1", backend.getLocalPort(), "SERVING"));
+        CountDownLatch over = door.warmUp();
+        assertThrows(ConnectException.class, () -> Peer.connect(address));
+        over.await();
+        assertThrows(ConnectException.class, () -> Peer.connect(address));
+        door.open();
         while (rig.client().write("GET /-/ready HTTP/1.1\r\nHost: gw\r\n\r\n").read().status() != 200) {
             Thread.sleep(20);
         }
@@ -103,6 +116,15 @@
         assertThrows(SocketTimeoutException.class, backend::accept);
     }
 
+    /** What it can't listen on is told when it opens, in a line. */
+    @Test
+    void anAddressThatIsTakenIsToldWhenItOpens() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            FrontDoor door = rig.prepare(other.getLocalPort());
+            assertTrue(assertThrows(IllegalArgumentException.class, door::open).getMessage().startsWith("EDGE_LISTEN: can't listen on "));
+        }
+    }
+
     /** What a backend, or a balancer before it, drops without a word is told only by the next request, which is lost. */
     @Test
     void connectionsAreNotUsedAtAnAgeAtWhichTheyWereSeenToBreak() throws Exception {
