Capped plans: the let-in share follows what each front door itself sees asked

At fault: Brain.withinQuota, whose share for caps starts at 1 and learns from readings alone, a few a door; partOfCap gives each of 50 doors a whole slot.

Now capShare: the posterior mean of what is asked of all, from what came here; half of the cap filled is where one more costs what it earns. 100 gateways in virtual time: 176 of 234 sends beyond the cap without it, 64 of 155 with it (the test fails without).

--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -54,6 +54,11 @@
      */
     private static final double FEW_GATEWAYS = 3;
     private static final double CHANCE = 0.9;
+    /**
+     * Part of a cap that is full on the mean where one more request costs as much as it earns: so it is for
+     * those that come by chance to caps of 2 to 6, where one beyond costs 0.6 to 1 of its worth.
+     */
+    private static final double CAP_FILLED = 0.5;
     /** Parts of a cap that a meter tells, as the most out at once, where good use is made of the cap. */
     private static final double CAP_IN_USE = 1.1;
     /** Share of the room that a reading tells which this gateway's part gains. */
@@ -150,6 +155,8 @@
         double reserved;
         long filledAt;
         long seenAt;
+        /** Its requests that came here, older ones for less. */
+        double seen;
         int out;
         // The share in force in each slice of the last periods, and whether anyone was refused for the quota.
         final double[] letThen = new double[RING];
@@ -337,6 +344,7 @@
             customers.put(request.customer(), customer);
         }
         customer.setSize = request.setSize();
+        customer.seen = 1 + customer.seen * Math.exp((customer.seenAt - now) / (double) FORGET_AFTER);
         customer.seenAt = now;
         refill(customer, now);
         forget(now);
@@ -370,7 +378,8 @@
         Plan plan = customer.plan;
         if (plan.rate() <= 0 && plan.mostOut() > 0) {
             boolean even = customer.setSize <= FEW_GATEWAYS;
-            return soonOpen(customer, request) && (even || letIn(customer, request));
+            double let = even ? 1 : Math.min(customer.let, capShare(customer, request));
+            return soonOpen(customer, request) && (even || letIn(let, request));
         }
         if (rate(plan) <= 0 || customer.store >= request.units()) {
             return true;
@@ -380,7 +389,7 @@
         // in that one.
         double few = Math.min(1, FEW_GATEWAYS / customer.setSize);
         double chance = worth(request) < meanWorth ? 0 : CHANCE * (1 - few) * mostOverdrawn(customer);
-        if (customer.store >= -chance && letIn(customer, request)) {
+        if (customer.store >= -chance && letIn(customer.let, request)) {
             return true;
         }
         return plan.beyondEarns() > plan.beyondCost() && held == 0 && fleetPace < 1;
@@ -398,6 +407,20 @@
         return (double) ahead / part * need + HOPE * need <= Math.min(aim, request.patienceNs());
     }
 
+    /**
+     * The let-in share of a cap that its customer's own requests tell: many gateways with a slot each hold no
+     * cap together, and the meter's word reaches each of them only with an answer, after seconds. What comes
+     * here, by chance one of the set, tells at once how much the customer asks of all: the mean out, of which
+     * nothing is known but the cap as its own mean (exponential; then the posterior of Poisson counts).
+     */
+    private double capShare(Customer customer, Request request) {
+        double most = customer.plan.mostOut();
+        double heard = FORGET_AFTER * (1 - Math.exp((startedAt - customer.seenAt) / (double) FORGET_AFTER));
+        double out = usual[request.requestClass()];
+        double asked = customer.seen / (1 / most + heard / (customer.setSize * out));
+        return Math.min(1, CAP_FILLED * most / asked);
+    }
+
     /**
      * Slots of a cap that this gateway may use: its even part in whole slots, but one at least. One of many
      * gateways has one more while the meter tells of room, for what is worth more than the mean: what comes
@@ -448,8 +471,7 @@
      * With chance a over all requests; of a part that must be refused, first what is worth least. Here the
      * design, whose chance is the same for all, is departed from: at 14 gateways that earned a tenth of all.
      */
-    private boolean letIn(Customer customer, Request request) {
-        double let = customer.let;
+    private boolean letIn(double let, Request request) {
         if (let >= 1) {
             return true;
         }
--- a/decision/src/test/java/nettletrail/decision/BrainTest.java
+++ b/decision/src/test/java/nettletrail/decision/BrainTest.java
@@ -492,6 +492,7 @@
     @Test
     void aPartOfACapUnderOneSlotIsOneSlot() {
         Door door = new Door(8, Effect.REPEATABLE, new Plan(0, 0, 2, 0, 0, 0, 1, 0, 1));
+        door.pass(10 * SECOND); // before, two at once would tell of a customer who asks for several caps
         door.arrive(1, 5, 1, 8);
         door.arrive(2, 5, 1, 8);
         assertFalse(door.sent(2), "one slot is the most of a quarter");
--- a/decision/src/test/java/nettletrail/decision/ManyGatewaysTest.java
+++ b/decision/src/test/java/nettletrail/decision/ManyGatewaysTest.java
@@ -267,4 +267,52 @@
             assertFalse(door.sentTo.size() > 3);
         }
     }
+
+    /**
+     * 100 gateways in virtual time, a cap of three, no word of a meter yet: of what one customer asks, three and a half
+     * times its cap, each gateway sees a request a second, and each alone has a slot free for it. Beyond the cap counts the
+     * sum over all. Without the gateways' own count 176 of 234 sent were beyond it.
+     */
+    @Test
+    void manyGatewaysWithASlotEachHoldACapTogether() {
+        double[] heavy = underCap(53);
+        assertTrue(heavy[1] < 0.5 * heavy[0], heavy[1] + " beyond the cap of " + heavy[0] + " sent");
+        assertTrue(heavy[0] > 100, heavy[0] + " sent in all");
+        double[] calm = underCap(3);
+        assertTrue(calm[0] > 0.7 * calm[2], calm[0] + " of " + calm[2] + " of a customer who asks a fifth of the cap");
+    }
+
+    /** Sent within 20 s, beyond the cap among them, and asked; so many requests a second, each out for 200 ms. */
+    private static double[] underCap(int perSecond) {
+        record Out(long until, Door door, long id) { }
+        SplittableRandom chance = new SplittableRandom(17);
+        List<Door> doors = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            doors.add(new Door(100, Effect.REPEATABLE, new Plan(0, 0, 3, 0, 0, 0, 0.8, 0, 1), 3, i));
+        }
+        PriorityQueue<Out> out = new PriorityQueue<>((a, b) -> Long.compare(a.until(), b.until()));
+        double[] sums = new double[3];
+        long at = 0;
+        for (long id = 1; at < 20 * SECOND; id++) {
+            long gap = (long) (-Math.log(1 - chance.nextDouble()) * SECOND / perSecond);
+            at += gap;
+            for (Door door : doors) {
+                door.now += gap;
+            }
+            long now = at;
+            while (!out.isEmpty() && out.peek().until() <= now) {
+                Out ended = out.poll();
+                ended.door().answer(ended.id(), Outcome.OK, -1, 0);
+            }
+            Door door = doors.get(chance.nextInt(50));
+            door.arrive(id, 5, 1, 50);
+            sums[2]++;
+            if (door.sent(id)) {
+                sums[0]++;
+                sums[1] += out.size() >= 3 ? 1 : 0;
+                out.add(new Out(now + SECOND / 5, door, id));
+            }
+        }
+        return sums;
+    }
 }
