A drain lasts as long as the last request and answers what is open at its end

At fault: FrontDoor.MOST_DRAIN_MS, 3.4 s, where requests come until 0.5 s and may have 3 s, and drain, which left what was open to the exit.

So what is open 0.1 s before the end is answered as if its time were up. whatIsOpenAtTheEndOfADrainIsAnswered fails without it.

--- a/front-door/src/main/java/nettletrail/core/Dispatcher.java
+++ b/front-door/src/main/java/nettletrail/core/Dispatcher.java
@@ -459,6 +459,15 @@
         }));
     }
 
+    /** The process is about to end: each open request is answered as if its time were up. On the loop. */
+    public void expireAll() {
+        for (Live each : new ArrayList<>(live.values())) {
+            if (!each.over) {
+                expired(each);
+            }
+        }
+    }
+
     private void timedOut(Try attempt) {
         if (attempt != null) {
             attempt.ended(attempt.carriage.abandon());
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -41,9 +41,18 @@
 /** One front door: its parts, its start, when it is ready and how it ends. */
 public final class FrontDoor implements ClientHandler.Door, Endpoint.Listener {
     /** New connections go on coming for so long after SIGTERM. */
-    private static final long ACCEPT_AFTER_TERM_MS = 500;
-    /** From SIGTERM to the end at the latest: the longest deadline, and less than SIGKILL leaves. */
-    private static final long MOST_DRAIN_MS = 3_400;
+    static final long ACCEPT_AFTER_TERM_MS = 500;
+    /** No client waits longer, by the protocol. */
+    static final long LONGEST_DEADLINE_MS = 3_000;
+    /** SIGKILL comes so long after the longest deadline at the earliest, counted from SIGTERM. */
+    static final long KILL_AFTER_MS = 700;
+    /**
+     * From SIGTERM to the end at the latest: all the time of a request that came last, and some for its answer's way out.
+     * At 100 ms less than that, those that came last were cut off.
+     */
+    static final long MOST_DRAIN_MS = 3_600;
+    /** Before that end, so long for the last answers' way out: what is open then has failed, and is told so. */
+    private static final long LAST_ANSWERS_MS = 100;
     /** Without discovery, the list that the configuration holds has to do after this time. */
     private static final long MOST_LIST_WAIT_MS = 1_000;
     private static final long SWEEP_MS = 200;
@@ -273,6 +282,8 @@
                 List.copyOf(clients).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
                 loop.scheduleWithFixedDelay(this::checkDrained, 0, 10, TimeUnit.MILLISECONDS);
             }, ACCEPT_AFTER_TERM_MS, TimeUnit.MILLISECONDS);
+            // A loop that read a request late counts its time from then: cut off by the exit, it would be lost.
+            loop.schedule(dispatcher::expireAll, MOST_DRAIN_MS - LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
         });
         try {
             boolean all = drained.await(MOST_DRAIN_MS, TimeUnit.MILLISECONDS);
--- a/front-door/src/test/java/nettletrail/door/RoughDayTest.java
+++ b/front-door/src/test/java/nettletrail/door/RoughDayTest.java
@@ -116,6 +116,26 @@
         assertThrows(SocketTimeoutException.class, backend::accept);
     }
 
+    /** A request that came last before the listening socket closed has all its time, and SIGKILL finds nothing open. */
+    @Test
+    void theDrainLastsAsLongAsTheLastRequestAndEndsBeforeTheKill() {
+        assertTrue(FrontDoor.MOST_DRAIN_MS >= FrontDoor.ACCEPT_AFTER_TERM_MS + FrontDoor.LONGEST_DEADLINE_MS + 50);
+        assertTrue(FrontDoor.MOST_DRAIN_MS <= FrontDoor.LONGEST_DEADLINE_MS + FrontDoor.KILL_AFTER_MS - 50);
+    }
+
+    /** Whatever it still waits for: a connection that ends with no answer loses the request. */
+    @Test
+    void whatIsOpenAtTheEndOfADrainIsAnswered() throws Exception {
+        ServerSocket backend = rig.backend();
+        FrontDoor door = rig.start(Rig.entry("s-1", backend.getLocalPort(), "SERVING"));
+        Peer client = rig.client().write(Rig.request("look", "a", 9_000, ""));
+        rig.keep(Peer.accept(backend)).read();
+        door.drain();
+        assertEquals(0, door.held());
+        int status = client.read().status();
+        assertTrue(status == 429 || status == 504, "as the module decides: " + status);
+    }
+
     /** What it can't listen on is told when it opens, in a line. */
     @Test
     void anAddressThatIsTakenIsToldWhenItOpens() throws Exception {
