--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -379,7 +379,7 @@
         if (plan.rate() <= 0 && plan.mostOut() > 0) {
             boolean even = customer.setSize <= FEW_GATEWAYS;
             double let = even ? 1 : Math.min(customer.let, capShare(customer, request));
-            return soonOpen(customer, request) && (even || letIn(let, request));
+            return soonOpen(customer, request) && letIn(let, request);
         }
         if (rate(plan) <= 0 || customer.store >= request.units()) {
             return true;
@@ -418,9 +418,9 @@
     private double capShare(Customer customer, Request request) {
         double most = customer.plan.mostOut();
         double heard = FORGET_AFTER * (1 - Math.exp((startedAt - customer.seenAt) / (double) FORGET_AFTER));
-        double out = usual[request.requestClass()];
-        double asked = customer.seen / (1 / most + heard / (customer.setSize * out));
-        return Math.min(1, CAP_FILLED * most / asked);
+        double latency = usual[request.requestClass()];
+        double mean = customer.seen / (1 / most + heard / (customer.setSize * latency));
+        return Math.min(1, CAP_FILLED * most / mean);
     }
 
     /**
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -44,15 +44,10 @@
     static final long ACCEPT_AFTER_TERM_MS = 500;
     /** No client waits longer, by the protocol. */
     static final long LONGEST_DEADLINE_MS = 3_000;
-    /** SIGKILL comes so long after the longest deadline at the earliest, counted from SIGTERM. */
-    static final long KILL_AFTER_MS = 700;
-    /**
-     * From SIGTERM to the end at the latest: all the time of a request that came last, and some for its answer's way out.
-     * At 100 ms less than that, those that came last were cut off.
-     */
-    static final long MOST_DRAIN_MS = 3_600;
-    /** Before that end, so long for the last answers' way out: what is open then has failed, and is told so. */
+    /** Kept at the end of a drain for the last answers' way out: what is open then is answered as if its time were up. */
     private static final long LAST_ANSWERS_MS = 100;
+    /** From SIGTERM to the end at the latest: all the time of a request that came last; well before SIGKILL. */
+    static final long MOST_DRAIN_MS = ACCEPT_AFTER_TERM_MS + LONGEST_DEADLINE_MS + LAST_ANSWERS_MS;
     /** Without discovery, the list that the configuration holds has to do after this time. */
     private static final long MOST_LIST_WAIT_MS = 1_000;
     private static final long SWEEP_MS = 200;
--- a/front-door/src/test/java/nettletrail/door/FrontDoorTest.java
+++ b/front-door/src/test/java/nettletrail/door/FrontDoorTest.java
@@ -959,7 +959,7 @@
     /** It only looks idle: what its client wrote while the loop was busy lies unread. Closed then, it was lost. */
     @Test
     void aLoopThatIsLateClosesNoConnectionAsIdle() throws Exception {
-        java.util.concurrent.CountDownLatch busy = new java.util.concurrent.CountDownLatch(1);
+        CountDownLatch busy = new CountDownLatch(1);
         rig.start((settings, now, actions) -> {
             Gateway module = FrontDoor.MODULE.make(settings, now, actions);
             return (Gateway) java.lang.reflect.Proxy.newProxyInstance(Gateway.class.getClassLoader(),
@@ -975,7 +975,7 @@
         Peer idle = rig.client();
         assertEquals(404, idle.write(odd).read().status());
         rig.client().write(Rig.request("look", "b", 3_000, ""));
-        assertTrue(busy.await(10, java.util.concurrent.TimeUnit.SECONDS));
+        assertTrue(busy.await(10, TimeUnit.SECONDS));
         assertEquals(404, idle.write(odd).read().status());
     }
 }
--- a/front-door/src/test/java/nettletrail/door/Rig.java
+++ b/front-door/src/test/java/nettletrail/door/Rig.java
@@ -93,7 +93,7 @@
     FrontDoor prepare(int port, String... entries) throws Exception {
         known = String.join(",", entries);
         listenPort = port;
-        door = FrontDoor.prepare(config(), FrontDoor.MODULE, new Additions(List.of(), Additions.NONE.bound()));
+        door = FrontDoor.prepare(config(), FrontDoor.MODULE, Additions.NONE);
         return door;
     }
 
--- a/front-door/src/test/java/nettletrail/door/RoughDayTest.java
+++ b/front-door/src/test/java/nettletrail/door/RoughDayTest.java
@@ -6,7 +6,6 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -116,11 +115,14 @@
         assertThrows(SocketTimeoutException.class, backend::accept);
     }
 
+    /** SIGKILL comes so long after the longest deadline at the earliest, counted from SIGTERM. */
+    private static final long KILL_AFTER_MS = 700;
+
     /** A request that came last before the listening socket closed has all its time, and SIGKILL finds nothing open. */
     @Test
     void theDrainLastsAsLongAsTheLastRequestAndEndsBeforeTheKill() {
         assertTrue(FrontDoor.MOST_DRAIN_MS >= FrontDoor.ACCEPT_AFTER_TERM_MS + FrontDoor.LONGEST_DEADLINE_MS + 50);
-        assertTrue(FrontDoor.MOST_DRAIN_MS <= FrontDoor.LONGEST_DEADLINE_MS + FrontDoor.KILL_AFTER_MS - 50);
+        assertTrue(FrontDoor.MOST_DRAIN_MS <= FrontDoor.LONGEST_DEADLINE_MS + KILL_AFTER_MS - 50);
     }
 
     /** Whatever it still waits for: a connection that ends with no answer loses the request. */
