Members: front doors that know each other, over real processes that are killed

Need: the users ask how many processes behave together when some fail; each door was alone and knew how many others there are from its settings only.

Change: module members (SWIM with Lifeguard, own pauses, a rule for who gets no answer from anyone; views agreed by a majority), sealed datagrams and connections, [members], [control] and [events], a seam in core, ./nettletrail members, and the rig for several processes: a datagram relay, a mesh of links by pair and direction, one event log.

--- a/app/src/main/java/nettletrail/app/App.java
+++ b/app/src/main/java/nettletrail/app/App.java
@@ -9,6 +9,7 @@
 import nettletrail.core.Admission;
 import nettletrail.core.Bound;
 import nettletrail.core.Front;
+import nettletrail.core.Members;
 import nettletrail.core.Section;
 import nettletrail.door.FrontDoor;
 import nettletrail.door.Main;
@@ -23,7 +24,7 @@
 @Command(name = "nettletrail", mixinStandardHelpOptions = true, version = "nettletrail 0.2.0",
         description = "A gateway that meters many customers' use of one shared service.",
         subcommands = {App.Serve.class, App.Adapter.class, App.Check.class, App.Keys.class, Measure.class,
-                Faults.class, Try.class, Usage.class, MeasureFrontDoor.Relay.class,
+                Faults.class, Try.class, Usage.class, MembersCommand.class, TestedDoor.class, MeasureFrontDoor.Relay.class,
                 MeasureExtProc.Echo.class})
 public final class App {
     static final int UNUSABLE = 2;
@@ -61,23 +62,29 @@
 
         @Override
         public Integer call() throws InterruptedException, OperatorFile.Unusable {
-            List<Front.Maker> fronts = new ArrayList<>();
-            Bound.Maker bound = Additions.NONE.bound();
-            Admission.Maker admission = Additions.NONE.admission();
-            if (file != null) {
-                OperatorFile operator = OperatorFile.read(file);
-                for (Subsystem subsystem : Subsystem.ALL) {
-                    Section.Values values = operator.section(subsystem.section().name());
-                    subsystem.front(values).ifPresent(fronts::add);
-                    bound = subsystem.bound(values).orElse(bound);
-                    admission = subsystem.admission(values).orElse(admission);
-                }
-            }
-            FrontDoor.serve(System.getenv(), new Additions(fronts, bound, admission));
+            FrontDoor.serve(System.getenv(), file == null ? Additions.NONE : additions(OperatorFile.read(file)));
             return 0;
         }
     }
 
+    /** What an operator file turns on. */
+    static Additions additions(OperatorFile operator) {
+        List<Front.Maker> fronts = new ArrayList<>();
+        Bound.Maker bound = Additions.NONE.bound();
+        Admission.Maker admission = Additions.NONE.admission();
+        Members.Maker members = Additions.NONE.members();
+        Desk desk = new Desk();
+        for (Subsystem subsystem : Subsystem.ALL) {
+            Section.Values values = operator.section(subsystem.section().name());
+            subsystem.begin(values);
+            subsystem.front(values, desk).ifPresent(fronts::add);
+            bound = subsystem.bound(values).orElse(bound);
+            admission = subsystem.admission(values).orElse(admission);
+            members = subsystem.members(values, desk).orElse(members);
+        }
+        return new Additions(fronts, bound, admission, members);
+    }
+
     /** The module on the simulator's wire. */
     @Command(name = "adapter", mixinStandardHelpOptions = true,
             description = "Hosts instances of the decision module on the simulator's wire (standard input, output).")
--- a/app/src/main/java/nettletrail/app/ExtProcSubsystem.java
+++ b/app/src/main/java/nettletrail/app/ExtProcSubsystem.java
@@ -22,7 +22,7 @@
     }
 
     @Override
-    public Optional<Front.Maker> front(Section.Values values) {
+    public Optional<Front.Maker> front(Section.Values values, Desk desk) {
         return values.flag("enabled") ? Optional.of(ExtProcFront.maker(ExtProcSettings.of(values))) : Optional.empty();
     }
 }
--- a/app/src/main/java/nettletrail/app/LimitsProcesses.java
+++ b/app/src/main/java/nettletrail/app/LimitsProcesses.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import nettletrail.app.processes.ChildJvm;
+import nettletrail.app.processes.DoorProcesses;
 import nettletrail.counter.StandInCounter;
 import nettletrail.site.Auditor;
 import nettletrail.site.Events;
--- a/app/src/main/java/nettletrail/app/MeasureExtProc.java
+++ b/app/src/main/java/nettletrail/app/MeasureExtProc.java
@@ -15,6 +15,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import nettletrail.app.processes.ChildJvm;
 import nettletrail.proxy.EchoProcessor;
 import nettletrail.proxy.StandInProxy;
 import nettletrail.site.Ledger;
--- a/app/src/main/java/nettletrail/app/MeasureFrontDoor.java
+++ b/app/src/main/java/nettletrail/app/MeasureFrontDoor.java
@@ -37,6 +37,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import nettletrail.app.processes.ChildJvm;
 import nettletrail.site.BareRelay;
 import nettletrail.site.StandInAgent;
 import org.HdrHistogram.Histogram;
--- a/app/src/main/java/nettletrail/app/MeasureTokens.java
+++ b/app/src/main/java/nettletrail/app/MeasureTokens.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import nettletrail.app.processes.DoorProcesses;
 import nettletrail.introspection.StandInIntrospection;
 import nettletrail.site.Auditor;
 import nettletrail.site.Events;
--- a/app/src/main/java/nettletrail/app/Subsystem.java
+++ b/app/src/main/java/nettletrail/app/Subsystem.java
@@ -6,12 +6,14 @@
 import nettletrail.core.Admission;
 import nettletrail.core.Bound;
 import nettletrail.core.Front;
+import nettletrail.core.Members;
 import nettletrail.core.Section;
 
 /** What the operator file may turn on. */
 interface Subsystem {
     /** All there are, in the file's order. */
-    List<Subsystem> ALL = List.of(new ExtProcSubsystem(), new LimitsSubsystem(), new TokensSubsystem());
+    List<Subsystem> ALL = List.of(new ExtProcSubsystem(), new LimitsSubsystem(), new TokensSubsystem(),
+            new MembersSubsystem(), new ControlSubsystem(), new EventsSubsystem());
 
     Section section();
 
@@ -19,7 +21,7 @@
     void check(Section.Values values, Consumer<Section.Fault> faults);
 
     /** The front that it adds to the front door, if it is on and adds one. */
-    default Optional<Front.Maker> front(Section.Values values) {
+    default Optional<Front.Maker> front(Section.Values values, Desk desk) {
         return Optional.empty();
     }
 
@@ -28,6 +30,14 @@
         return Optional.empty();
     }
 
+    /** How it learns of other front doors, if it is on and does. */
+    default Optional<Members.Maker> members(Section.Values values, Desk desk) {
+        return Optional.empty();
+    }
+
+    /** What it does before all else is made. */
+    default void begin(Section.Values values) { }
+
     /** Who decides which requests may come in at all, if it is on and does. */
     default Optional<Admission.Maker> admission(Section.Values values) {
         return Optional.empty();
--- a/app/src/main/java/nettletrail/app/Try.java
+++ b/app/src/main/java/nettletrail/app/Try.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.Callable;
+import nettletrail.app.processes.DoorProcesses;
 import nettletrail.site.Auditor;
 import nettletrail.site.Site;
 import nettletrail.site.SiteBackend;
--- a/app/src/main/java/nettletrail/app/ChildJvm.java
+++ b/app/src/main/java/nettletrail/app/processes/ChildJvm.java
@@ -1,4 +1,4 @@
-package nettletrail.app;
+package nettletrail.app.processes;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -12,9 +12,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import nettletrail.app.App;
 
 /** A command of this program in a JVM of its own, with the platform's options, so that its CPU can be told apart. */
-final class ChildJvm implements AutoCloseable {
+public final class ChildJvm implements AutoCloseable {
     private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-XX:CompileThresholdScaling=0.3", "-XX:-UsePerfData", "-Xms96m", "-Xmx96m", "-XX:+AlwaysPreTouch",
             "-Dio.netty.allocator.numDirectArenas=1", "-Dio.netty.allocator.numHeapArenas=1",
@@ -22,9 +24,17 @@
     private static final int MOST_KEPT = 200;
 
     private final Process process;
+    private final Consumer<String> heard;
     private final BlockingQueue<String> lines = new LinkedBlockingQueue<>(MOST_KEPT);
 
-    ChildJvm(Map<String, String> env, String... arguments) throws IOException {
+    /** A command of this program. */
+    public ChildJvm(Map<String, String> env, String... arguments) throws IOException {
+        this(env, line -> { }, arguments);
+    }
+
+    /** @param heard hears of each line that it writes, on a thread of its own */
+    public ChildJvm(Map<String, String> env, Consumer<String> heard, String... arguments) throws IOException {
+        this.heard = heard;
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
@@ -42,6 +52,7 @@
         try (BufferedReader from = new BufferedReader(new InputStreamReader(process.getInputStream(),
                 StandardCharsets.UTF_8))) {
             for (String line = from.readLine(); line != null; line = from.readLine()) {
+                heard.accept(line);
                 lines.offer(line);
             }
         } catch (IOException e) {
@@ -50,7 +61,7 @@
     }
 
     /** What stands behind this text in the next line that has it. */
-    String await(String text) throws IOException, InterruptedException {
+    public String await(String text) throws IOException, InterruptedException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         StringBuilder seen = new StringBuilder();
         while (System.nanoTime() < until) {
@@ -67,23 +78,47 @@
     }
 
     /** CPU time used so far. */
-    Duration cpu() {
+    public Duration cpu() {
         return process.info().totalCpuDuration().orElse(Duration.ZERO);
     }
 
     /** Its output from here on, as far as kept. */
-    List<String> said() {
+    public List<String> said() {
         List<String> said = new ArrayList<>();
         lines.drainTo(said);
         return said;
     }
 
     /** SIGTERM; the exit status. */
-    int terminate() throws InterruptedException {
+    public int terminate() throws InterruptedException {
         process.destroy();
         return process.waitFor(8, TimeUnit.SECONDS) ? process.exitValue() : -1;
     }
 
+    /** A line on its standard input. */
+    public void tell(String line) throws IOException {
+        process.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+        process.getOutputStream().flush();
+    }
+
+    /** Sends it a signal, by name. */
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** SIGKILL; returns when it is gone. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    public boolean alive() {
+        return process.isAlive();
+    }
+
+    public long pid() {
+        return process.pid();
+    }
+
     @Override
     public void close() {
         process.destroyForcibly();
--- a/app/src/main/java/nettletrail/app/DoorProcesses.java
+++ b/app/src/main/java/nettletrail/app/processes/DoorProcesses.java
@@ -1,4 +1,4 @@
-package nettletrail.app;
+package nettletrail.app.processes;
 
 import java.io.IOException;
 import java.net.HttpURLConnection;
@@ -14,18 +14,18 @@
 import nettletrail.site.Site;
 
 /** A site's front doors as processes of their own, with their files in a folder that goes with them. */
-final class DoorProcesses implements AutoCloseable {
+public final class DoorProcesses implements AutoCloseable {
     private final Path folder;
     private final List<ChildJvm> doors = new ArrayList<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
 
     /** @param name of the folder, for whoever looks for it */
-    DoorProcesses(String name) throws IOException {
+    public DoorProcesses(String name) throws IOException {
         folder = Files.createTempDirectory("nettletrail-" + name);
     }
 
     /** A file in their folder; it is deleted when they are closed. */
-    Path file(String name) {
+    public Path file(String name) {
         return folder.resolve(name);
     }
 
@@ -34,7 +34,7 @@
      *
      * @param more of each one's command line
      */
-    List<InetSocketAddress> start(Site site, String... more) throws IOException, InterruptedException {
+    public List<InetSocketAddress> start(Site site, String... more) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of("serve"));
         command.addAll(List.of(more));
         int count = site.settings().doors();
@@ -54,11 +54,12 @@
         return List.copyOf(addresses);
     }
 
-    List<ChildJvm> processes() {
+    /** In the doors' order. */
+    public List<ChildJvm> processes() {
         return List.copyOf(doors);
     }
 
-    private static void awaitReady(InetSocketAddress door) throws IOException, InterruptedException {
+    static void awaitReady(InetSocketAddress door) throws IOException, InterruptedException {
         for (int i = 0; i < 300; i++) {
             HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + "/-/ready")
                     .toURL().openConnection();
--- a/app/src/test/java/nettletrail/app/LayoutTest.java
+++ b/app/src/test/java/nettletrail/app/LayoutTest.java
@@ -21,7 +21,7 @@
         classes().that().resideInAPackage("nettletrail.decision..").or().haveSimpleNameEndingWith("Decider")
                 .should().onlyDependOnClassesThat()
                 .resideInAnyPackage("nettletrail..", "java.lang", "java.lang.runtime", "java.lang.invoke", "java.util",
-                        "java.util.function", "com.github.benmanes.caffeine.cache")
+                        "java.util.function", "java.util.stream", "com.github.benmanes.caffeine.cache")
                 .check(ALL);
         noClasses().that().resideInAPackage("nettletrail.decision..").or().haveSimpleNameEndingWith("Decider")
                 .should().dependOnClassesThat().belongToAnyOf(Thread.class, Runtime.class, Process.class,
@@ -57,6 +57,16 @@
                 .resideInAPackage("nettletrail.app..").check(ALL);
     }
 
+    @Test
+    void noSubsystemKnowsAnother() {
+        String[] all = {"nettletrail.extproc..", "nettletrail.limits..", "nettletrail.tokens..", "nettletrail.plans..",
+                "nettletrail.members.."};
+        for (String each : all) {
+            String[] others = java.util.Arrays.stream(all).filter(other -> !other.equals(each)).toArray(String[]::new);
+            noClasses().that().resideInAPackage(each).should().dependOnClassesThat().resideInAnyPackage(others).check(ALL);
+        }
+    }
+
     private static String[] append(String[] to, String... more) {
         String[] all = java.util.Arrays.copyOf(to, to.length + more.length);
         System.arraycopy(more, 0, all, to.length, more.length);
--- a/front-door/src/main/java/nettletrail/core/Bound.java
+++ b/front-door/src/main/java/nettletrail/core/Bound.java
@@ -40,6 +40,9 @@
     /** The meter's word for the request's customer, in percent of its plan's rate, over all front doors. */
     default void metered(Arrival arrival, int usedPercent) { }
 
+    /** Which other front doors there are, before the first request. */
+    default void knows(Members members) { }
+
     /** Ends its work; on the event loop or off it. */
     default void close() { }
 }
--- /dev/null
+++ b/front-door/src/main/java/nettletrail/core/Members.java
@@ -0,0 +1,121 @@
+package nettletrail.core;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.function.Consumer;
+import nettletrail.decision.Gateway;
+import nettletrail.decision.SettingsReader;
+
+/**
+ * Which other front doors there are, as far as this one can know. Two questions with two answers, and whoever asks names
+ * which: {@link Listener#likelyGone} comes within seconds and may be wrong (a pause, a cut), good for routing and hints;
+ * {@link Listener#surelyGone} comes once a majority of the last agreed view has agreed on a view without that life, and is
+ * what anybody may act on in its place. A minority never hears the second. All on the front door's event loop.
+ *
+ * <p>Nothing here may loosen a ceiling: fewer members seen than there are must let no more through in sum.
+ */
+public interface Members {
+    /** This front door knows of nobody. */
+    Members NONE = new Members() { };
+
+    /** Makes one; it begins its work at once. */
+    interface Maker {
+        /**
+         * @param name this front door's, unique in the installation
+         * @param loop the front door's, on which listeners are told
+         * @throws IllegalArgumentException if it can't with these settings; the message names the key
+         */
+        Members make(String name, EventLoop loop, SettingsReader reader, Gateway.Settings settings);
+    }
+
+    /**
+     * One life of a front door's name: a process, or its time between two agreed views that it wasn't in.
+     *
+     * @param number higher than that of any life of this name before
+     */
+    record Life(String name, long number) implements Comparable<Life> {
+        @Override
+        public int compareTo(Life other) {
+            int names = name.compareTo(other.name);
+            return names != 0 ? names : Long.compare(number, other.number);
+        }
+
+        @Override
+        public String toString() {
+            return name + "/" + Long.toHexString(number);
+        }
+    }
+
+    /**
+     * A set of lives that a majority of the one before it has agreed on.
+     *
+     * @param number higher than that of any agreed before; 0 for none yet
+     * @param lives in their order
+     */
+    record View(long number, List<Life> lives) {
+        /** None was agreed yet. */
+        public static final View NONE = new View(0, List.of());
+
+        public View {
+            lives = List.copyOf(lives);
+        }
+
+        /** Whether it holds this life. */
+        public boolean has(Life life) {
+            return lives.contains(life);
+        }
+
+        /** How many of its lives must agree on what follows. */
+        public int majority() {
+            return lives.size() / 2 + 1;
+        }
+    }
+
+    /** Hears of members; each may be called again for the same life. */
+    interface Listener {
+        /** There is a life that wasn't known. */
+        default void joined(Life who) { }
+
+        /** It is accused and may still answer. */
+        default void suspect(Life who) { }
+
+        /** Likely gone: quick, may be wrong. */
+        default void likelyGone(Life who) { }
+
+        /** Surely gone as far as anybody may act for it: agreed by a majority. */
+        default void surelyGone(Life who) { }
+
+        /** One that was suspect or likely gone is there. */
+        default void back(Life who) { }
+
+        /** It said that it leaves. */
+        default void left(Life who) { }
+
+        /** A view was agreed that this front door is in, or it is in none any more ({@link View#NONE}). */
+        default void view(View now) { }
+    }
+
+    /** This front door's own life now; null where there are no members. */
+    default Life self() {
+        return null;
+    }
+
+    /** From now on it is told; first of all that is known already. */
+    default void hear(Listener listener) { }
+
+    /** Calls to them. */
+    default Doors doors() {
+        return Doors.NONE;
+    }
+
+    /** What is known, as JSON values, given to this on the front door's loop, soon. */
+    default void status(Consumer<Object> to) {
+        to.accept(List.of());
+    }
+
+    /** This front door ends: it says so to the others. Off the event loop; returns when it is said. */
+    default void leave() { }
+
+    /** Ends its work; on the event loop or off it. */
+    default void close() { }
+}
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -30,6 +30,7 @@
 import nettletrail.core.Intake;
 import nettletrail.core.Log;
 import nettletrail.core.LoopClock;
+import nettletrail.core.Members;
 import nettletrail.core.Report;
 import nettletrail.decision.Brain;
 import nettletrail.decision.Gateway;
@@ -79,6 +80,7 @@
     private final Discovery discovery;
     private final Bound bound;
     private final Admission admission;
+    private final Members members;
     private final int mostClients;
     private final int roomyClients;
     private final List<Front> fronts = new ArrayList<>();
@@ -108,7 +110,9 @@
             fronts.add(front);
             carriers.add(front.carrier());
         }
+        members = more.members().make(config.name(), loop, config.settings(), settings);
         bound = more.bound().make(config.name(), loop, config.settings(), settings);
+        bound.knows(members);
         admission = more.admission().make(config.name(), loop, clock, config.settings(), settings);
         dispatcher = new Dispatcher(loop, clock, admission, bound, carriers, config.settings(), settings, module);
         discovery = new Discovery(loop, config.discovery(), version(config.known()), config.seed(), this);
@@ -260,6 +264,7 @@
         fronts.forEach(Front::close);
         bound.close();
         admission.close();
+        members.close();
         group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
@@ -283,6 +288,7 @@
         try {
             boolean all = drained.await(MOST_DRAIN_MS, TimeUnit.MILLISECONDS);
             Log.line(all ? "drained" : "drain: time is up");
+            members.leave();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/stand-ins/src/main/java/nettletrail/faults/FaultRelay.java
+++ b/stand-ins/src/main/java/nettletrail/faults/FaultRelay.java
@@ -33,7 +33,7 @@
     private static final int HOLD_TRIES = 20;
     private final String name;
     private final EventLoop loop;
-    private final InetSocketAddress to;
+    private volatile InetSocketAddress to;
     private final FaultDecider decider;
     private final FaultLog log;
     private final long startedAt = System.nanoTime();
@@ -212,6 +212,11 @@
         return there[0];
     }
 
+    /** New connections go on to there from now on. */
+    public void point(InetSocketAddress server) {
+        call(() -> to = server);
+    }
+
     /** Takes all away. */
     public void reset() {
         await(call(() -> {
