Endings are looked at before they are final: what lies unread on a late loop is not lost

Cause: an event loop that is late knows only what came before its last round. Further: a drain's length came from 3 s, not from the settings, and counted from when the loop heard of it; at its end waiting requests began anew; an id was forgotten after 5 s while its first copy was open; an answer before the request's last byte counted as its answer; a silent watch was given up 7.1 s after its call where its news count as told after 7.0 s; zones unknown to the settings were one zone.

The test on the drain's constants is replaced by one over five deadlines, as strict for 3 s. The wait in BusyDiscoveryTest's calls is the new one, 3000.

--- a/decision/src/main/java/nettletrail/decision/SettingsReader.java
+++ b/decision/src/main/java/nettletrail/decision/SettingsReader.java
@@ -15,6 +15,8 @@
     public static final String BUSY = "cpu_share";
     public static final String SERVED = "served_ps";
 
+    private static final long LONGEST_DEADLINE = 3_000_000_000L;
+
     private final Map<String, String> values = new HashMap<>();
 
     public SettingsReader(String text) {
@@ -54,6 +56,15 @@
         return number("FamilyInfo.MostUnits", 0);
     }
 
+    /** The longest that a client waits, ns: over all classes, 3 s where none tells (the most that the protocol knows). */
+    public long longestDeadlineNs() {
+        long longest = 0;
+        for (int i = 0; i < count("Services.count"); i++) {
+            longest = Math.max(longest, time("Services." + i + ".Deadline"));
+        }
+        return longest > 0 ? longest : LONGEST_DEADLINE;
+    }
+
     /** A list of plain values. */
     public List<String> list(String key) {
         String values = text(key, "");
@@ -82,7 +93,8 @@
             case "zone" -> Gateway.Group.ZONE;
             default -> Gateway.Group.CELL;
         };
-        return new Gateway.RequestClass(Math.max(1, values.containsKey(at + "Aim") ? time(at + "Aim") : deadline),
+        long aim = values.containsKey(at + "Aim") ? time(at + "Aim") : deadline > 0 ? deadline : LONGEST_DEADLINE;
+        return new Gateway.RequestClass(Math.max(1, aim),
                 number(at + "Worth", 1), number(at + "LateValue", 0), effect, group, time(at + "Window"));
     }
 
--- a/front-door/src/main/java/nettletrail/core/Attempt.java
+++ b/front-door/src/main/java/nettletrail/core/Attempt.java
@@ -28,6 +28,16 @@
     /** ns until the request's time is up; below 0 if it is. */
     public abstract long leftNs();
 
+    /**
+     * Asked just before its first byte may go out. What has come by now that tells against it (its client left, the
+     * list changed) is heard before this returns, so that the carrier looks at its own list after this.
+     *
+     * @return false if its request has ended: it must not be sent
+     */
+    public boolean wanted() {
+        return true;
+    }
+
     /**
      * It is being written now: its time counts from here, not from when a connection was looked for. Called once at
      * most; where it isn't, the time counts from the start.
--- a/front-door/src/main/java/nettletrail/core/Client.java
+++ b/front-door/src/main/java/nettletrail/core/Client.java
@@ -19,6 +19,11 @@
         }
     }
 
+    /** Takes in what has come from it and was not read yet; false if it has left. */
+    default boolean look() {
+        return true;
+    }
+
     /** Failed, nothing promised about its effect: 502, or 504 if its time is up. */
     void failed(int status);
 }
--- a/front-door/src/main/java/nettletrail/core/Dispatcher.java
+++ b/front-door/src/main/java/nettletrail/core/Dispatcher.java
@@ -21,8 +21,11 @@
     private static final long MS = 1_000_000L;
     /** For the way back to the client, who counts from when it sent the request. */
     private static final long WAY_BACK = 12 * MS;
-    /** No client of the deployment waits longer. */
-    private static final long MOST_TAKEN = 5_000 * MS;
+    /**
+     * On a loop that is this late, sockets are looked at before an attempt's first byte: nothing may be sent on 0.3 s after
+     * its client left, and what came may have to wait for two rounds.
+     */
+    private static final long LATE = 100 * MS;
 
     /** How a decision module is made. */
     public interface Maker {
@@ -70,14 +73,15 @@
             } else if (!over) {
                 end(this);
                 event(new Rare("departure", this, () -> gateway.departed(now(), id)));
-                if (last != null && last.carriage.unsent()) {
+                // Without a carriage it is just being started, and its carrier will hear that it is not wanted.
+                if (last != null && last.carriage != null && last.carriage.unsent()) {
                     timedOut(last); // nobody waits for it: it shall not cost a backend work
                 }
             }
         }
     }
 
-    private record Taken(String txn, long until) { }
+    private record Taken(String txn, long until, long id) { }
 
     // The events of every request are classes: the first compiler, which is all that the platform leaves to a front door,
     // makes a lambda that captures something by a call into the JVM and several through method handles.
@@ -190,6 +194,17 @@
             return Math.max(1, leftNs() / MS);
         }
 
+        @Override
+        public boolean wanted() {
+            if (late()) {
+                news.run();
+                if (!live.client.look()) {
+                    live.departed();
+                }
+            }
+            return !live.over;
+        }
+
         @Override
         public void wrote() {
             sentAt = now();
@@ -244,6 +259,8 @@
     private final Gateway gateway;
     private final List<String> zones;
     private final List<String> kinds;
+    /** No client of the deployment waits longer. */
+    private final long mostTaken;
     private final LongObjectHashMap<Live> live = new LongObjectHashMap<>();
     /** Ids that clients gave, each until its request's time is up: later copies would run a second time. */
     private final HashSet<String> taken = new HashSet<>();
@@ -252,6 +269,9 @@
     /** Added to the monotonic clock: the module's clock starts at Unix time and never goes back. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
     private boolean inside;
+    /** The process is about to end: nothing is taken on or sent any more. */
+    private boolean ending;
+    private Runnable news = () -> { };
     private long lastId;
 
     /**
@@ -276,6 +296,7 @@
         this.carriers = List.copyOf(carriers);
         zones = reader.list("Dcs");
         kinds = reader.list("Flavors");
+        mostTaken = reader.longestDeadlineNs();
         gateway = module.make(settings, now(), this);
         admission.tells(this::turnAway);
     }
@@ -284,9 +305,15 @@
 
     /** Whether no other request came with this one's id while that could still be open anywhere. */
     public boolean isNew(String txn) {
-        for (Taken first = takenInTurn.peekFirst(); first != null && first.until() < now();
+        long now = now();
+        for (Taken first = takenInTurn.peekFirst(); first != null && first.until() < now;
                 first = takenInTurn.peekFirst()) {
-            taken.remove(takenInTurn.pollFirst().txn());
+            takenInTurn.pollFirst();
+            if (live.containsKey(first.id())) {
+                takenInTurn.addLast(new Taken(first.txn(), now + mostTaken, first.id()));
+            } else {
+                taken.remove(first.txn());
+            }
         }
         return !taken.contains(txn);
     }
@@ -302,7 +329,12 @@
         Live request = new Live(++lastId, arrival, client, carrier, now);
         live.put(request.id, request);
         taken.add(arrival.txn());
-        takenInTurn.addLast(new Taken(arrival.txn(), Math.min(request.deadline, now + MOST_TAKEN) + WAY_BACK));
+        takenInTurn.addLast(new Taken(arrival.txn(), Math.min(request.deadline, now + mostTaken) + WAY_BACK, request.id));
+        if (ending) {
+            end(request);
+            client.refused(0);
+            return request;
+        }
         if (admission != Admission.NONE) {
             request.outside = true;
             Admission.Word word = admission.ask(request.id, arrival, request.deadline - now, new AtTheDoor(request));
@@ -386,6 +418,7 @@
 
         @Override
         public void admitted() {
+            attempt.carriage = null; // being started: it no longer waits here
             attempt.carriage = attempt.live.carrier.start(attempt);
         }
 
@@ -425,17 +458,39 @@
     public void listed(boolean whole, List<Endpoint> entries) {
         List<Gateway.Backend> told = new ArrayList<>(entries.size());
         for (Endpoint entry : entries) {
-            told.add(new Gateway.Backend(entry.id(), zones.indexOf(entry.zone()), kinds.indexOf(entry.type()),
+            told.add(new Gateway.Backend(entry.id(), place(zones, entry.zone()), place(kinds, entry.type()),
                     entry.group(), entry.state(), entry.weight(), entry.sinceMs() * MS));
         }
         // The carriers first, or what the module sends to a new backend would find no address; what ends by it
         // is told after the list, or the module would send it to the same backend again.
+        if (inside) {
+            // Heard by a look before a send: that carrier must know it now, the module after what it is at.
+            events.addLast(new Rare("list", null, () -> gateway.listed(now(), whole, told)));
+            carriers.forEach(carrier -> carrier.listed(whole, entries));
+            return;
+        }
         event(new Rare("list", null, () -> {
             carriers.forEach(carrier -> carrier.listed(whole, entries));
             gateway.listed(now(), whole, told);
         }));
     }
 
+    /** A name that the settings don't know is still not another such name: no two of them are one zone. */
+    private static int place(List<String> names, String name) {
+        int place = names.indexOf(name);
+        return place >= 0 ? place : name.hashCode() | Integer.MIN_VALUE;
+    }
+
+    /** What takes in a list that has come and was not read yet; asked for before a send on a loop that is late. */
+    public void news(Runnable look) {
+        news = look;
+    }
+
+    /** Whether what came may have lain unread for so long that it is looked for before anything is sent. */
+    public boolean late() {
+        return clock.unread() > LATE;
+    }
+
     @Override
     public void listFailed() {
         event(new Rare("list failure", null, () -> gateway.listFailed(now())));
@@ -453,14 +508,22 @@
         event(new Rare("time-out", request, () -> {
             if (!request.over) {
                 end(request);
-                request.client.failed(504);
+                if (ending && !request.mayHaveRun) {
+                    request.client.refused(0);
+                } else {
+                    request.client.failed(504);
+                }
                 gateway.departed(now(), request.id);
             }
         }));
     }
 
-    /** The process is about to end: each open request is answered as if its time were up. On the loop. */
+    /**
+     * The process is about to end: each open request is answered as if its time were up, and what still comes is refused
+     * at once. On the loop.
+     */
     public void expireAll() {
+        ending = true;
         for (Live each : new ArrayList<>(live.values())) {
             if (!each.over) {
                 expired(each);
@@ -540,9 +603,10 @@
     public void send(long requestId, long backendId, long timeoutNs) {
         Live request = live.get(requestId);
         long now = now();
-        if (request == null || request.over) {
-            // Its client left, or a fault ended it: a send now would run for nobody.
-            Gateway.Answer told = new Gateway.Answer(requestId, 0, backendId, Gateway.Outcome.NEVER_SENT, true, 0, -1,
+        if (request == null || request.over || ending) {
+            // Its client left, a fault ended it, or nobody will hear the answer: a send now would run for nobody.
+            boolean over = request == null || request.over;
+            Gateway.Answer told = new Gateway.Answer(requestId, 0, backendId, Gateway.Outcome.NEVER_SENT, over, 0, -1,
                     0, null);
             event(new Ended(null, now, told));
             return;
--- a/front-door/src/main/java/nettletrail/core/LoopClock.java
+++ b/front-door/src/main/java/nettletrail/core/LoopClock.java
@@ -49,6 +49,23 @@
         return now;
     }
 
+    /**
+     * For how long at most, ns, what came may have lain unread: since the loop last slept or, on one that does not get to
+     * sleep, since the round before this one began. 0 where no loop was made with this clock.
+     */
+    long unread() {
+        long now = now();
+        if (!used) {
+            return 0;
+        }
+        return now - (slept() ? woke : beforeKnown ? before : listened);
+    }
+
+    private boolean slept() {
+        long busy = beforeKnown ? listened - before : 0;
+        return woke - listened > Math.max(SLEPT, busy / SLEPT_PART);
+    }
+
     /**
      * When that came which is dealt with now, as far as can be told: all that came before the loop last slept has been
      * dealt with. What came while it was busy came at any time of that; the middle is told, half of that time off at most.
@@ -62,8 +79,7 @@
             return now;
         }
         long came;
-        long busy = beforeKnown ? listened - before : 0;
-        if (woke - listened > Math.max(SLEPT, busy / SLEPT_PART)) {
+        if (slept()) {
             came = woke;
         } else if (beforeKnown) {
             long from = Math.max(before - since, 0) + since;
--- a/front-door/src/main/java/nettletrail/discovery/Discovery.java
+++ b/front-door/src/main/java/nettletrail/discovery/Discovery.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.TimeUnit;
 import nettletrail.core.Endpoint;
 import nettletrail.core.Log;
+import nettletrail.core.Unread;
 import nettletrail.decision.Gateway;
 
 /**
@@ -39,15 +40,20 @@
  * time-out, for an agent that has lost discovery is silent, and after a fault the next call comes quickly.
  */
 public final class Discovery {
-    /** The call waits so long for news; short, as a broken watch is noticed only when this is over. */
-    private static final int WAIT_MS = 5_000;
+    /**
+     * The call waits so long for news; short, as a broken watch is noticed only when this is over. What a silent watch
+     * misses counts as told 6 s after it fell silent: this, the time-out, a pause and a call that is answered at once have
+     * to fit well inside that, also on a loop that is late. 3 s leave 0.8 s; 5 s left nothing. Where calls have a price, an idle
+     * front door makes one in 3 s instead of one in 5.
+     */
+    static final int WAIT_MS = 3_000;
     /** The agent is on this machine: a connection that takes longer is none. */
     private static final int CONNECT_MS = 1_000;
     /**
      * An answer later than this is none. Discovery itself gives a call up after 2 s in its line: a front door that
      * gave up sooner left it the work of an answer that nobody heard, and added another call to the line.
      */
-    private static final int ANSWER_MS = 2_100;
+    static final int ANSWER_MS = 2_100;
     /**
      * From a fault to the next call: far under the 200 ms after which a new watch would begin. It doubles with each
      * fault and is spread: discovery serves all front doors from one small capacity, and once it had to turn some calls
@@ -58,6 +64,7 @@
     private static final int MOST_BUSY_MS = 4_000;
     private static final int MOST_SILENT_MS = 500;
     private static final int MOST_BYTES = 4 << 20;
+    private static final int LEAST_WAIT_MS = 1;
 
     private final EventLoop loop;
     private InetSocketAddress agent;
@@ -68,8 +75,11 @@
     private Future<?> retry;
     private long index;
     private final SplittableRandom random;
-    private boolean failing;
     private int faults;
+    /** Since the last answer the connection broke, or a call was not answered. */
+    private boolean broken;
+    /** An answer is being taken in: its decoder is on the stack. */
+    private boolean reading;
 
     /**
      * @param index the version of the list that is held already, or below 0 for none
@@ -101,6 +111,7 @@
         Log.line("discovery: from " + agent + " to " + to);
         agent = to;
         index = -1;
+        faults = 0;
         drop();
         follow();
     }
@@ -126,17 +137,21 @@
     }
 
     private void call() {
-        String path = index < 0 ? "/api/targets" : "/api/targets?index=" + index + "&wait=" + WAIT_MS;
+        // The first call after a break asks for what there is and waits for nothing: one that is silent too is told from one
+        // that has no news, and given up so much sooner.
+        int wait = index < 0 ? 0 : broken ? LEAST_WAIT_MS : WAIT_MS;
+        String path = index < 0 ? "/api/targets" : "/api/targets?index=" + index + "&wait=" + wait;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
         request.headers().set(HttpHeaderNames.HOST, "discovery");
         channel.writeAndFlush(request);
         // A machine that is cut off says nothing, and TCP does not tell: without this the watch hangs for ever.
-        long most = ANSWER_MS + (index < 0 ? 0 : WAIT_MS);
+        long most = ANSWER_MS + wait;
         timeout = loop.schedule(() -> broken("no answer in " + most + " ms"), most, TimeUnit.MILLISECONDS);
     }
 
     private void answered(FullHttpResponse response) {
         timeout.cancel(false);
+        broken = false;
         if (response.status().code() != 200 || response.decoderResult().isFailure()) {
             // Unless it is only busy, it may no longer know our version: ask for the whole list, which costs it more.
             if (!busy(response.status().code())) {
@@ -158,28 +173,34 @@
             broken("answer can't be read: " + e.getClass().getSimpleName());
             return;
         }
-        faults = 0;
-        if (failing) {
-            failing = false;
+        if (faults > 0) {
+            faults = 0;
             Log.line("discovery: back");
         }
+        long held = index;
         index = body.get("index") instanceof Number n ? n.longValue() : -1;
         if (!HttpUtil.isKeepAlive(response)) {
             drop();
         }
-        listener.listed(Boolean.TRUE.equals(body.get("snapshot")), entries(body));
+        boolean whole = Boolean.TRUE.equals(body.get("snapshot"));
+        if (!whole && index < held) {
+            // Changes up to a version before ours would undo later ones: what holds now only the whole list tells.
+            index = -1;
+        } else {
+            listener.listed(whole, entries(body));
+        }
         follow();
     }
 
     private void broken(String why) {
+        broken = true;
         drop();
         again(why, MOST_SILENT_MS);
     }
 
     /** Calls again after a pause, on the connection if there still is one. */
     private void again(String why, int mostMs) {
-        if (!failing) {
-            failing = true;
+        if (faults == 0) {
             Log.line("discovery: " + why + "; calling again");
         }
         listener.listFailed();
@@ -199,6 +220,13 @@
         return full / 2 + random.nextInt(full / 2 + 1);
     }
 
+    /** Takes in an answer that has come and was not read yet. */
+    public void look() {
+        if (channel != null && !reading) {
+            Unread.take(channel);
+        }
+    }
+
     private void drop() {
         if (timeout != null) {
             timeout.cancel(false);
@@ -249,7 +277,12 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             if (context.channel() == channel && response.status().code() >= 200) {
-                answered(response);
+                reading = true;
+                try {
+                    answered(response);
+                } finally {
+                    reading = false;
+                }
             }
         }
 
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -32,6 +33,7 @@
 import nettletrail.core.LoopClock;
 import nettletrail.core.Members;
 import nettletrail.core.Report;
+import nettletrail.core.Unread;
 import nettletrail.decision.Brain;
 import nettletrail.decision.Gateway;
 import nettletrail.decision.WireFault;
@@ -43,20 +45,18 @@
 public final class FrontDoor implements ClientHandler.Door, Endpoint.Listener {
     /** New connections go on coming for so long after SIGTERM. */
     static final long ACCEPT_AFTER_TERM_MS = 500;
-    /** No client waits longer, by the protocol. */
-    static final long LONGEST_DEADLINE_MS = 3_000;
-    /** Kept at the end of a drain for the last answers' way out: what is open then is answered as if its time were up. */
-    private static final long LAST_ANSWERS_MS = 100;
-    /** From SIGTERM to the end at the latest: all the time of a request that came last; well before SIGKILL. */
-    static final long MOST_DRAIN_MS = ACCEPT_AFTER_TERM_MS + LONGEST_DEADLINE_MS + LAST_ANSWERS_MS;
+    /** No client waits longer, by the protocol; {@link #longestMs} may be less. */
+    static final long MOST_LONGEST_MS = 3_000;
+    /**
+     * Kept at the end of a drain for the last answers' way out: what is open then is answered as if its time were up.
+     * With the above it ends 0.05 s before SIGKILL may come, 0.7 s and the settings' longest deadline after SIGTERM.
+     */
+    private static final long LAST_ANSWERS_MS = 150;
+    /** Who connected so lately may have a request on its way: its connection is not closed as idle in a drain. */
+    static final long JUST_CAME_NS = 100_000_000L;
     /** Without discovery, the list that the configuration holds has to do after this time. */
     private static final long MOST_LIST_WAIT_MS = 1_000;
     private static final long SWEEP_MS = 200;
-    /**
-     * A sweep that comes later than this tells that the loop is late: a connection that looks idle may then hold a
-     * request that lies unread, and to close it loses that. None is closed as idle until the loop keeps up again.
-     */
-    private static final long LATE_NS = 100_000_000L;
     /** A connection with no request open is closed after so long; with the sweep's period, well inside 3 s. */
     private static final long MOST_STANDING_NS = 2_000_000_000L;
     /**
@@ -68,6 +68,8 @@
     private static final long SPARED_NS = 300_000_000L;
     /** Descriptors that are neither clients' nor backends': files of the JVM, the selector, discovery. */
     private static final int OTHER_SOCKETS = 48;
+    /** Connections that the kernel may have accepted and that are not taken yet. */
+    private static final int BACKLOG = 1024;
 
     private final LoopClock clock = new LoopClock();
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(),
@@ -88,9 +90,9 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     /** Null until others can connect. */
     private volatile Channel listening;
+    /** Client connections so far. */
+    private long connected;
     private boolean listed;
-    private boolean late;
-    private long sweptAt = System.nanoTime();
     private volatile boolean draining;
 
     /** The project's own. */
@@ -116,6 +118,7 @@
         admission = more.admission().make(config.name(), loop, clock, config.settings(), settings);
         dispatcher = new Dispatcher(loop, clock, admission, bound, carriers, config.settings(), settings, module);
         discovery = new Discovery(loop, config.discovery(), version(config.known()), config.seed(), this);
+        dispatcher.news(discovery::look);
     }
 
     /** Of the list that the configuration holds, or below 0: what is newer is less than the whole list. */
@@ -232,27 +235,41 @@
         return over;
     }
 
+    /** Bound on the loop, which also begins the drain: one that was told to end while it warmed up never listens. */
     private void listen() throws InterruptedException {
+        ChannelFuture bound = loop.submit(this::bind).sync().getNow();
+        if (bound == null) {
+            return;
+        }
+        if (!bound.await().isSuccess()) {
+            throw new IllegalArgumentException("EDGE_LISTEN: can't listen on " + config.listen() + ": "
+                    + bound.cause().getMessage());
+        }
+        Log.line(config.name() + " listens on " + listening.localAddress());
+    }
+
+    private ChannelFuture bind() {
+        if (draining) {
+            return null;
+        }
         Intake intake = new Intake(config.settings(), settings);
-        var bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel made) {
                         ClientHandler.add(made.pipeline(), FrontDoor.this, intake, dispatcher, pool);
                     }
-                }).bind(config.listen()).await();
-        if (!bound.isSuccess()) {
-            throw new IllegalArgumentException("EDGE_LISTEN: can't listen on " + config.listen() + ": "
-                    + bound.cause().getMessage());
-        }
+                }).bind(config.listen());
         listening = bound.channel();
-        if (draining) {
-            listening.close(); // told to end while it warmed up
-        }
-        Log.line(config.name() + " listens on " + listening.localAddress());
+        return bound;
+    }
+
+    /** Whether others can connect. Any thread. */
+    boolean listens() {
+        return listening != null && listening.isOpen();
     }
 
     public InetSocketAddress address() {
@@ -268,25 +285,37 @@
         group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    /** Takes no more than it must, answers all that it holds, and returns when that is done. */
+    /** The longest that a client waits, by the settings. */
+    private long longestMs() {
+        return Math.min(MOST_LONGEST_MS, config.settings().longestDeadlineNs() / 1_000_000);
+    }
+
+    /** From SIGTERM to the end at the latest: all the time of a request that came last; before SIGKILL. */
+    long mostDrainMs() {
+        return ACCEPT_AFTER_TERM_MS + longestMs() + LAST_ANSWERS_MS;
+    }
+
+    /**
+     * Takes no more than it must, answers all that it holds, and returns when that is done. Its times count from this
+     * call, as SIGKILL's does, and not from when the loop gets to it.
+     */
     public void drain() {
+        long from = System.nanoTime();
         loop.execute(() -> {
             Log.line("SIGTERM: draining, " + dispatcher.held() + " held");
             // Answers now say that the connection closes; clients go on connecting for a while, and are served.
             draining = true;
             fronts.forEach(Front::drain);
+            long gone = (System.nanoTime() - from) / 1_000_000;
             loop.schedule(() -> {
-                if (listening != null) {
-                    listening.close();
-                }
-                List.copyOf(clients).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
+                stopListening();
                 loop.scheduleWithFixedDelay(this::checkDrained, 0, 10, TimeUnit.MILLISECONDS);
-            }, ACCEPT_AFTER_TERM_MS, TimeUnit.MILLISECONDS);
+            }, ACCEPT_AFTER_TERM_MS - gone, TimeUnit.MILLISECONDS);
             // A loop that read a request late counts its time from then: cut off by the exit, it would be lost.
-            loop.schedule(dispatcher::expireAll, MOST_DRAIN_MS - LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(dispatcher::expireAll, mostDrainMs() - LAST_ANSWERS_MS - gone, TimeUnit.MILLISECONDS);
         });
         try {
-            boolean all = drained.await(MOST_DRAIN_MS, TimeUnit.MILLISECONDS);
+            boolean all = drained.await(mostDrainMs(), TimeUnit.MILLISECONDS);
             Log.line(all ? "drained" : "drain: time is up");
             members.leave();
         } catch (InterruptedException e) {
@@ -294,13 +323,43 @@
         }
     }
 
+    /** What the kernel has accepted is ours: it may hold a request, and a close of the listener would reset it. */
+    void stopListening() {
+        if (listening == null) {
+            return;
+        }
+        long before = -1;
+        while (before < connected && clients.size() < mostClients + roomyClients) {
+            before = connected;
+            listening.config().setAutoRead(true); // it may have waited for room
+            Unread.take(listening);
+        }
+        listening.close();
+    }
+
     /** A connection is gone only when its last answer is written, so that none is cut off by the exit. */
     private void checkDrained() {
+        endIdle(JUST_CAME_NS);
         if (dispatcher.held() == 0 && clients.isEmpty() && fronts.stream().allMatch(Front::drained)) {
             drained.countDown();
         }
     }
 
+    /** Closes the connections that have stood between two requests for longer than this, ns. On the loop. */
+    void endIdle(long leastNs) {
+        long now = System.nanoTime();
+        for (ClientHandler client : List.copyOf(clients)) {
+            if (client.idle() && now - client.idleSince() > leastNs) {
+                client.endSpare();
+            }
+        }
+    }
+
+    /** The one that all of it runs on. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Requests taken on and not answered, or with an attempt still out. Any thread. */
     public int held() {
         return loop.submit(dispatcher::held).syncUninterruptibly().getNow();
@@ -313,10 +372,8 @@
 
     private void sweep() {
         long now = System.nanoTime();
-        late = now - sweptAt > TimeUnit.MILLISECONDS.toNanos(SWEEP_MS) + LATE_NS;
-        sweptAt = now;
         for (ClientHandler client : List.copyOf(clients)) {
-            client.sweep(now, MOST_STANDING_NS, late);
+            client.sweep(now, MOST_STANDING_NS);
         }
     }
 
@@ -335,11 +392,12 @@
     @Override
     public void opened(ClientHandler connection) {
         clients.add(connection);
+        connected++;
         if (clients.size() > mostClients) {
             if (!closeOldest(connection, 0)) {
                 listening.config().setAutoRead(false);
             }
-        } else if (clients.size() > roomyClients && !late) {
+        } else if (clients.size() > roomyClients) {
             closeOldest(connection, SPARED_NS);
         }
     }
@@ -350,6 +408,18 @@
      * request, then the one longest idle. False if there is none that has stood for so long.
      */
     private boolean closeOldest(ClientHandler newest, long leastNs) {
+        for (ClientHandler oldest = oldest(newest, leastNs); oldest != null; oldest = oldest(newest, leastNs)) {
+            // Left out at once: the channel tells its end only at the loop's next turn, and for all that are taken
+            // in the same turn the same one would be found again. A crowd would grow past every descriptor.
+            if (oldest.endSpare()) {
+                clients.remove(oldest);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private ClientHandler oldest(ClientHandler newest, long leastNs) {
         long now = System.nanoTime();
         ClientHandler oldest = null;
         for (ClientHandler client : clients) {
@@ -359,13 +429,7 @@
                 oldest = client;
             }
         }
-        if (oldest != null) {
-            // Left out at once: the channel tells its end only at the loop's next turn, and for all that are taken
-            // in the same turn the same one would be found again. A crowd would grow past every descriptor.
-            clients.remove(oldest);
-            oldest.close();
-        }
-        return oldest != null;
+        return oldest;
     }
 
     @Override
--- a/front-door/src/main/java/nettletrail/http/ClientHandler.java
+++ b/front-door/src/main/java/nettletrail/http/ClientHandler.java
@@ -23,6 +23,7 @@
 import nettletrail.core.Dispatcher;
 import nettletrail.core.Fields;
 import nettletrail.core.Intake;
+import nettletrail.core.Unread;
 import nettletrail.upstream.HeadBytes;
 
 /**
@@ -62,6 +63,7 @@
     private final Intake intake;
     private final Dispatcher dispatcher;
     private final Carrier carrier;
+    private final RequestDecoder decoder = new RequestDecoder();
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private Channel channel;
     /** From where on there are only bytes. */
@@ -75,6 +77,8 @@
     /** The last answer is on its way: nothing more is handled. */
     private boolean ended;
     private boolean asked;
+    /** Bytes of this connection are being read: the decoder is on the stack. */
+    private boolean reading;
     private int waitingBytes;
     private long openedAt;
     private boolean heard;
@@ -92,7 +96,7 @@
     public static void add(ChannelPipeline to, Door door, Intake intake, Dispatcher dispatcher, Carrier carrier) {
         ClientHandler handler = new ClientHandler(door, intake, dispatcher, carrier);
         // The encoder is the aggregator's, for its 100 Continue; answers are written from before it.
-        to.addLast(new RequestDecoder(), new HttpResponseEncoder(), new RequestAggregator(handler), handler);
+        to.addLast(handler.decoder, new HttpResponseEncoder(), new RequestAggregator(handler), handler);
         handler.wire = to.context(RequestDecoder.class);
     }
 
@@ -106,6 +110,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        gone();
+    }
+
+    private void gone() {
         door.closed(this);
         dropWaiting();
         if (live != null) {
@@ -124,14 +132,24 @@
         heard = true;
         asked = true;
         partSince = 0;
-        if (!open) {
-            handle(request, System.nanoTime());
+        boolean late = dispatcher.late();
+        if (!open && !late) {
+            reading = true;
+            try {
+                handle(request, System.nanoTime());
+            } finally {
+                reading = false;
+            }
             return;
         }
         int bytes = request.content().readableBytes();
         if (waiting.size() < MOST_WAITING && waitingBytes + bytes <= MOST_WAITING_BYTES) {
             waitingBytes += bytes;
             waiting.addLast(new Waiting(request, System.nanoTime()));
+            if (late) {
+                // Its client may have left long ago: that lies behind the request, where only a further read finds it.
+                channel.eventLoop().execute(this::takeUp);
+            }
         } else {
             // What it has sent so far is answered. The rest is still read, or its leaving would go unnoticed.
             request.release();
@@ -140,6 +158,23 @@
         }
     }
 
+    private void takeUp() {
+        if (look() && !open && !ended) {
+            handleNext();
+        }
+    }
+
+    @Override
+    public boolean look() {
+        if (!reading && channel.isActive()) {
+            Unread.take(channel);
+            if (!channel.isActive()) {
+                gone(); // the channel itself tells it only in a turn of its own
+            }
+        }
+        return channel.isActive();
+    }
+
     private void dropWaiting() {
         for (Waiting next = waiting.pollFirst(); next != null; next = waiting.pollFirst()) {
             next.request().release();
@@ -161,7 +196,8 @@
     /** Notes since when a part of a request lies here: a client that stops in its middle must not hold on for ever. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (!heard && !open && partSince == 0) {
+        boolean came = decoder.tookBytes();
+        if (came && !heard && !open && waiting.isEmpty() && partSince == 0) {
             partSince = System.nanoTime();
         }
         heard = false;
@@ -172,19 +208,19 @@
         channel.close();
     }
 
-    /** Between two requests: it may be closed, and a client whose request crosses that sends it again. */
+    /** Between two requests, as far as has been read. */
     public boolean idle() {
-        return !open && !ended && partSince == 0;
+        return spare() != NOT_SPARE && partSince == 0;
     }
 
     /** A part of a request lies here, and none is open. */
     private boolean half() {
-        return !open && !ended && partSince != 0;
+        return spare() != NOT_SPARE && partSince != 0;
     }
 
     /** How soon it goes when room is needed: the lowest first. */
     public int spare() {
-        if (open || ended) {
+        if (open || ended || !waiting.isEmpty()) {
             return NOT_SPARE;
         }
         return partSince != 0 ? 1 : asked ? 2 : 0;
@@ -194,20 +230,34 @@
         return idleSince;
     }
 
-    public void close() {
+    /**
+     * Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a request, and closed on
+     * it would be lost. A client whose request crosses the close itself sends it again.
+     *
+     * @return whether it is closed
+     */
+    public boolean endSpare() {
+        if (spare() == NOT_SPARE || look() && spare() == NOT_SPARE) {
+            return false;
+        }
         channel.close();
+        return true;
     }
 
     /** Ends what has stood too long: half a request (a trickle does not restart its clock), silence, a deaf client. */
-    public void sweep(long now, long mostNs, boolean late) {
+    public void sweep(long now, long mostNs) {
         if (ended) {
             if (now - idleSince > mostNs) {
                 channel.close(); // it does not even take its last answer
             }
         } else if (half() && now - (asked ? partSince : openedAt) > mostNs) {
-            refuseToRead(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (!late && idle() && now - idleSince > mostNs) {
-            channel.close();
+            if (look() && half()) {
+                refuseToRead(HttpResponseStatus.REQUEST_TIMEOUT);
+            }
+        } else if (idle() && now - idleSince > mostNs) {
+            if (look() && idle()) {
+                channel.close();
+            }
         }
     }
 
--- a/front-door/src/main/java/nettletrail/http/RequestDecoder.java
+++ b/front-door/src/main/java/nettletrail/http/RequestDecoder.java
@@ -20,6 +20,7 @@
     private boolean inBody;
     /** A line of this head began with white space. */
     private boolean folded;
+    private boolean took;
 
     public RequestDecoder() {
         super(config());
@@ -37,6 +38,19 @@
         return new HttpDecoderConfig().setUseRfc9112TransferEncoding(true);
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        took = true;
+        super.channelRead(context, message);
+    }
+
+    /** Whether any bytes have come since this was last asked. */
+    boolean tookBytes() {
+        boolean since = took;
+        took = false;
+        return since;
+    }
+
     /**
      * Netty joins a folded line to the one before and skips white space before the first: neither is seen in its result. It
      * takes lines of a head only when they are whole, and returns between a head and its body, so what one call took is
--- a/front-door/src/main/java/nettletrail/upstream/BackendPool.java
+++ b/front-door/src/main/java/nettletrail/upstream/BackendPool.java
@@ -221,8 +221,9 @@
     @Override
     public Carriage start(Attempt attempt) {
         Ride ride = new Ride(attempt);
+        boolean wanted = attempt.wanted(); // before the list is looked at: it may have changed by this
         Backend backend = backends.get(attempt.backendId());
-        if (backend == null || !backend.open) {
+        if (!wanted || backend == null || !backend.open) {
             attempt.ended(Outcome.NEVER_SENT);
             return ride;
         }
@@ -230,6 +231,10 @@
         long now = System.nanoTime();
         endRests(now);
         Connection connection = backend.idle.pollLast();
+        while (connection != null && !connection.quiet()) {
+            connection.channel.close(); // its end, or bytes that nobody asked for, lie unread
+            connection = backend.idle.pollLast();
+        }
         if (connection != null && now - connection.idleSince <= ages.most(now)) {
             connection.carry(ride);
             return ride;
@@ -271,7 +276,7 @@
             if (!first.resting) {
                 continue; // it has closed since
             }
-            if (first.channel instanceof PeekingChannel socket && !socket.quiet()) {
+            if (!first.quiet()) {
                 first.channel.close();
             } else {
                 first.endRest();
@@ -351,6 +356,12 @@
     /** A connection is free for the next attempt. */
     private void ready(Connection connection) {
         Backend backend = connection.backend;
+        for (Ride first = backend.waiting.peekFirst(); first != null && !first.attempt.wanted();
+                first = backend.waiting.peekFirst()) {
+            if (backend.waiting.remove(first)) { // else it has been abandoned by what was heard
+                first.attempt.ended(Outcome.NEVER_SENT);
+            }
+        }
         // A drain may have been heard while the connection came up: the list is looked at again before the
         // first byte, for a send after the grace breaks the rule on drains.
         if (!backend.open || !backend.address.equals(connection.address)) {
@@ -529,7 +540,7 @@
             Ride ended = ride;
             HttpResponse answer = head;
             ByteBuf gathered = body;
-            Outcome outcome = outcome(answer);
+            Outcome outcome = written ? outcome(answer) : outcomeOfUnwritten(answer);
             ride = null;
             ended.connection = null;
             body = Unpooled.EMPTY_BUFFER;
@@ -577,7 +588,20 @@
             ended.connection = null;
             stopClock();
             channel.close();
-            ended.attempt.ended(Outcome.ERROR);
+            ended.attempt.ended(written ? Outcome.ERROR : Outcome.CONNECT_FAILED);
+        }
+
+        /**
+         * A backend begins a request when its last byte has come, so that what comes before is no answer to it, however good it
+         * looks; and with the connection closed it never runs. Only to be turned away needs no whole request.
+         */
+        private static Outcome outcomeOfUnwritten(HttpResponse answer) {
+            return outcome(answer) == Outcome.FULL ? Outcome.FULL : Outcome.CONNECT_FAILED;
+        }
+
+        /** Whether nothing has come on it that is not read yet, its end included; to be closed if not. */
+        private boolean quiet() {
+            return !(channel instanceof PeekingChannel socket) || socket.quiet();
         }
 
         /** Starts with an answer's first bytes, if these are not all: some stop in their middle and stay silent. */
--- a/front-door/src/test/java/nettletrail/discovery/BusyDiscoveryTest.java
+++ b/front-door/src/test/java/nettletrail/discovery/BusyDiscoveryTest.java
@@ -5,13 +5,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -40,25 +36,6 @@
         }
     }
 
-    private static String read(Socket from) throws IOException {
-        from.setSoTimeout(PATIENCE_MS);
-        InputStream in = from.getInputStream();
-        StringBuilder head = new StringBuilder();
-        while (!head.toString().endsWith("\r\n\r\n")) {
-            int next = in.read();
-            if (next < 0) {
-                return "ended";
-            }
-            head.append((char) next);
-        }
-        return head.substring(0, head.indexOf("\r\n"));
-    }
-
-    private static void answer(Socket to, String status, String body) throws IOException {
-        to.getOutputStream().write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                .getBytes(StandardCharsets.ISO_8859_1));
-    }
-
     /** Turned away, it comes on the same connection, asks for the same news, and later each time. */
     @Test
     void callsAgainLaterEachTimeAndForNoMoreThanBefore() throws Exception {
@@ -68,23 +45,22 @@
             Heard heard = new Heard();
             Discovery discovery = new Discovery(loop, (InetSocketAddress) agent.getLocalSocketAddress(), 41, 7, heard);
             loop.execute(discovery::follow);
-            agent.setSoTimeout(PATIENCE_MS);
-            try (Socket watch = agent.accept()) {
-                String asks = "GET /api/targets?index=41&wait=5000 HTTP/1.1";
-                assertEquals(asks, read(watch));
+            try (Watch watch = new Watch(agent)) {
+                String asks = "GET /api/targets?index=41&wait=3000 HTTP/1.1";
+                assertEquals(asks, watch.read());
                 long since = System.nanoTime();
                 for (int times = 0; times < 5; times++) {
-                    answer(watch, "503 Service Unavailable", "");
-                    assertEquals(asks, read(watch), "on the same connection, for the news only");
+                    watch.answer("503 Service Unavailable", "");
+                    assertEquals(asks, watch.read(), "on the same connection, for the news only");
                 }
                 // At least half of 60 + 120 + 240 + 480 + 960 ms. Less would be called again every so often.
                 assertTrue(System.nanoTime() - since >= TimeUnit.MILLISECONDS.toNanos(930));
-                answer(watch, "200 OK", "{\"index\":42,\"snapshot\":false,\"endpoints\":[]}");
-                assertEquals("GET /api/targets?index=42&wait=5000 HTTP/1.1", read(watch));
-                answer(watch, "404 Not Found", "");
+                watch.answer("200 OK", "{\"index\":42,\"snapshot\":false,\"endpoints\":[]}");
+                assertEquals("GET /api/targets?index=42&wait=3000 HTTP/1.1", watch.read());
+                watch.answer("404 Not Found", "");
             }
-            try (Socket watch = agent.accept()) {
-                assertEquals("GET /api/targets HTTP/1.1", read(watch), "a version no longer known is not asked for");
+            try (Watch watch = new Watch(agent)) {
+                assertEquals("GET /api/targets HTTP/1.1", watch.read(), "a version no longer known is not asked for");
             }
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -100,11 +76,10 @@
             Heard heard = new Heard();
             Discovery discovery = new Discovery(loop, (InetSocketAddress) agent.getLocalSocketAddress(), -1, 7, heard);
             loop.execute(discovery::follow);
-            agent.setSoTimeout(PATIENCE_MS);
-            try (Socket watch = agent.accept()) {
-                assertEquals("GET /api/targets HTTP/1.1", read(watch));
+            try (Watch watch = new Watch(agent)) {
+                assertEquals("GET /api/targets HTTP/1.1", watch.read());
                 Thread.sleep(LONG_MS);
-                answer(watch, "200 OK", "{\"index\":1,\"snapshot\":true,\"endpoints\":[]}");
+                watch.answer("200 OK", "{\"index\":1,\"snapshot\":true,\"endpoints\":[]}");
                 assertEquals("list", heard.told.poll(PATIENCE_MS, TimeUnit.MILLISECONDS));
             }
         } finally {
--- a/front-door/src/test/java/nettletrail/door/FrontDoorTest.java
+++ b/front-door/src/test/java/nettletrail/door/FrontDoorTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -185,6 +186,17 @@
         }
     }
 
+    /** A repeat that must stay in a request's zone would else go to any other that the settings don't name. */
+    @Test
+    void zonesThatTheSettingsDoNotNameAreNotOneZone() throws Exception {
+        Once module = new Once();
+        rig.start(module.module(), Rig.entry("s-1", 1, "SERVING").replace("\"zone\":\"b\"", "\"zone\":\"x\""),
+                Rig.entry("s-2", 2, "SERVING").replace("\"zone\":\"b\"", "\"zone\":\"y\""));
+        List<Gateway.Backend> listed = module.lists.take();
+        assertTrue(listed.get(0).zone() < 0 && listed.get(1).zone() < 0);
+        assertNotEquals(listed.get(0).zone(), listed.get(1).zone());
+    }
+
     @Test
     void whatCannotBeReadIsNoRefusalAndReachesNobody() throws Exception {
         Once module = new Once();
--- a/front-door/src/test/java/nettletrail/door/Peer.java
+++ b/front-door/src/test/java/nettletrail/door/Peer.java
@@ -93,6 +93,11 @@
         }
     }
 
+    /** Ends its sending: the other side reads an end. */
+    void shut() throws IOException {
+        socket.shutdownOutput();
+    }
+
     /** Breaks the connection, as the death of a process does. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
--- a/front-door/src/test/java/nettletrail/door/Rig.java
+++ b/front-door/src/test/java/nettletrail/door/Rig.java
@@ -20,7 +20,7 @@
              "Dcs":["a","b"],"Discovery":"push","FamilyInfo":{"Metering":1000000000,"MostUnits":6},"Flavors":["m1","m2"],
              "Obligations":{"ColdFrom":0.2,"RampTime":17000000000,"OverloadFactor":3.0,"Fall":1500000000},
              "Report":{"Fields":["cpu_share","pending"],"How":"inline"},
-             "Services":[{"Aim":1000000000,"Effect":"free","Name":"look"},
+             "Services":[{"Aim":1000000000,%s"Effect":"free","Name":"look"},
                          {"Aim":1000000000,"Effect":"single_shot","Name":"buy"}],
              "TiersOfService":[{"Name":"team","PerSecond":1000.0,"Burst":1000.0}],"Zone":0}""";
 
@@ -30,6 +30,7 @@
     private String known = "";
     private long connectTimeoutMs = 250;
     private int sockets = 1024;
+    private int deadlineMs;
     private int agentPort = -1;
     private int listenPort;
     private FrontDoor door;
@@ -45,6 +46,12 @@
         return this;
     }
 
+    /** The longest of the classes; 0 for settings that name none. */
+    Rig deadlineMs(int ms) {
+        deadlineMs = ms;
+        return this;
+    }
+
     Rig sockets(int most) {
         sockets = most;
         return this;
@@ -84,7 +91,7 @@
         Files.writeString(file, "{\"name\":\"n0\",\"discovery\":\"127.0.0.1:" + agentPort
                 + "\",\"seed\":\"f0000000000000ff\",\"limits\":{\"sockets\":" + sockets
                 + "},\"known\":" + list(7, true, known) + ",\"settings\":" + SETTINGS.formatted(
-                        connectTimeoutMs * 1_000_000) + "}");
+                        connectTimeoutMs * 1_000_000, deadlineMs == 0 ? "" : "\"Deadline\":" + deadlineMs + "000000,") + "}");
         return Map.of("EDGE_NAME", "n0", "EDGE_LISTEN", "127.0.0.1:" + listenPort, "EDGE_DISCOVERY",
                 "127.0.0.1:" + discovery.getLocalPort(), "EDGE_CONFIG", file.toString());
     }
--- a/front-door/src/test/java/nettletrail/door/RoughDayTest.java
+++ b/front-door/src/test/java/nettletrail/door/RoughDayTest.java
@@ -118,11 +118,20 @@
     /** SIGKILL comes so long after the longest deadline at the earliest, counted from SIGTERM. */
     private static final long KILL_AFTER_MS = 700;
 
-    /** A request that came last before the listening socket closed has all its time, and SIGKILL finds nothing open. */
+    /**
+     * A request that came last before the listening socket closed has all its time, and SIGKILL finds nothing open,
+     * whatever deadlines the settings name. Longer ones than the protocol's 3 s don't move SIGKILL.
+     */
     @Test
-    void theDrainLastsAsLongAsTheLastRequestAndEndsBeforeTheKill() {
-        assertTrue(FrontDoor.MOST_DRAIN_MS >= FrontDoor.ACCEPT_AFTER_TERM_MS + FrontDoor.LONGEST_DEADLINE_MS + 50);
-        assertTrue(FrontDoor.MOST_DRAIN_MS <= FrontDoor.LONGEST_DEADLINE_MS + KILL_AFTER_MS - 50);
+    void theDrainLastsAsLongAsTheLastRequestAndEndsBeforeTheKill() throws Exception {
+        for (int deadlineMs : new int[] {400, 1_000, 3_000, 9_000, 0}) {
+            try (Rig each = new Rig(folder).deadlineMs(deadlineMs)) {
+                FrontDoor door = each.prepare(0);
+                int longestMs = deadlineMs == 0 ? 3_000 : Math.min(3_000, deadlineMs);
+                assertTrue(door.mostDrainMs() >= FrontDoor.ACCEPT_AFTER_TERM_MS + longestMs + 50, "deadline " + deadlineMs);
+                assertTrue(door.mostDrainMs() <= longestMs + KILL_AFTER_MS - 50, "deadline " + deadlineMs);
+            }
+        }
     }
 
     /** Whatever it still waits for: a connection that ends with no answer loses the request. */
