Connections rest longer than second answers take; a stall is told by its own class's time

BackendPool.REST_NS was 4 ms: a request written just then would have been given another's answer. Ruled out: the rest's end itself, which looks at the socket (nothing was there yet). 10 ms now.

Class: Brain.pace held every attempt against the usual time of the class that the settings name first, so that a slower class looked stalled everywhere; BrainTest.anAttemptIsHeldAgainstItsOwnClasssUsualTime had [1, 2, 2, 2, 2, 2] for three at each without.

The test's bound on sends beyond a cap is 0.4 instead of 0.5.

--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -56,9 +56,12 @@
     private static final double CHANCE = 0.9;
     /**
      * Part of a cap that is full on the mean where one more request costs as much as it earns: so it is for
-     * those that come by chance to caps of 2 to 6, where one beyond costs 0.6 to 1 of its worth.
+     * those that come by chance to caps of 2 to 6, where one beyond costs 0.6 to 1 of its worth. With half
+     * filled as much was served, and a third more was paid for sends beyond the cap.
      */
-    private static final double CAP_FILLED = 0.5;
+    private static final double CAP_FILLED = 0.35;
+    /** Part of its cap that a customer asks who is not known yet: half of what comes first is let in. */
+    private static final double CAP_ASKED = 0.65;
     /** Parts of a cap that a meter tells, as the most out at once, where good use is made of the cap. */
     private static final double CAP_IN_USE = 1.1;
     /** Share of the room that a reading tells which this gateway's part gains. */
@@ -413,13 +416,13 @@
      * The let-in share of a cap that its customer's own requests tell: many gateways with a slot each hold no
      * cap together, and the meter's word reaches each of them only with an answer, after seconds. What comes
      * here, by chance one of the set, tells at once how much the customer asks of all: the mean out, of which
-     * nothing is known but the cap as its own mean (exponential; then the posterior of Poisson counts).
+     * nothing is known but a part of the cap as its mean (exponential; then the posterior of Poisson counts).
      */
     private double capShare(Customer customer, Request request) {
         double most = customer.plan.mostOut();
         double heard = FORGET_AFTER * (1 - Math.exp((startedAt - customer.seenAt) / (double) FORGET_AFTER));
         double latency = usual[request.requestClass()];
-        double mean = customer.seen / (1 / most + heard / (customer.setSize * latency));
+        double mean = customer.seen / (1 / (CAP_ASKED * most) + heard / (customer.setSize * latency));
         return Math.min(1, CAP_FILLED * most / mean);
     }
 
@@ -706,7 +709,8 @@
         double kept = Math.exp((server.pacedAt - now) / PACE_FORGET);
         double pace = 1 + (server.pace - 1) * kept;
         if (server.out > 0) {
-            double age = (now - server.jobs.peekFirst().sentAt) / usual[0];
+            Job oldest = server.jobs.peekFirst();
+            double age = (now - oldest.sentAt) / usual[oldest.request.requestClass()];
             if (age > STALL_AGE) {
                 pace = Math.max(pace, age / 2);
             }
--- a/decision/src/test/java/nettletrail/decision/BrainTest.java
+++ b/decision/src/test/java/nettletrail/decision/BrainTest.java
@@ -895,4 +895,31 @@
             assertEquals(apart > SECOND, there > 0, "apart by " + apart + ": " + there + " of 9");
         }
     }
+
+    /**
+     * What is long for the first class is usual for the second: an attempt of that one that is out for as long as it always
+     * takes is no sign of a stall, whichever class the settings name first.
+     */
+    @Test
+    void anAttemptIsHeldAgainstItsOwnClasssUsualTime() {
+        RequestClass quick = new RequestClass(250 * MS, 1, 0, Effect.REPEATABLE, Group.ALL, 0);
+        RequestClass slow = new RequestClass(5 * SECOND, 1, 0, Effect.REPEATABLE, Group.ALL, 0);
+        List<Long> to = new ArrayList<>();
+        Door actions = new Door(1, Effect.REPEATABLE, FREE) {
+            @Override
+            public void send(long requestId, long backendId, long timeoutNs) {
+                to.add(backendId);
+            }
+        };
+        Brain brain = new Brain(new Settings(1, 0, 7, 2 * MS, 4, false, 0.2, 10 * SECOND, 2, 2 * SECOND, 0, SECOND,
+                List.of(quick, slow), List.of(FREE)), 0, actions);
+        brain.listed(0, true, List.of(backend(1, State.READY, 0)));
+        brain.arrived(0, new Request(1, 1, 0, 1, 1, 1, 9 * SECOND)); // of the slow class, which takes a second
+        brain.listed(0, true, List.of(backend(1, State.READY, 0), backend(2, State.READY, 0)));
+        for (long id = 2; id <= 6; id++) {
+            brain.arrived(500 * MS, new Request(id, 0, 0, 1, 1, 1, 9 * SECOND));
+        }
+        assertEquals(6, to.size());
+        assertEquals(3, to.stream().filter(each -> each == 1).count(), "as many at each: " + to);
+    }
 }
--- a/decision/src/test/java/nettletrail/decision/ManyGatewaysTest.java
+++ b/decision/src/test/java/nettletrail/decision/ManyGatewaysTest.java
@@ -305,12 +305,12 @@
     /**
      * 100 gateways in virtual time, a cap of three, no word of a meter yet: of what one customer asks, three and a half
      * times its cap, each gateway sees a request a second, and each alone has a slot free for it. Beyond the cap counts the
-     * sum over all. Without the gateways' own count 176 of 234 sent were beyond it.
+     * sum over all. Without the gateways' own count 176 of 234 sent were beyond it; with half of the cap filled 64 of 155.
      */
     @Test
     void manyGatewaysWithASlotEachHoldACapTogether() {
         double[] heavy = underCap(53);
-        assertTrue(heavy[1] < 0.5 * heavy[0], heavy[1] + " beyond the cap of " + heavy[0] + " sent");
+        assertTrue(heavy[1] < 0.4 * heavy[0], heavy[1] + " beyond the cap of " + heavy[0] + " sent");
         assertTrue(heavy[0] > 100, heavy[0] + " sent in all");
         double[] calm = underCap(3);
         assertTrue(calm[0] > 0.7 * calm[2], calm[0] + " of " + calm[2] + " of a customer who asks a fifth of the cap");
--- a/front-door/src/main/java/nettletrail/upstream/BackendPool.java
+++ b/front-door/src/main/java/nettletrail/upstream/BackendPool.java
@@ -67,9 +67,10 @@
     /**
      * An answered connection rests so long before its next request, so that what a backend sends behind its answer
      * shows: bytes that come after the next request was written would be taken for that one's answer. They were
-     * seen to come 0.04 to 0.5 ms later.
+     * seen to come 0.04 to 4.1 ms later: with a rest of 4 ms the last of them would have been another request's answer.
+     * More than twice that is rested; it costs a connection a tenth of what a request takes.
      */
-    private static final long REST_NS = 4_000_000L;
+    static final long REST_NS = 10_000_000L;
     /**
      * An answer that began and stays silent for so long has no end: backends write each in one go. One that goes on at
      * {@link #LEAST_PART} bytes in each such time is a large one over a slow link, and is waited for.
