No attempt, first or further, begins for a client that left: it is looked at before each

Need: none may begin more than 0.1 s after its client closed. Seen: Dispatcher.LATE was 0.1 s itself, so that on a loop that was late by less nothing was looked at, and an attempt could begin for a client gone for all of that; LoopClock.unread counts from the first reading of the clock in a round, which a long list read before it pushes back; and a request that lay with its client's end in the kernel's queue while all places were taken was sent on however old it was, on a loop that was not late at all. Ruled out: attempts that wait for a connection (BackendPool.ready asks again), a connection's next request (the same look), a resting connection (the same).

Change: Dispatcher.Try.wanted looks at its client always, one system call an attempt; requests are handed on when the read is over (ClientHandler.channelReadComplete), as the end lies behind them; a connection's first one after a look of its own. LATE, for lists and for requests read on a late loop, is 25 ms.

Seen to fail with the old lines: whileTheModuleHeldIt at 60 and 0 ms (FIN and RST), betweenTwoAttempts at 60 ms, afterAConnectionThatFailed at 60 and 0 ms; beforeItsConnectionWasTakenIn without the look at a first request. ClientsThatLeftTest and EndingsTest pass, with 11 methods of FrontDoorTest and StrictHeadsTest; the rest of the module's tests was not run at this commit.

--- a/front-door/src/main/java/nettletrail/core/Dispatcher.java
+++ b/front-door/src/main/java/nettletrail/core/Dispatcher.java
@@ -22,10 +22,11 @@
     /** For the way back to the client, who counts from when it sent the request. */
     private static final long WAY_BACK = 12 * MS;
     /**
-     * On a loop that is this late, sockets are looked at before an attempt's first byte: nothing may be sent on 0.3 s after
-     * its client left, and what came may have to wait for two rounds.
+     * What has come may lie unread for so long before it is looked for: lists before a send, and whether a client has left
+     * before its request is taken up. A quarter of the 0.1 s after which no attempt may begin for a client that left; before
+     * an attempt's first byte its own client is looked at in any case.
      */
-    private static final long LATE = 100 * MS;
+    private static final long LATE = 25 * MS;
 
     /** How a decision module is made. */
     public interface Maker {
@@ -198,9 +199,10 @@
         public boolean wanted() {
             if (late()) {
                 news.run();
-                if (!live.client.look()) {
-                    live.departed();
-                }
+            }
+            // Always: for how long the loop was at something else before it first read its clock, it can't tell.
+            if (!live.over && !live.client.look()) {
+                live.departed();
             }
             return !live.over;
         }
--- a/front-door/src/main/java/nettletrail/http/ClientHandler.java
+++ b/front-door/src/main/java/nettletrail/http/ClientHandler.java
@@ -77,8 +77,10 @@
     /** The last answer is on its way: nothing more is handled. */
     private boolean ended;
     private boolean asked;
-    /** Bytes of this connection are being read: the decoder is on the stack. */
-    private boolean reading;
+    /** A request is being taken up: what is read meanwhile waits. */
+    private boolean takingUp;
+    /** The connection's first request was read, which may have lain in the kernel's queue for long. */
+    private boolean first = true;
     private int waitingBytes;
     private long openedAt;
     private boolean heard;
@@ -132,24 +134,10 @@
         heard = true;
         asked = true;
         partSince = 0;
-        boolean late = dispatcher.late();
-        if (!open && !late) {
-            reading = true;
-            try {
-                handle(request, System.nanoTime());
-            } finally {
-                reading = false;
-            }
-            return;
-        }
         int bytes = request.content().readableBytes();
         if (waiting.size() < MOST_WAITING && waitingBytes + bytes <= MOST_WAITING_BYTES) {
             waitingBytes += bytes;
             waiting.addLast(new Waiting(request, System.nanoTime()));
-            if (late) {
-                // Its client may have left long ago: that lies behind the request, where only a further read finds it.
-                channel.eventLoop().execute(this::takeUp);
-            }
         } else {
             // What it has sent so far is answered. The rest is still read, or its leaving would go unnoticed.
             request.release();
@@ -158,15 +146,30 @@
         }
     }
 
+    /**
+     * Never while bytes are being decoded: whether the client has left lies behind its request, where only a further read finds
+     * it, and that is made before an attempt's first byte. Where it may have left long ago, it is made at once: nothing is asked for
+     * nobody.
+     */
     private void takeUp() {
-        if (look() && !open && !ended) {
-            handleNext();
+        if (takingUp || open || ended || waiting.isEmpty()) {
+            return;
+        }
+        takingUp = true;
+        try {
+            boolean old = first || dispatcher.late();
+            first = false;
+            if (!old || look()) {
+                handleNext();
+            }
+        } finally {
+            takingUp = false;
         }
     }
 
     @Override
     public boolean look() {
-        if (!reading && channel.isActive()) {
+        if (channel.isActive()) {
             Unread.take(channel);
             if (!channel.isActive()) {
                 gone(); // the channel itself tells it only in a turn of its own
@@ -201,6 +204,7 @@
             partSince = System.nanoTime();
         }
         heard = false;
+        takeUp();
     }
 
     @Override
--- a/front-door/src/test/java/nettletrail/door/ClientsThatLeftTest.java
+++ b/front-door/src/test/java/nettletrail/door/ClientsThatLeftTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import nettletrail.core.Endpoint;
 import nettletrail.decision.Gateway;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -74,9 +76,11 @@
         assertTrue(told.ended());
     }
 
+    /** However late the loop is: also where it is not, but has the event that sends before the one that tells. */
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void whileTheModuleHeldIt(boolean reset) throws Exception {
+    @CsvSource({"false, 500", "true, 500", "false, 60", "true, 60", "false, 0", "true, 0"})
+    void whileTheModuleHeldIt(boolean reset, int lateMs) throws Exception {
+        module.lateMs = lateMs;
         FrontDoor door = start();
         module.arrival = request -> { };
         Peer client = rig.client().write(Rig.request("buy", "a", 30_000, "x"));
@@ -166,8 +170,11 @@
         nothingComes();
     }
 
-    @Test
-    void betweenTwoAttempts() throws Exception {
+    /** Turned away by a backend, and asked for again. */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 60, 0})
+    void betweenTwoAttempts(int lateMs) throws Exception {
+        module.lateMs = lateMs;
         FrontDoor door = start();
         Peer client = rig.client().write(Rig.request("look", "a", 30_000, ""));
         Gateway.Request request = HeldModule.next(module.arrivals);
@@ -192,6 +199,61 @@
         nothingComes();
     }
 
+    /** A connection that is refused proves that nothing ran: the next attempt goes elsewhere, if there still is somebody. */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 60, 0})
+    void afterAConnectionThatFailed(int lateMs) throws Exception {
+        module.lateMs = lateMs;
+        FrontDoor door = start();
+        int nobody;
+        try (ServerSocket gone = new ServerSocket(0, 1, backend.getInetAddress())) {
+            nobody = gone.getLocalPort();
+        }
+        module.arrival = request -> { };
+        rig.watch.answer("200 OK", "", Rig.list(8, true, Rig.entry("s-2", nobody, "SERVING"),
+                Rig.entry("s-1", backend.getLocalPort(), "SERVING")));
+        rig.watch.read();
+        Peer client = rig.client().write(Rig.request("buy", "a", 30_000, "x"));
+        Gateway.Request request = HeldModule.next(module.arrivals);
+        module.answer = told -> {
+            if (told.outcome() == Gateway.Outcome.CONNECT_FAILED) {
+                module.hold();
+                module.actions.send(request.id(), Endpoint.id("s-1"), 0);
+            }
+        };
+        door.loop().execute(() -> module.actions.send(request.id(), Endpoint.id("s-2"), 0));
+        module.awaitHeld();
+        client.close();
+        module.release();
+        assertEquals(Gateway.Outcome.CONNECT_FAILED, HeldModule.next(module.answers).outcome());
+        neverSent();
+        nothingComes();
+        assertEquals(0, door.held());
+    }
+
+    /** All places are taken, so that nobody is taken in: who then comes, asks and leaves lies in the kernel's queue. */
+    @Test
+    void beforeItsConnectionWasTakenIn() throws Exception {
+        rig.sockets(68); // ten for clients
+        FrontDoor door = start();
+        module.arrival = request -> { };
+        List<Peer> open = new ArrayList<>();
+        for (int i = 0; i < 11; i++) {
+            open.add(rig.client().write(Rig.request("buy", Integer.toHexString(i + 16), 30_000, "x")));
+            HeldModule.next(module.arrivals);
+        }
+        module.arrival = module::send;
+        rig.client().write(Rig.request("buy", "a", 30_000, "x")).close();
+        Peer next = rig.client().write("GET /x HTTP/1.1\r\nHost: gw\r\n\r\n");
+        open.get(0).close();
+        open.get(1).close();
+        open.get(2).close();
+        assertEquals(404, next.read().status());
+        assertTrue(module.arrivals.isEmpty(), "nobody asks for it");
+        nothingComes();
+        assertEquals(8, door.held());
+    }
+
     @Test
     void behindAnOpenRequestOnTheSameConnection() throws Exception {
         FrontDoor door = start();
--- a/front-door/src/test/java/nettletrail/door/HeldModule.java
+++ b/front-door/src/test/java/nettletrail/door/HeldModule.java
@@ -14,9 +14,6 @@
  * unit is the one that it stands still at; all others it keeps, sends or answers as told.
  */
 final class HeldModule extends Rig.Scripted {
-    /** The loop is late by so much when it goes on. */
-    private static final long LATE_MS = 500;
-
     final BlockingQueue<Gateway.Request> arrivals = new LinkedBlockingQueue<>();
     final BlockingQueue<Gateway.Answer> answers = new LinkedBlockingQueue<>();
     final BlockingQueue<Long> departures = new LinkedBlockingQueue<>();
@@ -26,6 +23,8 @@
     volatile Consumer<Gateway.Request> arrival = this::send;
     volatile Consumer<Gateway.Answer> answer = told -> { };
     volatile Runnable afterHold = () -> { };
+    /** The loop is late by so much at least when it goes on. */
+    volatile long lateMs = 500;
     long backend;
 
     void send(Gateway.Request request) {
@@ -38,7 +37,7 @@
         held.countDown();
         try {
             go.await();
-            Thread.sleep(Math.max(0, LATE_MS - (System.nanoTime() - since) / 1_000_000));
+            Thread.sleep(Math.max(0, lateMs - (System.nanoTime() - since) / 1_000_000));
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
         }
