--- a/app/src/main/java/nettletrail/app/Measure.java
+++ b/app/src/main/java/nettletrail/app/Measure.java
@@ -26,7 +26,7 @@
 
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of("ext-proc", new MeasureExtProc(),
             "faults", new MeasureFaults(), "front-door", new MeasureFrontDoor(), "limits",
-            new MeasureLimits(), "tokens", new MeasureTokens()));
+            new MeasureLimits(), "roles", new MeasureRoles(), "tokens", new MeasureTokens()));
 
     @Parameters(paramLabel = "NAME", description = "Which one.")
     private String name;
--- a/app/src/main/java/nettletrail/app/members/MembersFleet.java
+++ b/app/src/main/java/nettletrail/app/members/MembersFleet.java
@@ -10,6 +10,7 @@
 import nettletrail.core.Members.View;
 import nettletrail.members.Agree;
 import nettletrail.members.Change;
+import nettletrail.members.Codec;
 import nettletrail.members.MembersDecider;
 import nettletrail.members.Message.Datagram;
 import nettletrail.members.Seen;
@@ -32,6 +33,28 @@
     /** A view that a door learned of, and when. */
     public record Agreed(long at, int door, View view, List<Life> gone, boolean in) { }
 
+    /** Hears of each message when it is sent, so that real sizes can be counted; lost ones too. */
+    public interface Traffic {
+        /** @param view number of the last view that the sender knows */
+        void datagram(int door, Datagram datagram, long view);
+
+        /** One way of an exchange of all that is known. */
+        void sync(int door, Codec.Known known);
+
+        void agree(int door, Agree said);
+    }
+
+    private static final Traffic UNHEARD = new Traffic() {
+        @Override
+        public void datagram(int door, Datagram datagram, long view) { }
+
+        @Override
+        public void sync(int door, Codec.Known known) { }
+
+        @Override
+        public void agree(int door, Agree said) { }
+    };
+
     /** One door. */
     private final class Node implements MembersDecider.Actions, ViewDecider.Actions {
         private final int number;
@@ -101,6 +124,7 @@
             Node to = nodes.get(number(address));
             datagrams++;
             bytes += size(datagram);
+            traffic.datagram(number, datagram, views.view().number());
             if (!passes.test(number, to.number) || random.nextDouble() < loss) {
                 return;
             }
@@ -125,12 +149,14 @@
             List<Statement> told = decider.statements();
             var rows = decider.rows();
             View known = views.view();
+            traffic.sync(number, new Codec.Known(told, rows, known));
             at(now + 2 * delay(), () -> to.deliver(its, () -> {
                 to.decider.synced(to.clock(), told, rows);
                 View itsView = to.views.view();
                 to.views.learn(known);
                 List<Statement> back = to.decider.statements();
                 var backRows = to.decider.rows();
+                traffic.sync(to.number, new Codec.Known(back, backRows, itsView));
                 at(now + delay(), () -> deliver(mine, () -> {
                     decider.synced(clock(), back, backRows);
                     views.learn(itsView);
@@ -149,6 +175,7 @@
         @Override
         public void say(Life whom, Agree what) {
             Node to = nodes.get(Integer.parseInt(whom.name().substring(1)));
+            traffic.agree(number, what);
             if (!passes.test(number, to.number)) {
                 return;
             }
@@ -159,6 +186,9 @@
                     return;
                 }
                 Agree answer = to.views.heard(decider.self(), what);
+                if (answer != null) {
+                    traffic.agree(to.number, answer);
+                }
                 if (answer != null && passes.test(to.number, number)) {
                     at(now + delay(), () -> deliver(mine, () -> views.answered(whom, answer, clock())));
                 }
@@ -192,6 +222,7 @@
     private final List<String> contradictions = new ArrayList<>();
     private final long[] lateness;
     private BiPredicate<Integer, Integer> passes = (from, to) -> true;
+    private Traffic traffic = UNHEARD;
     private double loss;
     private long delayNs = MS / 5;
     private long jitterNs = MS / 5;
@@ -282,6 +313,11 @@
         loss = share;
     }
 
+    /** Who hears of each message from now on. */
+    public void traffic(Traffic heardBy) {
+        traffic = heardBy;
+    }
+
     public void delay(long ns, long jitter) {
         delayNs = ns;
         jitterNs = jitter;
--- a/members/src/main/java/nettletrail/members/Codec.java
+++ b/members/src/main/java/nettletrail/members/Codec.java
@@ -9,20 +9,26 @@
 import nettletrail.core.Members.View;
 import nettletrail.wire.MembersWire;
 
-/** The records of this package on the wire and back; what is against the rules is malformed, however authentic. */
-final class Codec {
+/**
+ * The records of this package on the wire and back; what is against the rules is malformed, however authentic. The way out
+ * is open to whoever counts bytes in virtual time. No state, any thread.
+ */
+public final class Codec {
+    /** Bytes that sealing adds to each message. */
+    public static final int SEAL_BYTES = Sealer.HEAD + Sealer.TAG;
+
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.-]{1,64}");
     private static final int MOST_ITEMS = 4_096;
 
     /** All that one knows. */
-    record Known(List<Statement> statements, List<Row> rows, View view) { }
+    public record Known(List<Statement> statements, List<Row> rows, View view) { }
 
     private Codec() { }
 
     // ---- Out -----------------------------------------------------------------------------------------------
 
     /** @param view number of the last view that the sender knows */
-    static byte[] bytes(Message.Datagram datagram, long view) {
+    public static byte[] bytes(Message.Datagram datagram, long view) {
         MembersWire.Datagram.Builder to = MembersWire.Datagram.newBuilder().setFrom(wire(datagram.from()))
                 .setToLife(datagram.toLife()).setView(view);
         Message what = datagram.what();
@@ -44,7 +50,8 @@
         return to.build().toByteArray();
     }
 
-    static byte[] bytes(Known known) {
+    /** An exchange of all that one knows, one way. */
+    public static byte[] bytes(Known known) {
         MembersWire.Sync.Builder to = MembersWire.Sync.newBuilder().setView(wire(known.view()));
         known.statements().forEach(each -> to.addStatements(wire(each)));
         known.rows().forEach(each -> to.addRows(wire(each)));
@@ -75,7 +82,8 @@
         return to.build();
     }
 
-    static byte[] bytes(Agree what) {
+    /** A word on the next view. */
+    public static byte[] bytes(Agree what) {
         MembersWire.Agree.Builder to = MembersWire.Agree.newBuilder().setAfter(what.after());
         if (what instanceof Agree.Prepare prepare) {
             to.setBallot(wire(prepare.ballot())).setPrepare(MembersWire.Prepare.newBuilder().setLast(wire(prepare.last())));
--- a/members/src/main/java/nettletrail/members/Sealer.java
+++ b/members/src/main/java/nettletrail/members/Sealer.java
@@ -25,7 +25,7 @@
     private static final byte VERSION = 1;
     private static final int SALT = 16;
     static final int HEAD = 1 + KeyRing.ID_BYTES + SALT + Long.BYTES;
-    private static final int TAG = 16;
+    static final int TAG = 16;
     private static final int TAG_BITS = 128;
     private static final int NONCE = 12;
     private static final int SALT_AT = 1 + KeyRing.ID_BYTES;
