A client that sends much behind an open request gets its answers, with bounded memory

Need: more than 256 KB behind a client's open requests ended its connection with them unanswered (Farewell.MOST_BYTES counted while answers were still owed). Seen beside it: a look (Unread.take) took one read, a MB or what had come in one piece at most, so that a client's end behind its own bytes was found only by the loop's next round; with 1.6 MB behind the open request a connection to a backend was opened for a client that had left.

Change: 64 requests with 128 KB of bodies wait (16 before); of each beyond only the status that it is owed is kept, up to 4,096: 429, or 400 for an id that came before, 404, readiness. What comes after is read and thrown away until the last answer is written. A look reads until there is nothing, 16 MB at most. Answers that follow at once are written in a loop and not ever deeper on the stack.

--- a/front-door/src/main/java/nettletrail/core/Unread.java
+++ b/front-door/src/main/java/nettletrail/core/Unread.java
@@ -11,17 +11,28 @@
  * process can close.
  */
 public final class Unread {
+    /**
+     * Reads of one look, each of which takes a MB at most: more than a kernel holds back on both sides, so that an end is
+     * found behind however much was sent, and a peer that goes on sending does not keep the loop for ever.
+     */
+    private static final int MOST_READS = 16;
+
     private Unread() { }
 
     /**
-     * Reads what has come, as the loop would in its turn: bytes go down the pipeline, an end closes the channel, both
+     * Reads all that has come, as the loop would in its turns: bytes go down the pipeline, an end closes the channel, both
      * before this returns. On the channel's loop, and not while its own reading is on the stack. Nothing on a channel that is
      * no socket, is closed, or is not to be read.
      */
     public static void take(Channel channel) {
         if (channel.isActive() && channel.config().isAutoRead()
                 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-            socket.read();
+            var reads = socket.recvBufAllocHandle();
+            int times = 0;
+            do {
+                socket.read();
+            } while (channel.isActive() && channel.config().isAutoRead() && ++times < MOST_READS
+                    && reads.lastBytesRead() > 0); // until there is nothing: an end lies behind the last bytes
         }
     }
 }
--- a/front-door/src/main/java/nettletrail/http/ClientHandler.java
+++ b/front-door/src/main/java/nettletrail/http/ClientHandler.java
@@ -31,11 +31,14 @@
  * order in which they came.
  */
 public final class ClientHandler extends ChannelInboundHandlerAdapter implements Client {
-    /** Requests that wait behind the open one, and their bytes: what a client sends beyond is not read. */
-    private static final int MOST_WAITING = 16;
+    /** Requests that wait behind the open one, and their bytes. What a client sends beyond is refused, in its turn. */
+    private static final int MOST_WAITING = 64;
     private static final int MOST_WAITING_BYTES = 128 << 10;
+    /** Answers that wait behind those, of which nothing else is kept; what is sent beyond is not read as requests. */
+    private static final int MOST_OWED = 4_096;
     private static final long MS = 1_000_000L;
     private static final int EXPECTED_HEAD = 128;
+    private static final String READY = "/-/ready";
     private static final byte[] OK = line(HttpResponseStatus.OK);
     private static final byte[] REFUSED = line(HttpResponseStatus.TOO_MANY_REQUESTS);
     private static final byte[] LENGTH = HeadBytes.constant("\r\ncontent-length: ");
@@ -65,6 +68,8 @@
     private final Carrier carrier;
     private final RequestDecoder decoder = new RequestDecoder();
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    /** Answers to what came behind all that waits. */
+    private final ArrayDeque<HttpResponseStatus> owed = new ArrayDeque<>();
     private Channel channel;
     /** From where on there are only bytes. */
     private ChannelHandlerContext wire;
@@ -79,6 +84,7 @@
     private boolean asked;
     /** A request is being taken up: what is read meanwhile waits. */
     private boolean takingUp;
+    private boolean handling;
     /** The connection's first request was read, which may have lain in the kernel's queue for long. */
     private boolean first = true;
     private int waitingBytes;
@@ -135,24 +141,62 @@
         asked = true;
         partSince = 0;
         int bytes = request.content().readableBytes();
-        if (waiting.size() < MOST_WAITING && waitingBytes + bytes <= MOST_WAITING_BYTES) {
+        if (owed.isEmpty() && waiting.size() < MOST_WAITING && waitingBytes + bytes <= MOST_WAITING_BYTES) {
             waitingBytes += bytes;
             waiting.addLast(new Waiting(request, System.nanoTime()));
-        } else {
-            // What it has sent so far is answered. The rest is still read, or its leaving would go unnoticed.
+            return;
+        }
+        try {
+            oweAnswerTo(request);
+        } finally {
             request.release();
-            leaving = true;
-            Farewell.stopReading(channel.pipeline());
         }
     }
 
+    /** All that has been read as a request is answered; of this one that is all that is done. */
+    private void oweAnswerTo(FullHttpRequest request) {
+        if (owed.size() == MOST_OWED) {
+            stopReading();
+            return;
+        }
+        HeadRules.Fault fault = HeadRules.fault(request);
+        if (isOdd(request) || fault != null && !fault.framed()) {
+            owed.addLast(fault == null ? HttpResponseStatus.BAD_REQUEST : fault.status());
+            stopReading();
+            return;
+        }
+        owed.addLast(fault != null ? fault.status() : statusBehindOthers(request));
+        if (!HttpUtil.isKeepAlive(request)) {
+            stopReading();
+        }
+    }
+
+    private HttpResponseStatus statusBehindOthers(FullHttpRequest request) {
+        String uri = HeadRules.target(request.method(), request.uri());
+        String path = path(uri);
+        if (path.equals(READY)) {
+            return readiness();
+        } else if (!isForBackends(path)) {
+            return HttpResponseStatus.NOT_FOUND;
+        }
+        Arrival arrival = intake.arrival(request.method(), uri, new Fields(request.headers()), request.content(), System.nanoTime());
+        return arrival == null || !dispatcher.isNew(arrival.txn()) ? HttpResponseStatus.BAD_REQUEST
+                : HttpResponseStatus.TOO_MANY_REQUESTS;
+    }
+
+    /** What it has sent so far is answered. The rest is thrown away, but read, or its leaving would go unnoticed. */
+    private void stopReading() {
+        leaving = true;
+        Farewell.stopReading(channel.pipeline());
+    }
+
     /**
      * Never while bytes are being decoded: whether the client has left lies behind its request, where only a further read finds
      * it, and that is made before an attempt's first byte. Where it may have left long ago, it is made at once: nothing is asked for
      * nobody.
      */
     private void takeUp() {
-        if (takingUp || open || ended || waiting.isEmpty()) {
+        if (takingUp || open || ended || waiting.isEmpty() && owed.isEmpty()) {
             return;
         }
         takingUp = true;
@@ -183,16 +227,17 @@
             next.request().release();
         }
         waitingBytes = 0;
+        owed.clear();
     }
 
     /** A body too large is told by its head, or by its chunks; none of it is kept. */
     void tooLarge() {
         heard = true;
-        if (!open && !ended) {
+        if (!ended && spare() != NOT_SPARE) {
             refuseToRead(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (!ended) {
-            leaving = true;
-            Farewell.stopReading(channel.pipeline());
+            owed.addLast(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            stopReading();
         }
     }
 
@@ -224,7 +269,7 @@
 
     /** How soon it goes when room is needed: the lowest first. */
     public int spare() {
-        if (open || ended || !waiting.isEmpty()) {
+        if (open || ended || !waiting.isEmpty() || !owed.isEmpty()) {
             return NOT_SPARE;
         }
         return partSince != 0 ? 1 : asked ? 2 : 0;
@@ -268,9 +313,7 @@
     /** A client that does not read its answers is not handled further until it does. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (channel.isWritable() && !open) {
-            handleNext();
-        }
+        handleNext();
     }
 
     private void handle(FullHttpRequest request, long since) {
@@ -278,9 +321,7 @@
         leaving |= !HttpUtil.isKeepAlive(request);
         boolean handedOn = false;
         try {
-            // What is left of Transfer-Encoding here is no chunks, so the body's end was guessed; nor has a GET a body.
-            boolean odd = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                    || request.method().equals(HttpMethod.GET) && request.content().isReadable();
+            boolean odd = isOdd(request);
             HeadRules.Fault fault = HeadRules.fault(request);
             if (odd || fault != null && !fault.framed()) {
                 refuseToRead(odd ? HttpResponseStatus.BAD_REQUEST : fault.status(), odd ? "" : fault.text());
@@ -292,9 +333,9 @@
             }
             String uri = HeadRules.target(request.method(), request.uri());
             String path = path(uri);
-            if (path.equals("/-/ready")) {
-                answer(door.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-            } else if (!path.equals("/api") && !path.startsWith("/api/")) {
+            if (path.equals(READY)) {
+                answer(readiness());
+            } else if (!isForBackends(path)) {
                 answer(HttpResponseStatus.NOT_FOUND);
             } else {
                 Arrival arrival = intake.arrival(request.method(), uri,
@@ -315,6 +356,20 @@
         }
     }
 
+    /** What is left of Transfer-Encoding here is no chunks, so the body's end was guessed; nor has a GET a body. */
+    private static boolean isOdd(FullHttpRequest request) {
+        return request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+                || request.method().equals(HttpMethod.GET) && request.content().isReadable();
+    }
+
+    private HttpResponseStatus readiness() {
+        return door.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    }
+
+    private static boolean isForBackends(String path) {
+        return path.equals("/api") || path.startsWith("/api/");
+    }
+
     private static String path(String uri) {
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
@@ -399,7 +454,7 @@
             head.add(CHALLENGE).add(challenge);
             challenge = null;
         }
-        boolean last = waiting.isEmpty() && (leaving || door.draining());
+        boolean last = waiting.isEmpty() && owed.isEmpty() && (leaving || door.draining());
         head.add(last ? CLOSE_AND_END : END);
         open = false;
         live = null;
@@ -413,16 +468,27 @@
             return;
         }
         head.writeTo(wire, body, channel.voidPromise());
-        if (channel.isWritable()) {
-            handleNext();
-        }
+        handleNext();
     }
 
+    /** In a loop: what is answered at once would otherwise bring up the next ever deeper on the stack. */
     private void handleNext() {
-        Waiting next = waiting.pollFirst();
-        if (next != null) {
-            waitingBytes -= next.request().content().readableBytes();
-            handle(next.request(), next.since());
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            while (!open && !ended && channel.isWritable() && !(waiting.isEmpty() && owed.isEmpty())) {
+                Waiting next = waiting.pollFirst();
+                if (next == null) {
+                    answer(owed.pollFirst());
+                } else {
+                    waitingBytes -= next.request().content().readableBytes();
+                    handle(next.request(), next.since());
+                }
+            }
+        } finally {
+            handling = false;
         }
     }
 }
--- a/front-door/src/main/java/nettletrail/http/Farewell.java
+++ b/front-door/src/main/java/nettletrail/http/Farewell.java
@@ -1,6 +1,5 @@
 package nettletrail.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -11,15 +10,11 @@
 /**
  * Ends a client's connection so that the last answer on it is read: a close with input unread would reset the
  * connection, and the answer with it. So the sending side ends first, what still comes is thrown away undecoded
- * for a moment, and then all is closed.
+ * for a moment, and then all is closed. However much comes while answers are still owed, it is read, as fast as the loop's turns
+ * allow: none of it is kept, nobody is cut off with an answer owed, and that the client leaves is seen behind it.
  */
 final class Farewell extends ChannelInboundHandlerAdapter {
     private static final int LINGER_MS = 300;
-    /** Who sends on regardless shall not cost more than this. */
-    private static final int MOST_BYTES = 256 << 10;
-
-    private int discarded;
-
     private Farewell() { }
 
     /** Nothing more is read as a request from here on; the connection ends when its last answer is written. */
@@ -37,10 +32,6 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        discarded += ((ByteBuf) message).readableBytes();
         ReferenceCountUtil.release(message);
-        if (discarded > MOST_BYTES) {
-            context.close();
-        }
     }
 }
--- a/front-door/src/test/java/nettletrail/door/Rig.java
+++ b/front-door/src/test/java/nettletrail/door/Rig.java
@@ -127,6 +127,15 @@
         return client;
     }
 
+    /** The loop has had turns enough to read all that was written before: as many as MB, at least. */
+    void turns(int number) throws IOException {
+        try (Peer other = Peer.connect(door.address())) {
+            for (int i = 0; i < number; i++) {
+                other.write("GET /x HTTP/1.1\r\nHost: gw\r\n\r\n").read();
+            }
+        }
+    }
+
     /** Closed at the end. */
     Peer keep(Peer peer) {
         open.add(peer);
