Crowds that fill the descriptors: answers going out are not cut off, the deaf are ended

Need: idle clients may fill the descriptors while discovery is down; not tried were half a head, half a body, an answer not read, SIGTERM, and all connections to backends closed just then. Each is now played at 128 descriptors with 200 and 400 clients.

Already held: all kinds of crowds while discovery is down and in a drain, by closeOldest and the shares of the descriptors, and all connections to backends breaking at once.

Seen to fail with the old lines: anAnswerThatIsStillGoingOutIsNotCutOff, whoNeverReadsItsAnswersIsEnded, theEndOfListeningTakesInOnlySoManyInOneTurn; without closeOldest all six of aCrowd*. whenAllConnectionsToBackendsBreakNewOnesAreFound was not seen to fail.

--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -92,6 +92,8 @@
     private volatile Channel listening;
     /** Client connections so far. */
     private long connected;
+    /** At so many listening ends, 0 before its end began. */
+    private long lastTaken;
     private boolean listed;
     private volatile boolean draining;
 
@@ -329,18 +331,25 @@
             return;
         }
         long before = -1;
-        while (before < connected && clients.size() < mostClients + roomyClients) {
+        long most = connected + roomyClients;
+        lastTaken = lastTaken == 0 ? connected + BACKLOG : lastTaken; // who comes while this goes on has no end
+        while (before < connected && connected < most && clients.size() < mostClients + roomyClients) {
             before = connected;
             listening.config().setAutoRead(true); // it may have waited for room
             Unread.take(listening);
         }
-        listening.close();
+        if (connected >= most && connected < lastTaken && clients.size() < mostClients + roomyClients) {
+            // The descriptors of those that made room are free only after the loop's next look at its sockets.
+            loop.schedule(this::stopListening, 1, TimeUnit.MILLISECONDS);
+        } else {
+            listening.close();
+        }
     }
 
     /** A connection is gone only when its last answer is written, so that none is cut off by the exit. */
     private void checkDrained() {
         endIdle(JUST_CAME_NS);
-        if (dispatcher.held() == 0 && clients.isEmpty() && fronts.stream().allMatch(Front::drained)) {
+        if (dispatcher.held() == 0 && clients.isEmpty() && !listens() && fronts.stream().allMatch(Front::drained)) {
             drained.countDown();
         }
     }
--- a/front-door/src/main/java/nettletrail/http/ClientHandler.java
+++ b/front-door/src/main/java/nettletrail/http/ClientHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -92,6 +93,9 @@
     private boolean heard;
     private long partSince;
     private long idleSince;
+    /** As the last sweep found it. */
+    private long unwrittenBefore;
+    private long unwrittenSince;
 
     private ClientHandler(Door door, Intake intake, Dispatcher dispatcher, Carrier carrier) {
         this.door = door;
@@ -269,7 +273,7 @@
 
     /** How soon it goes when room is needed: the lowest first. */
     public int spare() {
-        if (open || ended || !waiting.isEmpty() || !owed.isEmpty()) {
+        if (open || ended || !waiting.isEmpty() || !owed.isEmpty() || unwritten() > 0) {
             return NOT_SPARE;
         }
         return partSince != 0 ? 1 : asked ? 2 : 0;
@@ -279,6 +283,22 @@
         return idleSince;
     }
 
+    /** Bytes of answers that the kernel has not taken yet: closed now, these would be cut off. */
+    private long unwritten() {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return out == null ? 0 : out.totalPendingWriteBytes();
+    }
+
+    /** Whether it has taken nothing of its answers for so long, ns. */
+    private boolean deaf(long now, long mostNs) {
+        long left = open ? 0 : unwritten();
+        if (left == 0 || left != unwrittenBefore) {
+            unwrittenBefore = left;
+            unwrittenSince = now;
+        }
+        return left > 0 && now - unwrittenSince > mostNs;
+    }
+
     /**
      * Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a request, and closed on
      * it would be lost. A client whose request crosses the close itself sends it again.
@@ -295,10 +315,9 @@
 
     /** Ends what has stood too long: half a request (a trickle does not restart its clock), silence, a deaf client. */
     public void sweep(long now, long mostNs) {
-        if (ended) {
-            if (now - idleSince > mostNs) {
-                channel.close(); // it does not even take its last answer
-            }
+        boolean deaf = deaf(now, mostNs);
+        if (ended ? now - idleSince > mostNs && (deaf || unwritten() == 0) : deaf) {
+            channel.close(); // it does not take its answers
         } else if (half() && now - (asked ? partSince : openedAt) > mostNs) {
             if (look() && half()) {
                 refuseToRead(HttpResponseStatus.REQUEST_TIMEOUT);
--- /dev/null
+++ b/front-door/src/test/java/nettletrail/door/DescriptorsTest.java
@@ -0,0 +1,265 @@
+package nettletrail.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that fill all places that a front door with few descriptors has, and what must find one all the same. */
+@Timeout(60)
+class DescriptorsTest {
+    private static final String ODD = "GET /x HTTP/1.1\r\nHost: gw\r\n\r\n";
+    private static final int SOCKETS = 128;
+    /** Forty of them are clients'. */
+    private static final int CROWD = 200;
+    private static final int LARGE = 500_000;
+
+    @TempDir
+    private Path folder;
+    private Rig rig;
+    private final HeldModule module = new HeldModule();
+    private ServerSocket backend;
+    private FrontDoor door;
+    /** Of the last request, for its id. */
+    private int number = 4_096;
+
+    @BeforeEach
+    void make() throws Exception {
+        rig = new Rig(folder);
+        backend = rig.backend();
+        rig.sockets(SOCKETS);
+        door = rig.start(module.module(), Rig.entry("s-1", backend.getLocalPort(), "SERVING"));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        module.release();
+        rig.close();
+    }
+
+    /** Each says this and nothing more; some are shut at once to make room for others. */
+    private void crowd(String says) throws IOException {
+        for (int i = 0; i < CROWD; i++) {
+            Peer one = rig.client();
+            try {
+                one.write(says);
+            } catch (IOException e) {
+                continue; // it had to make room already
+            }
+        }
+    }
+
+    /** Discovery's connection is gone, and nobody answers there. */
+    private void discoveryGoes() throws IOException {
+        rig.watch.close();
+    }
+
+    /** It answers again: the first call that is still open is given this list. */
+    private void discoveryReturns(String list) throws IOException {
+        while (true) {
+            Peer call = rig.keep(Peer.accept(rig.discovery));
+            try {
+                call.read();
+                call.answer("200 OK", "", list);
+                call.read();
+                return;
+            } catch (IOException e) {
+                call.close(); // given up meanwhile
+            }
+        }
+    }
+
+    private void isServedBy(ServerSocket listening, Peer client, String txn) throws Exception {
+        client.write(Rig.request("look", txn, 30_000, ""));
+        try (Peer server = Peer.accept(listening)) {
+            assertEquals(Rig.txn(txn), server.read().header("X-Txn"));
+            server.answer("200 OK", "", "seen");
+            assertEquals("seen", client.read().body());
+        }
+    }
+
+    private int clients() throws Exception {
+        return door.loop().submit(door::clients).get();
+    }
+
+    /** Silent, asked once, half a head, half a body: the list is taken in when discovery is back, and a new client served by it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", ODD, "GET /api HTTP/1.1\r\nX-Txn", "POST /api HTTP/1.1\r\nHost: gw\r\nContent-Length: 9000\r\n\r\nhalf"})
+    void aCrowdWhileDiscoveryIsDownKeepsNobodyOut(String says) throws Exception {
+        discoveryGoes();
+        crowd(says);
+        ServerSocket other = rig.backend();
+        discoveryReturns(Rig.list(9, true, Rig.entry("s-2", other.getLocalPort(), "SERVING")));
+        crowd(says);
+        isServedBy(other, rig.client(), "a");
+        assertTrue(clients() <= (SOCKETS - 48) / 2 + 16, "what is taken in one turn at most beyond the clients' part");
+    }
+
+    /** The same when SIGTERM has come: who then connects is served, and the drain ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /api HTTP/1.1\r\nX-Txn"})
+    void aCrowdInADrainKeepsNobodyOut(String says) throws Exception {
+        discoveryGoes();
+        crowd(says);
+        Thread drain = new Thread(door::drain);
+        drain.start();
+        while (!door.draining()) {
+            Thread.onSpinWait();
+        }
+        crowd(says);
+        isServedBy(backend, rig.client(), "a");
+        drain.join();
+        assertEquals(0, door.held());
+    }
+
+    /** Closed ones give their descriptors back only after the loop's turn: the end of listening takes in so many a turn, and all of them. */
+    @Test
+    void theEndOfListeningTakesInOnlySoManyInOneTurn() throws Exception {
+        int queued = 150;
+        CountDownLatch there = new CountDownLatch(1);
+        CountDownLatch waiting = new CountDownLatch(1);
+        var more = door.loop().submit(() -> {
+            there.countDown();
+            waiting.await();
+            int before = descriptors();
+            door.stopListening();
+            return descriptors() - before;
+        });
+        there.await();
+        List<Peer> queue = new ArrayList<>();
+        for (int i = 0; i < queued; i++) {
+            queue.add(rig.client().write(ODD));
+        }
+        waiting.countDown();
+        assertTrue(more.get() <= SOCKETS / 4 + 16, "beyond a turn's part: " + more.get());
+        for (Peer each : queue) {
+            assertEquals(404, each.read().status());
+        }
+        while (door.listens()) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+    }
+
+    private static int descriptors() {
+        return new File("/proc/self/fd").list().length;
+    }
+
+    /** All connections to backends break, and all are opened anew, with the clients' places full. */
+    @Test
+    void whenAllConnectionsToBackendsBreakNewOnesAreFound() throws Exception {
+        int both = 20;
+        List<Peer> clients = new ArrayList<>();
+        List<Peer> servers = new ArrayList<>();
+        for (int i = 0; i < both; i++) {
+            clients.add(rig.client().write(Rig.request("look", Integer.toHexString(i + 16), 30_000, "")));
+            servers.add(rig.keep(Peer.accept(backend)));
+            servers.get(i).read();
+        }
+        crowd("");
+        module.answer = told -> { };
+        for (Peer each : servers) {
+            each.reset();
+        }
+        for (Peer each : clients) {
+            assertEquals(502, each.read().status()); // the module fails what is reset
+        }
+        for (int i = 0; i < both; i++) {
+            clients.get(i).write(Rig.request("look", Integer.toHexString(i + 256), 30_000, ""));
+        }
+        for (int i = 0; i < both; i++) {
+            Peer server = rig.keep(Peer.accept(backend));
+            server.read();
+            server.answer("200 OK", "", "seen");
+        }
+        for (Peer each : clients) {
+            assertEquals("seen", each.read().body());
+        }
+    }
+
+    // ---- Answers that are not read ----------------------------------------------------------------------
+
+    /** A client with a small window, which reads only when it is told to. */
+    private Peer narrow() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4_096);
+        InetSocketAddress to = door.address();
+        socket.connect(new InetSocketAddress(to.getAddress(), to.getPort()));
+        return rig.keep(new Peer(socket));
+    }
+
+    /** Large answers to it, one after the other, until its connection takes no more; how many were given. */
+    private int fill(Peer client, Peer server, int most) throws Exception {
+        int given = 0;
+        while (given < most) {
+            client.write(Rig.request("look", Integer.toHexString(++number), 30_000, ""));
+            if (module.arrivals.poll(500, TimeUnit.MILLISECONDS) == null) {
+                return given;
+            }
+            server.read();
+            server.answer("200 OK", "", "x".repeat(LARGE));
+            HeldModule.next(module.answers);
+            given++;
+            TimeUnit.MILLISECONDS.sleep(20); // at least so long: its connection has rested then
+        }
+        return given;
+    }
+
+    /** The last of its answers is partly with the kernel: what makes room, and a drain, leave it whole. */
+    @Test
+    void anAnswerThatIsStillGoingOutIsNotCutOff() throws Exception {
+        isServedBy(backend, rig.client(), "a");
+        HeldModule.next(module.arrivals);
+        HeldModule.next(module.answers);
+        Peer first = narrow();
+        first.write(Rig.request("look", "b", 30_000, ""));
+        HeldModule.next(module.arrivals);
+        Peer server = rig.keep(Peer.accept(backend));
+        server.read();
+        server.answer("200 OK", "", "x".repeat(LARGE));
+        HeldModule.next(module.answers);
+        TimeUnit.MILLISECONDS.sleep(20);
+        int enough = 1 + fill(first, server, 40);
+        first.close();
+        Peer second = narrow();
+        assertEquals(enough, fill(second, server, enough), "as many as the other took");
+        door.loop().submit(() -> door.endIdle(0)).sync();
+        for (int i = 0; i < enough; i++) {
+            assertEquals(LARGE, second.read().body().length(), "answer " + i + " of " + enough);
+        }
+    }
+
+    /** One that never reads is ended, and its place is another's. */
+    @Test
+    void whoNeverReadsItsAnswersIsEnded() throws Exception {
+        Peer first = narrow();
+        first.write(Rig.request("look", "b", 30_000, ""));
+        HeldModule.next(module.arrivals);
+        Peer server = rig.keep(Peer.accept(backend));
+        server.read();
+        server.answer("200 OK", "", "x".repeat(LARGE));
+        HeldModule.next(module.answers);
+        TimeUnit.MILLISECONDS.sleep(20);
+        fill(first, server, 40);
+        long since = System.nanoTime();
+        while (clients() > 0) {
+            TimeUnit.MILLISECONDS.sleep(10);
+            assertTrue(System.nanoTime() - since < TimeUnit.SECONDS.toNanos(8), "it holds on");
+        }
+    }
+}
