Connections to backends wait for the descriptors of those that are closing

Seen: a closed socket's descriptor comes back only when the loop next looks at its sockets, so that connections that break in one turn and are opened anew in the same hold two each: 8 more than the backends' part of 8 at 64 descriptors, where 48 are kept for all else. Ruled out: that the pool counted wrong (it counts connections, not descriptors).

Change: BackendPool counts the closing ones as held until the round after, and what would go beyond its part with them waits for a ms. One that nobody waits for any more, or whose backend drained meanwhile, is not opened.

Seen to fail without the wait: connectionsOpenedInTheTurnInWhichOthersBreakWaitForTheirDescriptors (8 more).

--- a/front-door/src/main/java/nettletrail/upstream/BackendPool.java
+++ b/front-door/src/main/java/nettletrail/upstream/BackendPool.java
@@ -83,6 +83,8 @@
      * is paid for once.
      */
     private static final int REST_WAITS = 8;
+    /** From one look for descriptors that are about to be free to the next. */
+    private static final long RELEASE_MS = 1;
     /** Connections that may rest at one backend before no spare ones are added. */
     private static final int MOST_RESTING = 24;
 
@@ -145,6 +147,8 @@
     /** Connections that rest, the first to have rested first; some of them may have closed since. */
     private final ArrayDeque<Connection> resters = new ArrayDeque<>();
     private int connections;
+    /** Closed ones whose descriptors the loop has not given back yet: it does when it next looks at its sockets. */
+    private int releasing;
 
     /**
      * @param connectTimeoutNs a connection not up by then has failed
@@ -327,10 +331,25 @@
             backend.waiting.pollLast().attempt.ended(Outcome.NEVER_SENT);
             return;
         }
-        Connection connection = new Connection(backend);
         backend.connecting++;
         backend.connections++;
         connections++;
+        open(backend);
+    }
+
+    /** It is counted. Waits for descriptors that are about to be free, or those of others would be taken. */
+    private void open(Backend backend) {
+        if (!backend.open || backend.waiting.isEmpty()) {
+            backend.connecting--; // drained or served meanwhile
+            backend.connections--;
+            connections--;
+            return;
+        }
+        if (connections + releasing > most) {
+            loop.schedule(() -> open(backend), RELEASE_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        Connection connection = new Connection(backend);
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel made) {
@@ -656,6 +675,9 @@
         void closed() {
             connections--;
             backend.connections--;
+            releasing++;
+            // Of two timers, the second made by the first, at least one is heard in a later round: it began with that look.
+            loop.schedule(() -> loop.schedule(() -> releasing--, 0, TimeUnit.MILLISECONDS), 0, TimeUnit.MILLISECONDS);
             backend.idle.remove(this);
             body.release();
             body = Unpooled.EMPTY_BUFFER;
--- a/front-door/src/test/java/nettletrail/door/DescriptorsTest.java
+++ b/front-door/src/test/java/nettletrail/door/DescriptorsTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import nettletrail.decision.Gateway;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -192,6 +194,61 @@
         }
     }
 
+    /**
+     * All that it may hold break in one turn of the loop, and all are asked for again in the same: the broken ones' descriptors come
+     * back only after it, so that the new ones wait for these and take nobody else's.
+     */
+    @Test
+    void connectionsOpenedInTheTurnInWhichOthersBreakWaitForTheirDescriptors() throws Exception {
+        int most = 8;
+        AtomicInteger before = new AtomicInteger();
+        AtomicInteger more = new AtomicInteger();
+        HeldModule again = new HeldModule() {
+            @Override
+            public void answered(long now, Answer told) {
+                if (told.outcome() == Gateway.Outcome.RESET) {
+                    actions.send(told.requestId(), backend, 0);
+                    more.set(Math.max(more.get(), descriptors() - before.get()));
+                }
+                answers.add(told);
+            }
+        };
+        Rig small = new Rig(folder).sockets(64); // eight for backends
+        try {
+            small.start(again.module(), Rig.entry("s-1", backend.getLocalPort(), "SERVING"));
+            List<Peer> clients = new ArrayList<>();
+            List<Peer> servers = new ArrayList<>();
+            for (int i = 0; i < most; i++) {
+                Peer client = small.client();
+                clients.add(client.write(Rig.request("look", Integer.toHexString(i + 16), 30_000, "")));
+                servers.add(Peer.accept(backend));
+                servers.get(i).read();
+            }
+            again.afterHold = () -> before.set(descriptors());
+            small.client().write(HeldModule.holding("b"));
+            again.awaitHeld();
+            for (Peer each : servers) {
+                each.reset();
+            }
+            again.release();
+            for (int i = 0; i < most; i++) {
+                assertEquals(Gateway.Outcome.RESET, HeldModule.next(again.answers).outcome());
+            }
+            for (int i = 0; i < most; i++) {
+                Peer server = small.keep(Peer.accept(backend));
+                server.read();
+                server.answer("200 OK", "", "seen");
+            }
+            for (Peer each : clients) {
+                assertEquals("seen", each.read().body());
+            }
+            assertTrue(more.get() <= 2, "more than before: " + more.get());
+        } finally {
+            again.release();
+            small.close();
+        }
+    }
+
     // ---- Answers that are not read ----------------------------------------------------------------------
 
     /** A client with a small window, which reads only when it is told to. */
--- a/front-door/src/test/java/nettletrail/door/HeldModule.java
+++ b/front-door/src/test/java/nettletrail/door/HeldModule.java
@@ -13,7 +13,7 @@
  * A module that does what a test says, and keeps the event loop at an instant that the test chooses. A request of one
  * unit is the one that it stands still at; all others it keeps, sends or answers as told.
  */
-final class HeldModule extends Rig.Scripted {
+class HeldModule extends Rig.Scripted {
     final BlockingQueue<Gateway.Request> arrivals = new LinkedBlockingQueue<>();
     final BlockingQueue<Gateway.Answer> answers = new LinkedBlockingQueue<>();
     final BlockingQueue<Long> departures = new LinkedBlockingQueue<>();
