--- a/front-door/src/main/java/nettletrail/discovery/Discovery.java
+++ b/front-door/src/main/java/nettletrail/discovery/Discovery.java
@@ -179,7 +179,7 @@
             try {
                 Map<String, Object> body = read(response);
                 long version = version(body);
-                if (version >= index) {
+                if (version >= index && (index >= 0 || whole(body))) {
                     index = version;
                     listener.listed(whole(body), entries(body));
                 }
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -1,6 +1,7 @@
 package nettletrail.door;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -68,6 +69,11 @@
     private static final long SPARED_NS = 300_000_000L;
     /** Descriptors that are neither clients' nor backends': files of the JVM, the selector, discovery. */
     private static final int OTHER_SOCKETS = 48;
+    /** Bytes of one read of a client's connection. */
+    private static final int LEAST_READ = 2 << 10;
+    private static final int MOST_READ = 64 << 10;
+    /** Of one connection; as many as Netty's own. */
+    private static final int READS_A_TURN = 16;
     /** Connections that the kernel may have accepted and that are not taken yet. */
     private static final int BACKLOG = 1024;
 
@@ -259,6 +265,9 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // A look mostly reads nothing, by which the next read's buffer would get smaller than a request.
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ, LEAST_READ, MOST_READ)
+                        .maxMessagesPerRead(READS_A_TURN))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel made) {
