--- a/app/src/main/java/nettletrail/app/scale/roles/CustomersRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/CustomersRole.java
@@ -27,6 +27,8 @@
     private static final class Played implements Gateway.Actions {
         private final List<long[]> sent = new ArrayList<>();
         private final Brain brain;
+        private long requests;
+        private long sends;
 
         Played(Gateway.Settings settings) {
             brain = new Brain(settings, 0, this);
@@ -39,6 +41,7 @@
 
         /** A request, and its answer 1 ms later. */
         private void request(long now, long id, long customer) {
+            requests++;
             // A set of one, so that its store holds a request: a refused one is cheaper.
             brain.arrived(now, new Gateway.Request(id, 0, 0, customer, 1, 1, 3_000 * MS));
             for (int i = 0; i < sent.size(); i++) {
@@ -50,6 +53,7 @@
 
         @Override
         public void send(long requestId, long backendId, long timeoutNs) {
+            sends++;
             sent.add(new long[] {requestId, backendId});
         }
 
@@ -85,7 +89,10 @@
         });
         told.put("bytes", kept - before);
         told.put("bytes_a_customer", Rounded.of((kept - before) / (double) customers));
+        made[0].requests = 0;
+        made[0].sends = 0;
         told.put("us_a_request", Rounded.of(request(made[0], customers, seconds)));
+        told.put("sent_share", Rounded.of(made[0].sends / (double) made[0].requests));
         return told;
     }
 
--- a/app/src/main/java/nettletrail/app/scale/roles/MembersRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/MembersRole.java
@@ -27,7 +27,7 @@
     private static final long MOST_START_S = 90;
     private static final int STATE_COPIES = 12;
     /** Work in virtual time grows with the doors squared at least: each knows of each. */
-    private static final double GROWTH = 2.3;
+    private static final double GROWTH = 2.1;
 
     private final Gauge gauge;
     private final long seed;
--- a/app/src/main/java/nettletrail/app/scale/roles/Roles.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/Roles.java
@@ -20,8 +20,8 @@
     private static final double MIB = 1 << 20;
     private static final int SHORT_S = 10;
     /** Parts of the time given. */
-    private static final double MEMBERS = 0.45;
-    private static final double LIMITS = 0.75;
+    private static final double MEMBERS = 0.6;
+    private static final double LIMITS = 0.9;
 
     /** Figures in their order, and the budgets that the fleet planned for leaves, each with role and figure. */
     public record Told(Map<String, Object> figures, List<String> broken) { }
