measure capacity: hollow front doors and backends beside real ones, swept by size

Change: package nettletrail.app.scale. Hollow front doors, many to a process, run the real client of discovery on a socket, the intake, the dispatcher, the module and the pool of connections; connections to backends are in memory, requests are drawn. Real front doors (deploy/serve.args) and a bare relay get the same requests on sockets beside them. Stand-in discovery runs in three processes and counts its bytes. A child JVM may be given its heap, or another program.

--- a/app/src/main/java/nettletrail/app/App.java
+++ b/app/src/main/java/nettletrail/app/App.java
@@ -5,6 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import nettletrail.app.scale.BackendsProcess;
+import nettletrail.app.scale.DiscoveryProcess;
+import nettletrail.app.scale.HollowDoorsProcess;
+import nettletrail.app.scale.RelayProcess;
 import nettletrail.core.Additions;
 import nettletrail.core.Admission;
 import nettletrail.core.Bound;
@@ -25,7 +29,8 @@
         description = "A gateway that meters many customers' use of one shared service.",
         subcommands = {App.Serve.class, App.Adapter.class, App.Check.class, App.Keys.class, Measure.class,
                 Faults.class, Try.class, Usage.class, MembersCommand.class, TestedDoor.class, MeasureFrontDoor.Relay.class,
-                MeasureExtProc.Echo.class})
+                MeasureExtProc.Echo.class, HollowDoorsProcess.class, DiscoveryProcess.class, BackendsProcess.class,
+                RelayProcess.class})
 public final class App {
     static final int UNUSABLE = 2;
 
--- a/app/src/main/java/nettletrail/app/Measure.java
+++ b/app/src/main/java/nettletrail/app/Measure.java
@@ -14,7 +14,7 @@
         description = "Runs a measurement; exits with 1 and names the broken promises if any.")
 final class Measure implements Callable<Integer> {
     /** What a measurement is told. */
-    record Options(int seconds, long seed, int rate) { }
+    record Options(int seconds, long seed, int rate, boolean full, int sizes) { }
 
     /** One measurement. */
     interface Measurement {
@@ -24,7 +24,7 @@
     /** Figures in the order in which they are shown, and the promises that did not hold. */
     record Result(Map<String, Object> figures, java.util.List<String> broken) { }
 
-    private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of("ext-proc", new MeasureExtProc(),
+    private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of("capacity", new MeasureCapacity(), "ext-proc", new MeasureExtProc(),
             "faults", new MeasureFaults(), "front-door", new MeasureFrontDoor(), "limits",
             new MeasureLimits(), "roles", new MeasureRoles(), "tokens", new MeasureTokens()));
 
@@ -38,19 +38,36 @@
     private long seed;
     @Option(names = "--rate", paramLabel = "N", defaultValue = "0", description = "A second; 0 for the usual one.")
     private int rate;
+    @Option(names = "--full", description = "capacity: all sizes up to 480 front doors and 7,500 backends.")
+    private boolean full;
+    @Option(names = "--sizes", paramLabel = "N", defaultValue = "0",
+            description = "capacity: only the first so many sizes of --full, 2 or more; 0 for all.")
+    private int sizes;
     @Spec
     private CommandSpec spec;
 
+    private final Map<String, Measurement> all;
+
+    /** For picocli. */
+    Measure() {
+        this(ALL);
+    }
+
+    /** @param all that can be named */
+    Measure(Map<String, Measurement> all) {
+        this.all = all;
+    }
+
     @Override
     public Integer call() throws Exception {
-        Measurement measurement = ALL.get(name);
-        if (measurement == null || seconds < 1 || rate < 0) {
+        Measurement measurement = all.get(name);
+        if (measurement == null || seconds < 1 || rate < 0 || sizes < 0 || sizes == 1) {
             spec.commandLine().getErr().println("measure: " + (measurement == null
-                    ? "'" + name + "' is no measurement; there are: " + String.join(", ", ALL.keySet())
-                    : "--seconds must be 1 or more, and --rate 0 or more"));
+                    ? "'" + name + "' is no measurement; there are: " + String.join(", ", all.keySet())
+                    : "--seconds must be 1 or more, --rate 0 or more, and --sizes 0, 2 or more"));
             return App.UNUSABLE;
         }
-        Result result = measurement.run(new Options(seconds, seed, rate));
+        Result result = measurement.run(new Options(seconds, seed, rate, full, sizes));
         if (json) {
             spec.commandLine().getOut().println(com.fasterxml.jackson.jr.ob.JSON.std.asString(result.figures()));
         } else {
--- a/app/src/main/java/nettletrail/app/processes/ChildJvm.java
+++ b/app/src/main/java/nettletrail/app/processes/ChildJvm.java
@@ -18,9 +18,10 @@
 /** A command of this program in a JVM of its own, with the platform's options, so that its CPU can be told apart. */
 public final class ChildJvm implements AutoCloseable {
     private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-XX:CompileThresholdScaling=0.3", "-XX:-UsePerfData", "-Xms96m", "-Xmx96m", "-XX:+AlwaysPreTouch",
+            "-XX:CompileThresholdScaling=0.3", "-XX:-UsePerfData",
             "-Dio.netty.allocator.numDirectArenas=1", "-Dio.netty.allocator.numHeapArenas=1",
             "-Dio.netty.allocator.maxOrder=6", "-Dio.netty.leakDetection.level=disabled");
+    private static final List<String> HEAP = List.of("-Xms96m", "-Xmx96m", "-XX:+AlwaysPreTouch");
     private static final int MOST_KEPT = 200;
 
     private final Process process;
@@ -34,18 +35,41 @@
 
     /** @param heard hears of each line that it writes, on a thread of its own */
     public ChildJvm(Map<String, String> env, Consumer<String> heard, String... arguments) throws IOException {
+        this(builder(env, command(HEAP, arguments)), heard);
+    }
+
+    /** The same with a heap of so many MB at most, none of it touched before it is used. */
+    public ChildJvm(Map<String, String> env, int heapMb, Consumer<String> heard, String... arguments) throws IOException {
+        this(builder(env, command(List.of("-Xmx" + heapMb + "m"), arguments)), heard);
+    }
+
+    /** Another program, from this folder. */
+    public ChildJvm(Map<String, String> env, Path folder, List<String> command, Consumer<String> heard) throws IOException {
+        this(builder(env, command).directory(folder.toFile()), heard);
+    }
+
+    private ChildJvm(ProcessBuilder builder, Consumer<String> heard) throws IOException {
         this.heard = heard;
+        process = builder.start();
+        Thread reader = new Thread(this::read, "child's output");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private static List<String> command(List<String> heap, String... arguments) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
+        command.addAll(heap);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), App.class.getName()));
         command.addAll(List.of(arguments));
+        return command;
+    }
+
+    private static ProcessBuilder builder(Map<String, String> env, List<String> command) {
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().putAll(env);
-        process = builder.start();
-        Thread reader = new Thread(this::read, "child's output");
-        reader.setDaemon(true);
-        reader.start();
+        return builder;
     }
 
     private void read() {
