--- a/app/src/main/java/nettletrail/app/scale/Capacity.java
+++ b/app/src/main/java/nettletrail/app/scale/Capacity.java
@@ -23,8 +23,10 @@
      * @param small from which the last is predicted
      * @param last the largest
      * @param seeds of each size
+     * @param further the schedule of the small sizes' further seeds
      */
-    record Sweep(List<Size> small, Size last, int seeds, SizeRun.Schedule smallSchedule, SizeRun.Schedule lastSchedule) { }
+    record Sweep(List<Size> small, Size last, int seeds, SizeRun.Schedule smallSchedule, SizeRun.Schedule further,
+            SizeRun.Schedule lastSchedule) { }
 
     /** Figures in the order in which they are shown, and the budgets broken. */
     public record Outcome(Map<String, Object> figures, List<String> broken) { }
@@ -47,11 +49,12 @@
         this.seed = seed;
     }
 
-    /** The default: under 100 s in all, 15/235 and 30/470 foretelling 60/940. */
+    /** The default: under 100 s in all, 60/940 predicted from 15/235 and 30/470. */
     static Sweep usual(int seconds) {
-        int part = Math.max(2, Math.min(USUAL_SECONDS, seconds) / 2);
-        return new Sweep(List.of(new Size(15, 235), new Size(30, 470)), new Size(60, 940), 1,
-                new SizeRun.Schedule(3, part, part, false), new SizeRun.Schedule(3, part, part, true));
+        int part = Math.max(2, Math.min(USUAL_SECONDS, seconds) / 3);
+        SizeRun.Schedule small = new SizeRun.Schedule(3, part, 2, false);
+        return new Sweep(List.of(new Size(15, 235), new Size(30, 470)), new Size(60, 940), 1, small, small,
+                new SizeRun.Schedule(3, part, part, true));
     }
 
     /** All sizes up to 480/7,500, two seeds each. */
@@ -62,6 +65,7 @@
     /** The first so many of the full run's sizes; the last of them is predicted. */
     static Sweep upTo(int sizes, int seeds) {
         return new Sweep(SIZES.subList(0, sizes - 1), SIZES.get(sizes - 1), seeds, new SizeRun.Schedule(5, 10, 6, true),
+                new SizeRun.Schedule(5, 10, 6, false),
                 new SizeRun.Schedule(8, 20, 10, true));
     }
 
@@ -86,7 +90,8 @@
         List<Map<String, Object>> runs = new ArrayList<>();
         for (Size size : sweep.small()) {
             for (int i = 0; i < sweep.seeds(); i++) {
-                runs.add(SizeRun.play(size.doors(), size.backends(), seed + i, as, sweep.smallSchedule()));
+                runs.add(SizeRun.play(size.doors(), size.backends(), seed + i, as,
+                        i == 0 ? sweep.smallSchedule() : sweep.further()));
                 told(runs);
             }
         }
--- a/app/src/main/java/nettletrail/app/scale/FleetPlan.java
+++ b/app/src/main/java/nettletrail/app/scale/FleetPlan.java
@@ -113,8 +113,8 @@
         return (int) (tenant % doors);
     }
 
-    /** A front door's configuration file, for one in this zone. */
-    String config(int zone, int sockets, Mechanism mechanism) {
+    /** The configuration file of the front door with this number. */
+    String config(int number, int sockets, Mechanism mechanism) {
         return "{\"name\":\"\",\"discovery\":\"\",\"seed\":\"" + Long.toHexString(seed) + "\",\"limits\":{\"sockets\":"
                 + sockets + "},\"known\":{},\"settings\":{\"Balancers\":" + doors
                 + ",\"Ceilings\":{\"ConnIdle\":20000000000,\"ConnectTimeout\":250000000,\"MaxAttempts\":3},"
@@ -124,6 +124,6 @@
                 + "{\"Name\":\"order-status\",\"Aim\":750000000,\"Deadline\":3000000000,\"Effect\":\"free\",\"Worth\":2,"
                 + "\"LateValue\":0.2},{\"Name\":\"order-submit\",\"Aim\":750000000,\"Deadline\":3000000000,"
                 + "\"Effect\":\"single_shot\",\"Worth\":5}],\"TiersOfService\":[{\"Name\":\"standard\",\"PerSecond\":12,"
-                + "\"Burst\":48,\"Pays\":0.8}],\"Zone\":" + zone + mechanism.settings() + "}}";
+                + "\"Burst\":48,\"Pays\":0.8}],\"Zone\":" + zone(number) + mechanism.settings(number) + "}}";
     }
 }
--- a/app/src/main/java/nettletrail/app/scale/HollowDoor.java
+++ b/app/src/main/java/nettletrail/app/scale/HollowDoor.java
@@ -94,7 +94,7 @@
         intake = new Intake(reader, settings);
         dispatcher = new Dispatcher(requests, host.clock(), Bound.NONE, List.of(carrier), reader, settings,
                 (told, now, actions) -> {
-                    module = new TimedModule(host.mechanism().maker().make(told, now, actions));
+                    module = new TimedModule(host.mechanism().maker(number).make(told, now, actions));
                     return module;
                 });
         discovery = new Discovery(control, agent, -1, seed, this);
--- a/app/src/main/java/nettletrail/app/scale/Mechanism.java
+++ b/app/src/main/java/nettletrail/app/scale/Mechanism.java
@@ -13,13 +13,13 @@
     /** Whether the two differ. */
     static final boolean PRESENT = false;
 
-    /** The module of hollow front doors. */
-    Dispatcher.Maker maker() {
+    /** The module of a hollow front door, whose number tells its place among them all. */
+    Dispatcher.Maker maker(int number) {
         return Brain::new;
     }
 
-    /** What the settings say of it: members of their JSON object, each with a comma before it. */
-    String settings() {
-        return "";
+    /** What a real front door's settings say of it: members of their JSON object, each with a comma before it. */
+    String settings(int number) {
+        return ",\"Index\":" + number + (this == ON ? "" : ",\"Aperture\":{\"Enabled\":false}");
     }
 }
--- a/app/src/main/java/nettletrail/app/scale/ScaleFleet.java
+++ b/app/src/main/java/nettletrail/app/scale/ScaleFleet.java
@@ -86,6 +86,7 @@
 
     private void startReal() throws IOException, InterruptedException {
         for (int i = 0; i < REAL_DOORS; i++) {
+            // The hollow ones' settings of zone N are those of front door N; the first real ones have its place too.
             real.add(new RealDoor("real-" + i, agents.get(i % MACHINES), folder.resolve("zone" + FleetPlan.zone(i) + ".json"),
                     RealDoor.PLATFORM));
             real.get(i).launch();
