measure front-door runs again; a test starts each measure at its least length

Seen: `measure front-door` ended after 20 s with "the process started for this measurement never said 'dry run:'; it said:" and nothing behind it. Cause: MeasureFrontDoor waited for `n0 listens on` and then for `dry run:`. Since a door listens only when its dry run is over (FrontDoor.serve: warmUp, then open), the second line comes before the first, and ChildJvm.await had dropped it on its way to the first. Ruled out: the other rigs wait for one of these lines only (DoorProcesses, Fleet), or in the order in which they come (MeasureExtProc: fronts open before the door listens). Try, TestedDoor and RunningDoor don't wait for the line.

Now it asks /-/ready, as the other rigs do; MeasureExtProc's own copy of that loop is gone.

--- a/app/src/main/java/nettletrail/app/LimitsProcesses.java
+++ b/app/src/main/java/nettletrail/app/LimitsProcesses.java
@@ -50,35 +50,37 @@
 
     private LimitsProcesses() { }
 
-    static Figures run(int lossSeconds, long seed) throws Exception {
+    static Figures run(Measure.Options options) throws Exception {
         SiteSettings usual = SiteSettings.usual(DOORS);
         SiteSettings settings = new SiteSettings(DOORS, usual.classes(), List.of(new SiteSettings.Plan("shared", 10_000, 10_000,
                 0, 0, 0, 0, 1)), usual.coldFrom(), usual.rampMs(), usual.overloadFactor(), usual.fallMs(),
                 usual.drainGraceMs(), false);
         NioEventLoopGroup group = new NioEventLoopGroup(1);
-        try (Site site = new Site(settings, BACKENDS, new SiteBackend.Machine(8, 64, 10), seed);
+        try (Site site = new Site(settings, BACKENDS, new SiteBackend.Machine(8, 64, 10), options.seed());
                 StandInCounter counter = new StandInCounter(group.next(), null);
                 DoorProcesses doors = new DoorProcesses("limits")) {
             Path operator = doors.file("operator.toml");
             Files.writeString(operator, "[limits]\nenabled = true\ncounter = \"127.0.0.1:" + counter.address().getPort()
                     + "\"\nceilings = \"shared=" + CEILING_RATE + "/" + CEILING_BURST + "\"\n");
             List<InetSocketAddress> addresses = doors.start(site, "--operator", operator.toString());
-            return play(site, counter, doors.processes(), addresses, lossSeconds);
+            return play(site, counter, doors.processes(), addresses, options);
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
 
     private static Figures play(Site site, StandInCounter counter, List<ChildJvm> doors, List<InetSocketAddress> addresses,
-            int lossSeconds) throws Exception {
+            Measure.Options options) throws Exception {
+        int lossSeconds = options.seconds();
+        int backSeconds = options.part(BACK_S);
         SiteClients clients = site.clients(addresses);
         clients.start(RATE);
-        Thread.sleep(BEGIN_S * 1_000L);
+        Thread.sleep(options.part(BEGIN_S) * 1_000L);
         long steadyFrom = System.nanoTime();
         long calls = counter.commands();
         Duration cpu = cpu(doors);
         long before = sent(clients);
-        Thread.sleep(STEADY_S * 1_000L);
+        Thread.sleep(options.part(STEADY_S) * 1_000L);
         long lossFrom = System.nanoTime();
         long requests = Math.max(1, sent(clients) - before);
         double callsPerRequest = (double) (counter.commands() - calls) / requests;
@@ -87,7 +89,7 @@
         Thread.sleep(lossSeconds * 1_000L);
         long backFrom = System.nanoTime();
         counter.again();
-        Thread.sleep(BACK_S * 1_000L);
+        Thread.sleep(backSeconds * 1_000L);
         long end = System.nanoTime();
         clients.stop();
 
@@ -104,8 +106,8 @@
                 .filter(each -> each.getValue() > SATED * CEILING_RATE * lossSeconds).map(each -> lets.get(each.getKey()))
                 .toList();
         double steady = share(sated, steadyFrom, lossFrom);
-        double backAfter = BACK_S;
-        for (int s = BACK_S; s >= 1; s--) {
+        double backAfter = backSeconds;
+        for (int s = backSeconds; s >= 1; s--) {
             if (share(sated, backFrom + (s - 1) * SECOND, Math.min(end, backFrom + s * SECOND)) >= IS_BACK * steady) {
                 backAfter = s;
             }
--- a/app/src/main/java/nettletrail/app/Measure.java
+++ b/app/src/main/java/nettletrail/app/Measure.java
@@ -1,5 +1,6 @@
 package nettletrail.app;
 
+import java.util.Iterator;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
@@ -13,8 +14,16 @@
 @Command(name = "measure", mixinStandardHelpOptions = true,
         description = "Runs a measurement; exits with 1 and names the broken promises if any.")
 final class Measure implements Callable<Integer> {
+    /** The usual length; each promise is one of a run that is at least so long. */
+    private static final int USUAL_S = 20;
+
     /** What a measurement is told. */
-    record Options(int seconds, long seed, int rate, boolean full, int sizes) { }
+    record Options(int seconds, long seed, int rate, boolean full, int sizes) {
+        /** Of a phase's length or a number of cases: all of it in a run of the usual length, else in proportion; never none. */
+        int part(int whole) {
+            return seconds >= USUAL_S ? whole : Math.max(1, whole * seconds / USUAL_S);
+        }
+    }
 
     /** One measurement. */
     interface Measurement {
@@ -28,11 +37,20 @@
             "faults", new MeasureFaults(), "front-door", new MeasureFrontDoor(), "limits",
             new MeasureLimits(), "roles", new MeasureRoles(), "tokens", new MeasureTokens()));
 
-    @Parameters(paramLabel = "NAME", description = "Which one.")
+    /** Their names, for help and completion, and for the test that starts each. */
+    static final class Names implements Iterable<String> {
+        @Override
+        public Iterator<String> iterator() {
+            return ALL.keySet().iterator();
+        }
+    }
+
+    @Parameters(paramLabel = "NAME", completionCandidates = Names.class, description = "Which one: ${COMPLETION-CANDIDATES}.")
     private String name;
     @Option(names = "--json", description = "One JSON object on one line.")
     private boolean json;
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "20", description = "Length (default ${DEFAULT-VALUE}).")
+    @Option(names = "--seconds", paramLabel = "N", defaultValue = "" + USUAL_S,
+            description = "Length (default ${DEFAULT-VALUE}). Under that all phases are shorter, and promises may not hold.")
     private int seconds;
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "For all random draws.")
     private long seed;
--- a/app/src/main/java/nettletrail/app/MeasureExtProc.java
+++ b/app/src/main/java/nettletrail/app/MeasureExtProc.java
@@ -2,10 +2,8 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,6 +14,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import nettletrail.app.processes.ChildJvm;
+import nettletrail.app.processes.DoorProcesses;
 import nettletrail.proxy.EchoProcessor;
 import nettletrail.proxy.StandInProxy;
 import nettletrail.site.Ledger;
@@ -96,7 +95,7 @@
         try (ChildJvm bare = new ChildJvm(Map.of(), nodes.toArray(String[]::new))) {
             InetSocketAddress address = loopback("127.0.0.1:" + bare.await("echo on "));
             try (StandInProxy proxy = new StandInProxy(address, StandInProxy.Habits.ROUGH, options.seed(), BUDGET_MS)) {
-                play(proxy, bare, rate, WARM_S, options.seed() * 31 + 1, "c");
+                play(proxy, bare, rate, options.part(WARM_S), options.seed() * 31 + 1, "c");
                 echo = play(proxy, bare, rate, Math.min(ECHO_S, options.seconds()), options.seed() * 31 + 2, "d");
             }
         }
@@ -108,7 +107,7 @@
                 "EDGE_CONFIG", config.toString());
         try (ChildJvm door = new ChildJvm(env, "serve", "--operator", operator.toString())) {
             String asks = door.await("ext_proc listens on ");
-            awaitReady(door.await("n0 listens on "));
+            DoorProcesses.awaitReady(loopback(door.await("n0 listens on ")));
             try (StandInProxy proxy = new StandInProxy(loopback(asks.split(" ")[0]), StandInProxy.Habits.ROUGH,
                     options.seed(), BUDGET_MS)) {
                 cold = play(proxy, door, rate, WARM_S, options.seed() * 31 + 1, "a");
@@ -240,19 +239,6 @@
                 String.format("%016x", plan * 1_000 + customer), units, 1, REMAINING_MS);
     }
 
-    private static void awaitReady(String listens) throws IOException, InterruptedException {
-        InetSocketAddress address = loopback(listens);
-        for (int i = 0; i < 200; i++) {
-            HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/-/ready")
-                    .toURL().openConnection();
-            if (call.getResponseCode() == 200) {
-                return;
-            }
-            Thread.sleep(50);
-        }
-        throw new IOException("the processor never became ready");
-    }
-
     private static InetSocketAddress loopback(String text) {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(),
                 Integer.parseInt(text.substring(text.lastIndexOf(':') + 1)));
--- a/app/src/main/java/nettletrail/app/MeasureFaults.java
+++ b/app/src/main/java/nettletrail/app/MeasureFaults.java
@@ -13,9 +13,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import nettletrail.faults.FaultRelay;
@@ -30,7 +32,13 @@
     @Override
     public Measure.Result run(Measure.Options options) throws Exception {
         List<FaultMatrix.Case> cases = FaultMatrix.all();
-        for (long seed = 0; seed < SEEDS; seed++) {
+        int whole = cases.size();
+        if (options.part(whole) < whole) {
+            Collections.shuffle(cases, new Random(options.seed()));
+            cases = new ArrayList<>(cases.subList(0, Math.max(AT_ONCE, options.part(whole))));
+        }
+        int seeds = options.part(SEEDS);
+        for (long seed = 0; seed < seeds; seed++) {
             cases.add(FaultMatrix.mixed(options.seed() * 1_000 + seed));
         }
         // What hundreds of front doors log of their starts and faults is not what is measured.
@@ -71,7 +79,7 @@
         figures.put("submits_run_twice", ranTwice);
         figures.put("submits_repeated_by_relay", repeated);
         figures.put("descriptors_left", left);
-        figures.put("seeds", SEEDS);
+        figures.put("seeds", seeds);
         figures.put("relay_mb_per_s", Math.round(relayed));
         figures.put("straight_mb_per_s", Math.round(straight));
         figures.put("relay_ratio", Math.round(relayed / straight * 100) / 100.0);
@@ -113,7 +121,7 @@
             try (Socket out = new Socket(address.getAddress(), address.getPort())) {
                 OutputStream stream = out.getOutputStream();
                 start = System.nanoTime();
-                for (; sent < MOST_MIB && System.nanoTime() - start < TimeUnit.SECONDS.toNanos(3); sent++) {
+                for (; sent < MOST_MIB && System.nanoTime() - start < TimeUnit.SECONDS.toNanos(options.part(3)); sent++) {
                     stream.write(block);
                 }
             }
--- a/app/src/main/java/nettletrail/app/MeasureFrontDoor.java
+++ b/app/src/main/java/nettletrail/app/MeasureFrontDoor.java
@@ -38,6 +38,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import nettletrail.app.processes.ChildJvm;
+import nettletrail.app.processes.DoorProcesses;
 import nettletrail.site.BareRelay;
 import nettletrail.site.StandInAgent;
 import org.HdrHistogram.Histogram;
@@ -87,18 +88,18 @@
                             "127.0.0.1:" + agent.address().getPort(), "EDGE_CONFIG", config.toString()), "serve")) {
                 int relayPort = port(relay.await("relay on "));
                 int doorPort = port(door.await("n0 listens on "));
-                door.await("dry run:");
+                DoorProcesses.awaitReady(new InetSocketAddress(InetAddress.getLoopbackAddress(), doorPort));
                 Side first = new Side(relay, new Load(relayPort, options.seed()));
                 Side second = new Side(door, new Load(doorPort, options.seed()));
                 try {
-                    first.warm(rate);
-                    second.warm(rate);
+                    first.warm(rate, options.part(WARM_S));
+                    second.warm(rate, options.part(WARM_S));
                     // In turns: the machine's own moods then fall on both alike.
                     for (int slice = 0; slice < seconds; slice += SLICE_S) {
-                        first.slice(rate);
-                        second.slice(rate);
+                        first.slice(rate, Math.min(SLICE_S, seconds - slice));
+                        second.slice(rate, Math.min(SLICE_S, seconds - slice));
                     }
-                    return result(rate, seconds, second.figures(), first.figures());
+                    return result(rate, seconds, second.figures(options.part(MOST_S)), first.figures(options.part(MOST_S)));
                 } finally {
                     first.load.close();
                     second.load.close();
@@ -184,32 +185,32 @@
         }
 
         /** As fast as it goes first: at a paced rate the compiler would be at work for most of the measured time. */
-        void warm(int rate) throws Exception {
+        void warm(int rate, int seconds) throws Exception {
             load.connect();
-            load.flat(WARM_S);
+            load.flat(seconds);
             load.paced(rate, 1);
             load.disconnect();
             load.take();
             other = load.other;
         }
 
-        void slice(int rate) throws Exception {
+        void slice(int rate, int seconds) throws Exception {
             load.connect();
             long before = child.cpu().toNanos();
-            load.paced(rate, SLICE_S);
+            load.paced(rate, seconds);
             cpuNs += child.cpu().toNanos() - before;
             load.disconnect();
         }
 
         /** And then as fast as the connections go, for the most that it does a second. */
-        Figures figures() throws Exception {
+        Figures figures(int seconds) throws Exception {
             Histogram latency = load.take();
             long notServed = load.other - other;
             load.connect();
-            load.flat(MOST_S);
+            load.flat(seconds);
             load.disconnect();
             return new Figures(latency, cpuNs / 1e3 / Math.max(1, latency.getTotalCount()),
-                    load.take().getTotalCount() / (double) MOST_S, notServed);
+                    load.take().getTotalCount() / (double) seconds, notServed);
         }
     }
 
--- a/app/src/main/java/nettletrail/app/MeasureLimits.java
+++ b/app/src/main/java/nettletrail/app/MeasureLimits.java
@@ -87,6 +87,7 @@
     /** One run in virtual time, and the two others on the same requests. */
     private static final class Run {
         final LimitsFleet fleet;
+        final Measure.Options options;
         final int set;
         final int customers;
         final Tally evenSplit = new Tally();
@@ -100,8 +101,9 @@
         double evenDuringLoss;
         double callDuringLoss;
 
-        Run(long seed, int doors, int set, int customers) {
-            fleet = new LimitsFleet(seed, doors, set, CEILING).start();
+        Run(Measure.Options options, int doors, int set, int customers) {
+            this.options = options;
+            fleet = new LimitsFleet(options.seed(), doors, set, CEILING).start();
             this.set = set;
             this.customers = customers;
             fleet.asked = this::asked;
@@ -139,21 +141,21 @@
                             DEMAND * CEILING.ratePerS() * part, MEAN_UNITS));
                 }
             }
-            fleet.run(fleet.now + BEGIN_S * SECOND);
+            fleet.run(fleet.now + options.part(BEGIN_S) * SECOND);
             double[] atBegin = lets();
-            fleet.run(fleet.now + STEADY_S * SECOND);
+            fleet.run(fleet.now + options.part(STEADY_S) * SECOND);
             steadyPerS = lets();
             for (int i = 0; i < steadyPerS.length; i++) {
-                steadyPerS[i] = (steadyPerS[i] - atBegin[i]) / STEADY_S;
+                steadyPerS[i] = (steadyPerS[i] - atBegin[i]) / options.part(STEADY_S);
             }
             double before = let();
             double evenBefore = evenSplit.let();
             double callBefore = callEach.let();
             fleet.doors.forEach(each -> each.counter = -1);
-            fleet.run(fleet.now + LOSS_S * SECOND);
-            servedDuringLoss = (let() - before) / allowed(LOSS_S);
-            evenDuringLoss = (evenSplit.let() - evenBefore) / allowed(LOSS_S);
-            callDuringLoss = (callEach.let() - callBefore) / allowed(LOSS_S);
+            fleet.run(fleet.now + options.part(LOSS_S) * SECOND);
+            servedDuringLoss = (let() - before) / allowed(options.part(LOSS_S));
+            evenDuringLoss = (evenSplit.let() - evenBefore) / allowed(options.part(LOSS_S));
+            callDuringLoss = (callEach.let() - callBefore) / allowed(options.part(LOSS_S));
             fleet.doors.forEach(each -> each.counter = 0);
             backAfter();
             int[] apart = new int[fleet.doors.size() / 3];
@@ -169,7 +171,7 @@
                     stores.put(100L + customer + "@" + half, one.copy());
                 }
             }
-            fleet.run(fleet.now + LOSS_S * SECOND);
+            fleet.run(fleet.now + options.part(LOSS_S) * SECOND);
             fleet.doors.forEach(each -> each.counter = 0);
             backAfter();
         }
@@ -177,7 +179,7 @@
         /** Seconds until as much is let in in a second as before the loss, nearly; the rest of its time is played too. */
         private void backAfter() {
             double[] took = new double[back.length];
-            for (int s = 1; s <= BACK_S; s++) {
+            for (int s = 1; s <= options.part(BACK_S); s++) {
                 double[] before = lets();
                 fleet.run(fleet.now + SECOND);
                 double[] after = lets();
@@ -186,7 +188,7 @@
                 }
             }
             for (int i = 0; i < took.length; i++) {
-                back[i] = Math.max(back[i], took[i] == 0 ? BACK_S : took[i]);
+                back[i] = Math.max(back[i], took[i] == 0 ? options.part(BACK_S) : took[i]);
             }
         }
 
@@ -203,14 +205,14 @@
     public Measure.Result run(Measure.Options options) throws Exception {
         Map<String, Object> figures = new LinkedHashMap<>();
         List<String> broken = new ArrayList<>();
-        Run three = new Run(options.seed(), 3, 3, 5);
+        Run three = new Run(options, 3, 3, 5);
         three.play();
         tell(figures, broken, "", three);
-        Run forty = new Run(options.seed(), 40, 6, 100);
+        Run forty = new Run(options, 40, 6, 100);
         forty.play();
         tell(figures, broken, "forty_", forty);
         figures.put("forty_counter_bytes_per_customer", forty.fleet.counters.get(0).bytes() / forty.customers);
-        large(figures, options.seed());
+        large(figures, options);
         real(figures, options);
         processes(figures, broken, options);
         return new Measure.Result(figures, broken);
@@ -241,15 +243,16 @@
     }
 
     /** The size of the largest installation that was named, without a loss: what it asks of the counter. */
-    private static void large(Map<String, Object> figures, long seed) {
-        LimitsFleet fleet = new LimitsFleet(seed, 40, 6, CEILING).start();
-        for (int i = 0; i < LARGE_CUSTOMERS * 6; i++) {
+    private static void large(Map<String, Object> figures, Measure.Options options) {
+        int customers = options.part(LARGE_CUSTOMERS);
+        LimitsFleet fleet = new LimitsFleet(options.seed(), 40, 6, CEILING).start();
+        for (int i = 0; i < customers * 6; i++) {
             fleet.load(new Load((i / 6 + i % 6) % 40, i / 6, 0.5, MEAN_UNITS));
         }
         fleet.run(3 * SECOND);
         long calls = fleet.calls;
         fleet.run(fleet.now + LARGE_S * SECOND);
-        figures.put("large_customers", LARGE_CUSTOMERS);
+        figures.put("large_customers", customers);
         figures.put("large_calls_per_s_per_front_door", round((fleet.calls - calls) / 40.0 / LARGE_S));
         figures.put("large_counter_bytes", fleet.counters.get(0).bytes());
         figures.put("large_most_customers_at_a_front_door",
@@ -259,7 +262,7 @@
     /** Whole front doors; a loss of 60 s takes {@code --seconds 60}. */
     private static void processes(Map<String, Object> figures, List<String> broken, Measure.Options options)
             throws Exception {
-        LimitsProcesses.Figures told = LimitsProcesses.run(options.seconds(), options.seed());
+        LimitsProcesses.Figures told = LimitsProcesses.run(options);
         double overshoot = round(told.overshootPct(OVER_S));
         figures.put("processes_requests", told.requests());
         figures.put("processes_loss_s", options.seconds());
@@ -308,7 +311,7 @@
             for (int i = 0; i < 3; i++) {
                 bounds.add(LimitsBound.maker(limits).make("n" + i, loops.get(i), reader, settings));
             }
-            pace(loops, bounds, options.seed(), 4);
+            pace(loops, bounds, options.seed(), options.part(4));
             long before = cpuNs(loops);
             long callsBefore = counter.commands();
             long requests = pace(loops, bounds, options.seed(), seconds);
--- a/app/src/main/java/nettletrail/app/MeasureTokens.java
+++ b/app/src/main/java/nettletrail/app/MeasureTokens.java
@@ -59,9 +59,9 @@
     @Override
     public Measure.Result run(Measure.Options options) throws Exception {
         int rate = options.rate() > 0 ? options.rate() : RATE;
-        int outage = Math.max(FRESH_S + 3, options.seconds() / 2);
-        Run direct = play(false, outage, rate, options.seed());
-        Run tokens = play(true, outage, rate, options.seed());
+        int outage = Math.max(options.part(FRESH_S + 3), options.seconds() / 2);
+        Run direct = play(false, outage, rate, options);
+        Run tokens = play(true, outage, rate, options);
         Map<String, Object> figures = new LinkedHashMap<>();
         List<String> broken = new ArrayList<>();
         Map<String, Events.Sent> sent = new HashMap<>();
@@ -114,8 +114,8 @@
         figures.put("added_p50_us", round(p50 - p50Direct));
         figures.put("direct_p50_us", round(p50Direct));
         figures.put("direct_p50_again_us", round(p50(direct, false, direct.marks.delayed(), direct.marks.gone())));
-        double recovered = BACK_S;
-        for (int s = BACK_S; s >= 1; s--) {
+        double recovered = options.part(BACK_S);
+        for (int s = options.part(BACK_S); s >= 1; s--) {
             if (goodShare(tokens, "", marks.back() + (s - 1) * SECOND, Math.min(marks.end(), marks.back() + s * SECOND))
                     >= IS_BACK * before) {
                 recovered = s;
@@ -190,8 +190,9 @@
         return took.getValueAtPercentile(50);
     }
 
-    private static Run play(boolean withTokens, int outage, int rate, long seed) throws Exception {
+    private static Run play(boolean withTokens, int outage, int rate, Measure.Options options) throws Exception {
         Run run = new Run();
+        long seed = options.seed();
         NioEventLoopGroup group = new NioEventLoopGroup(1);
         List<StandInIntrospection> servers = new ArrayList<>();
         SiteSettings settings = SiteSettings.usual(DOORS);
@@ -229,7 +230,7 @@
                 });
             }
             clients.start(rate);
-            play(run, servers, withTokens ? outage : 1);
+            play(run, servers, withTokens ? outage : 0, options);
             clients.stop();
             run.events.addAll(site.events().all());
             run.breaks = site.audit();
@@ -240,23 +241,24 @@
         }
     }
 
-    private static void play(Run run, List<StandInIntrospection> servers, int outage) throws InterruptedException {
-        Thread.sleep(WARM_S * 1_000L);
+    private static void play(Run run, List<StandInIntrospection> servers, int outage, Measure.Options options)
+            throws InterruptedException {
+        Thread.sleep(options.part(WARM_S) * 1_000L);
         run.callsBegin = calls(servers);
         long quick = System.nanoTime();
-        Thread.sleep(QUICK_S * 1_000L);
+        Thread.sleep(options.part(QUICK_S) * 1_000L);
         long delayed = System.nanoTime();
         servers.forEach(each -> each.delay(0, 2_000));
-        Thread.sleep(DELAYED_S * 1_000L);
+        Thread.sleep(options.part(DELAYED_S) * 1_000L);
         long gone = System.nanoTime();
         servers.forEach(each -> {
             each.delay(0, 0);
             each.gone();
         });
-        Thread.sleep(outage * 1_000L);
+        Thread.sleep(Math.max(1, outage) * 1_000L);
         long back = System.nanoTime();
         servers.forEach(StandInIntrospection::again);
-        Thread.sleep(outage > 1 ? BACK_S * 1_000L : 100);
+        Thread.sleep(outage > 0 ? options.part(BACK_S) * 1_000L : 100);
         run.calls = calls(servers);
         run.marks = new Marks(quick, delayed, gone, back, System.nanoTime());
     }
--- a/app/src/main/java/nettletrail/app/processes/DoorProcesses.java
+++ b/app/src/main/java/nettletrail/app/processes/DoorProcesses.java
@@ -59,7 +59,12 @@
         return List.copyOf(doors);
     }
 
-    static void awaitReady(InetSocketAddress door) throws IOException, InterruptedException {
+    /**
+     * Returns when the front door says that it is ready; it listens before, and its dry run is over by then.
+     *
+     * @throws IOException if it doesn't within 15 s and the time that its answers take
+     */
+    public static void awaitReady(InetSocketAddress door) throws IOException, InterruptedException {
         for (int i = 0; i < 300; i++) {
             HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + door.getPort() + "/-/ready")
                     .toURL().openConnection();
