measure start: what a start costs until ready, and when that is on a share of a core

Need: "nine in ten restarted processes ready within 10 s" had no measurement of our own. Promise: p90 at 0.2 is at most 10 s.

--- a/app/src/main/java/nettletrail/app/processes/ChildJvm.java
+++ b/app/src/main/java/nettletrail/app/processes/ChildJvm.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import nettletrail.app.App;
+import nettletrail.door.Main;
 
 /** A command of this program in a JVM of its own, with the platform's options, so that its CPU can be told apart. */
 public final class ChildJvm implements AutoCloseable {
@@ -56,6 +58,21 @@
         reader.start();
     }
 
+    /**
+     * The front door as it is delivered: the deploy file's {@code run}, with its options, its jar and its archive of classes.
+     * Where the jar isn't built (a test before {@code package}) its classes are taken from this process's path.
+     *
+     * @param home the repository, against which the options' paths are taken
+     */
+    public static ChildJvm delivered(Path home, Map<String, String> env) throws IOException {
+        List<String> command = new ArrayList<>(List.of("java", "@deploy/serve.args"));
+        String jar = "front-door/target/nettletrail.jar";
+        command.addAll(Files.exists(home.resolve(jar)) ? List.of("-jar", jar)
+                : List.of("-cp", System.getProperty("java.class.path"), Main.class.getName()));
+        command.add("serve");
+        return new ChildJvm(env, home, command, line -> { });
+    }
+
     private static List<String> command(List<String> heap, String... arguments) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
--- a/app/src/test/java/nettletrail/app/MeasuresRunTest.java
+++ b/app/src/test/java/nettletrail/app/MeasuresRunTest.java
@@ -31,7 +31,7 @@
 import picocli.CommandLine.Model.PositionalParamSpec;
 
 /**
- * Each {@code measure} that the command line has, as its least length: it starts what it needs, measures, stops and tells its
+ * Each {@code measure} that the command line has, at its least length: it starts what it needs, measures, stops and tells its
  * figures. Whether its promises hold is told by runs of the usual length. In processes of their own, two at once: a
  * measurement may take the process's standard error or count its descriptors.
  */
@@ -121,6 +121,6 @@
 
     @Test
     void noneIsForgotten() {
-        assertTrue(names().containsAll(List.of("ext-proc", "faults", "front-door", "limits", "tokens")), names().toString());
+        assertTrue(names().containsAll(List.of("ext-proc", "faults", "front-door", "limits", "start", "tokens")), names().toString());
     }
 }
