--- a/app/src/main/java/nettletrail/app/scale/roles/Roles.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/Roles.java
@@ -18,7 +18,7 @@
     private static final int CHANGES = 320;
     private static final double DAY_S = 86_400;
     private static final double MIB = 1 << 20;
-    private static final int SHORT_S = 10;
+    private static final int SHORT_S = 20;
     /** Parts of the time given. */
     private static final double MEMBERS = 0.6;
     private static final double LIMITS = 0.9;
@@ -33,7 +33,7 @@
     private final Budgets.Check check = new Budgets.Check();
     private final Map<String, Object> figures = new LinkedHashMap<>();
 
-    /** @param seconds for all, 1 or more; below 10 in a short form of few small sizes, whose figures are no capacity */
+    /** @param seconds for all, 1 or more; below 20 in a short form of few small sizes, whose figures are no capacity */
     public Roles(double seconds, long seed, Budgets budgets) {
         this.seconds = seconds;
         this.seed = seed;
