--- a/app/src/main/java/nettletrail/app/scale/ScaleFleet.java
+++ b/app/src/main/java/nettletrail/app/scale/ScaleFleet.java
@@ -33,7 +33,7 @@
     private static final int RELAY_MB = 128;
     private static final double HOLLOW_MB = 160;
     private static final double DOOR_MB = 2;
-    private static final double BACKEND_MB = 0.0009;
+    private static final double BACKEND_MB = 0.0012;
     private static final long POLL_MS = 50;
 
     /** A version of the list, and when it was ordered. */
--- a/app/src/main/java/nettletrail/app/scale/SizeRun.java
+++ b/app/src/main/java/nettletrail/app/scale/SizeRun.java
@@ -27,6 +27,8 @@
 
     /** A day's 320 in 80 s. The same at every size, as the plan's are. */
     static final int CHANGES_PER_S = 4;
+    /** While only the real front doors get requests: still hundreds of times the plan's pace. */
+    private static final int ALONE_S_A_CHANGE = 2;
     /** A change not known everywhere by then counts as told then. */
     private static final long MOST_TOLD_S = 30;
     private static final int DOWN_S = 8;
@@ -81,7 +83,7 @@
         record();
         long[] sendsBefore = fleet.sends();
         Snapshot before = fleet.snapshot();
-        List<ScaleFleet.Mark> marks = changes(schedule.changesS());
+        List<ScaleFleet.Mark> marks = changes(schedule.changesS(), schedule.changesS() * CHANGES_PER_S);
         Snapshot after = fleet.snapshot();
         long[] sends = fleet.sends();
         added("_busy");
@@ -95,12 +97,12 @@
     }
 
     /** Single entries change at an even pace, in turn to be drained and to serve again; when each was ordered. */
-    private List<ScaleFleet.Mark> changes(int seconds) throws IOException, InterruptedException {
+    private List<ScaleFleet.Mark> changes(int seconds, int count) throws IOException, InterruptedException {
         List<ScaleFleet.Mark> marks = new ArrayList<>();
         long began = System.nanoTime();
         int backend = 0;
-        for (int i = 0; i < seconds * CHANGES_PER_S; i++) {
-            sleepUntil(began + 1_000_000_000L * i / CHANGES_PER_S);
+        for (int i = 0; i < count; i++) {
+            sleepUntil(began + seconds * 1_000_000_000L * i / count);
             boolean drain = i % 2 == 0;
             backend = drain ? random.nextInt(fleet.plan().backends()) : backend;
             marks.add(fleet.change(drain ? "DRAINING" : "SERVING", 0, "one:" + backend));
@@ -118,7 +120,7 @@
         Thread.sleep(SETTLE_MS);
         Map<String, Long> before = fleet.backendCounts();
         record();
-        List<ScaleFleet.Mark> marks = changes(schedule.aloneS());
+        List<ScaleFleet.Mark> marks = changes(schedule.aloneS(), Math.max(1, schedule.aloneS() / ALONE_S_A_CHANGE));
         added("");
         for (ScaleFleet.Mark mark : marks) {
             told.addAll(fleet.told(mark, MOST_TOLD_S));
