--- a/app/src/main/java/nettletrail/app/scale/HollowDoor.java
+++ b/app/src/main/java/nettletrail/app/scale/HollowDoor.java
@@ -130,6 +130,11 @@
         return backends.connects;
     }
 
+    /** Of discovery, taken in. */
+    long answers() {
+        return heard.size();
+    }
+
     /** When it had this version or a later one, ns; 0 if it has not. */
     long toldAt(long index) {
         for (int i = heard.size() - 1; i >= 0; i--) {
--- a/app/src/main/java/nettletrail/app/scale/HollowDoors.java
+++ b/app/src/main/java/nettletrail/app/scale/HollowDoors.java
@@ -130,10 +130,10 @@
     private static final List<ToLongFunction<HollowDoor>> COUNTED = List.of(each -> each.control.cpuNs,
             HollowDoor::moduleRequestNs, HollowDoor::moduleListNs, each -> each.control.bytesIn,
             each -> each.control.bytesOut, each -> each.control.connects, each -> each.arrived, each -> each.served,
-            each -> each.refused, each -> each.failed, each -> each.attempts, HollowDoor::connects);
+            each -> each.refused, each -> each.failed, each -> each.attempts, HollowDoor::connects, HollowDoor::answers);
     /** Names of what {@link #counts} holds, in its order: sums over a front door's lives. */
     static final List<String> NAMES = List.of("control_ns", "module_request_ns", "module_list_ns", "bytes_in", "bytes_out",
-            "discovery_connects", "arrived", "served", "refused", "failed", "attempts", "connects");
+            "discovery_connects", "arrived", "served", "refused", "failed", "attempts", "connects", "answers");
 
     private long[] counts(HollowDoor door) {
         long[] earlier = before.getOrDefault(door.number, new long[COUNTED.size()]);
--- a/app/src/main/java/nettletrail/app/scale/Steady.java
+++ b/app/src/main/java/nettletrail/app/scale/Steady.java
@@ -45,6 +45,9 @@
         put("module_cpu_pct", Spread.of(modulePct).p99());
         put("module_cpu_mean_pct", Spread.of(modulePct).mean());
         put("list_us_per_change", changes == 0 ? 0 : Spread.of(list).mean() / 1e3 / changes);
+        List<Long> answers = after.since(before, "answers");
+        put("list_us_per_answer", sum(list) / 1e3 / Math.max(1, sum(answers)));
+        put("answers_per_change", changes == 0 ? 0 : Spread.of(answers).mean() / changes);
         double doors = list.size();
         put("loop_rest_pct", ((after.processes("loop_ns") - before.processes("loop_ns")) - sum(list) - sum(module)) / doors
                 * PCT_A_NS / seconds);
--- a/app/src/test/java/nettletrail/app/scale/HollowFleetTest.java
+++ b/app/src/test/java/nettletrail/app/scale/HollowFleetTest.java
@@ -84,6 +84,7 @@
         assertEquals(in, sum("bytes_in"));
         assertEquals(out, sum("bytes_out"));
         assertEquals(DOORS, machines.stream().mapToLong(each -> each.counts().wholeLists()).sum());
+        assertEquals(List.of(2L, 2L, 2L, 2L, 2L), stat("answers"));
         assertTrue(stat("control_ns").stream().allMatch(each -> each > 0));
     }
 
