The ramp of cold backends holds over all gateways; a fleet all cold is served

Need: beyond N + 2 root N + 2 a cold backend falls under the sum of all front doors. ColdFleetTest counts that sum over real modules in virtual time.

Cause: Brain.ration let further attempts earn credit, and credit once saved stayed; and it came from sends only, so that with all cold none was ever earned. Ruled out: the phase in turnedCold (told at once, one by one, after a quiet spell: under 0.5 of the budget).

Change: only the first attempt earns; what isn't used within the overload span lapses; with all cold each request within its quota earns; the capacity it is divided by has a floor.

--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -143,8 +143,12 @@
     private static final long WINDOW_MARGIN = 200 * MS;
     /** A cold backend's part of the overload multiple; the rest is for warm ones loaded above capacity. */
     private static final double COLD_PART = 0.5;
-    /** Sends to a cold backend that may be saved up. */
+    /** Sends to a cold backend that a gateway may save up, each for the overload span. */
     private static final double COLD_SAVED = 2;
+    /** Share of the fleet's capacity that is taken to be there at least, where most backends are cold. */
+    private static final double LEAST_WARM = 0.45;
+    /** The same with all cold, where each backend gets all it may: so it has about what it can do then. */
+    private static final double LEAST_WARM_ALL_COLD = 0.75;
 
     private static final class Customer {
         long id;
@@ -209,6 +213,7 @@
         double waiting;
         double busy;
         double coldCredit;
+        long coldCreditUntil;
     }
 
     private final Settings settings;
@@ -286,6 +291,9 @@
         Customer customer = job.customer;
         // A client about to leave is answered at once: the next look at what waits would be too late.
         boolean leaving = request.patienceNs() < ANSWER_MARGIN;
+        if (allCold(now) && withinQuota(customer, request)) {
+            ration(now);
+        }
         if (leaving || !inTime(job) || !withinQuota(customer, request) || !withinCeiling(customer, request)) {
             // No word on when to come again: what waits for a store to refill comes too late for its aim.
             out.refuse(request.id(), 0);
@@ -753,7 +761,10 @@
         inFlight++;
         customer.out++;
         server.jobs.addLast(job);
-        ration(server, now);
+        server.coldCredit -= 1;
+        if (job.attempts == 1 && !allCold(now)) {
+            ration(now);
+        }
         out.send(job.request.id(), server.entry.id(), timeout(job));
     }
 
@@ -1087,16 +1098,28 @@
         }
     }
 
+    /** No backend that the list names is warm. */
+    private boolean allCold(long now) {
+        int ready = 0;
+        for (int i = 0; i < cold.size(); i++) {
+            ready += cold.get(i).ready && warmth(cold.get(i), now) < 1 ? 1 : 0;
+        }
+        return ready > 0 && ready >= fleetSize;
+    }
+
     /**
-     * Each send anywhere earns every cold backend a part of one: its part of the fleet's capacity, times half
-     * the overload multiple. What all gateways together send it so follows what they send a warm one, however
-     * many they are; a gateway that sends little mostly sends it nothing.
+     * Each request first sent anywhere earns every cold backend a part of a send: its part of the fleet's
+     * capacity, times half the overload multiple. What all gateways together send it so follows what they
+     * send a warm one, however many they are; one that sends little mostly sends it nothing. Further attempts
+     * earn nothing, or the loss of others would. Where all are cold, each request within its quota earns it,
+     * sent or not: from sends alone none would ever be sent. What is not used within the overload span
+     * lapses: of many gateways each would else hold some, and when others are lost all of it would go at
+     * once.
      */
-    private void ration(Server sentTo, long now) {
+    private void ration(long now) {
         if (cold.isEmpty()) {
             return;
         }
-        sentTo.coldCredit -= 1;
         double capacity = fleetSize;
         for (int i = cold.size() - 1; i >= 0; i--) {
             if (warmth(cold.get(i), now) >= 1) {
@@ -1105,11 +1128,20 @@
                 capacity -= (1 - warmth(cold.get(i), now)) * sizeOf(cold.get(i));
             }
         }
+        capacity = Math.max(capacity, (allCold(now) ? LEAST_WARM_ALL_COLD : LEAST_WARM) * fleetSize);
+        double multiple = COLD_PART * settings.overloadMultiple();
         for (int i = 0; i < cold.size(); i++) {
             Server server = cold.get(i);
+            double credit = server.coldCredit;
+            if (credit >= 1 && now > server.coldCreditUntil) {
+                credit -= 1;
+                server.coldCreditUntil = now + settings.overloadSpanNs();
+            }
             double part = warmth(server, now) * sizeOf(server) / capacity;
-            server.coldCredit = Math.min(COLD_SAVED,
-                    server.coldCredit + COLD_PART * settings.overloadMultiple() * part);
+            server.coldCredit = Math.min(COLD_SAVED, credit + multiple * part);
+            if (credit < 1 && server.coldCredit >= 1) {
+                server.coldCreditUntil = now + settings.overloadSpanNs();
+            }
         }
     }
 
