--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -291,10 +291,13 @@
         Customer customer = job.customer;
         // A client about to leave is answered at once: the next look at what waits would be too late.
         boolean leaving = request.patienceNs() < ANSWER_MARGIN;
-        if (allCold(now) && withinQuota(customer, request)) {
+        boolean late = leaving || !inTime(job);
+        boolean allCold = allCold(now);
+        boolean within = (allCold || !late) && withinQuota(customer, request);
+        if (allCold && within) {
             ration(now);
         }
-        if (leaving || !inTime(job) || !withinQuota(customer, request) || !withinCeiling(customer, request)) {
+        if (late || !within || !withinCeiling(customer, request)) {
             // No word on when to come again: what waits for a store to refill comes too late for its aim.
             out.refuse(request.id(), 0);
             return;
