A cap's rate goes by all classes as they are asked, not by the first one's latency

Seen by reading: Brain.rate divided by unloaded[0], so that what a cap on attempts out weighs against a rate, and what it refills by, hung on which class the settings name first. It is now the mean over the classes, each by its share of what is asked.

CapRateTest: two at once of 0.2 s against 4 a second, a first class of 2 s that nobody asks for. Without the change 1 of the first five sent is the capped customer's, with it 3 or more. BrainTest, LimitsTest and ManyGatewaysTest pass.

--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -516,7 +516,16 @@
 
     /** The plan's rate; for a cap on attempts out, the rate that keeps it out while no backend is slow. */
     private double rate(Plan plan) {
-        return plan.rate() > 0 ? plan.rate() : plan.mostOut() * meanUnits * SECOND / unloaded[0];
+        return plan.rate() > 0 ? plan.rate() : plan.mostOut() * meanUnits * SECOND / meanUnloaded();
+    }
+
+    /** ns that an attempt takes while no backend is slow, over the classes as they are asked. */
+    private double meanUnloaded() {
+        double mean = 0;
+        for (int i = 0; i < asked.length; i++) {
+            mean += asked[i] * unloaded[i];
+        }
+        return mean;
     }
 
     private double burst(Plan plan) {
