Chance is allowed for in the bound at thin traffic; a gateway's own set is used in turn

Seen: at 0.6 of the capacity used, 100 doors before 200 one-slot backends refused 0.079 of all, 480 before 200 0.049. At fault: judge's cut of the bound at twice the unloaded time, which one slot at 0.6 gives by itself, and choose, which held all to it though what comes to one of many doors comes by chance.

Change: while less is out on the mean of 5 s than two attempts at each backend over all its doors, three deviations beyond that part may be. Gateway.sharedBy tells how many doors use each backend; where these are fewer than all, of those that cost the same but for the pace's own noise the next on a ring of the gateway's own goes.

--- a/app/src/main/java/nettletrail/app/scale/thin/ThinDoor.java
+++ b/app/src/main/java/nettletrail/app/scale/thin/ThinDoor.java
@@ -49,8 +49,11 @@
         Arrays.fill(lastEnded, NEVER);
         turn = fleet.chance().nextInt(arcSize);
         brain = play.choice() == ThinCase.Choice.MODULE
-                ? new Brain(settings(each == 0 ? play.doors() : (int) each, index, play.seed()), fleet.now(), actions())
+                ? new Brain(settings(play.doors(), index, play.seed()), fleet.now(), actions())
                 : null;
+        if (brain != null && each > 0) {
+            brain.sharedBy(fleet.now(), each);
+        }
     }
 
     static Settings settings(int gateways, int index, long seed) {
--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -89,6 +89,14 @@
     private static final double AIM_SHARE = 0.15;
     /** Attempts in flight from here that are always allowed: who sends nothing learns nothing. */
     private static final double LEAST_BOUND = 1;
+    /**
+     * While fewer are out on the mean than one in work and one that waits at each backend, by all gateways
+     * together, so many standard deviations of chance (Poisson) beyond a gateway's part of these may be.
+     */
+    private static final double LEAST_EACH = 2;
+    private static final double CHANCE_DEVIATIONS = 3;
+    /** Costs that differ by fewer standard deviations of a pace's own noise are taken for equal. */
+    private static final double NOISE_DEVIATIONS = 2;
     /** An answer counts as so many times what cuts the bound at most: one stall is no jam. */
     private static final double MOST_STRETCH = 3;
     /** The bound is cut while answers take this many unloaded latencies, and this share of their aim. */
@@ -214,6 +222,10 @@
         double busy;
         double coldCredit;
         long coldCreditUntil;
+        /** Its place on the ring of backends, in an order of this gateway's own. */
+        long place;
+        /** Of the choice under way: the cost of one that may be sent to. */
+        double cost;
     }
 
     private final Settings settings;
@@ -227,7 +239,6 @@
     private final double[] usual;
     private final double[] unloaded;
     private final int[] answers;
-    private final double leastLimit;
     private double meanSize = 1;
     private double meanUnits = 1;
     private double retries = MOST_RETRIES;
@@ -239,6 +250,15 @@
     private double bound;
     private double fleetPace = 1;
     private long boundCutAt;
+    private double meanInFlight;
+    private long notedAt;
+    /** Mean square of what answers differ by from the usual latency, in usual latencies. */
+    private double spread;
+    /** Gateways that use each backend, on the mean. */
+    private double sharers;
+    /** Gives the ring its order; where on it the next send in turn looks from. */
+    private final long ringSalt;
+    private long ringAt;
     private double sendGap;
     private long lastSentAt;
     private double publishedAt;
@@ -253,7 +273,8 @@
         this.out = Gateway.present(actions, "actions");
         startedAt = now;
         random = new SplittableRandom(settings.seed());
-        leastLimit = Math.min(1, LEAST_TOGETHER / settings.gateways());
+        ringSalt = new SplittableRandom(~settings.seed()).nextLong();
+        sharers = settings.gateways();
         usual = new double[settings.classes().size()];
         unloaded = new double[settings.classes().size()];
         answers = new int[usual.length];
@@ -644,12 +665,14 @@
     // ---- It is sent -------------------------------------------------------------------------------------
 
     private Server choose(Job job, long now) {
-        int silent = 0;
-        for (Server server : servers.values()) {
-            silent += silent(server, now);
-        }
-        if (inFlight - silent + 1 > Math.max(LEAST_BOUND, bound)) {
-            return null;
+        if (inFlight + 1 > mostInFlight()) {
+            int silent = 0;
+            for (Server server : servers.values()) {
+                silent += silent(server, now);
+            }
+            if (inFlight - silent + 1 > mostInFlight()) {
+                return null;
+            }
         }
         Server best = null;
         Server bestSound = null;
@@ -659,6 +682,7 @@
         int blocked = 0;
         int ties = 1;
         for (Server server : servers.values()) {
+            server.cost = Double.MAX_VALUE;
             if (!server.ready) {
                 continue;
             }
@@ -677,12 +701,52 @@
             }
             boolean free = now >= server.blockedUntil && server.out == 0;
             boolean usable = sound || free && mayTry(job, server, now);
+            server.cost = usable ? cost : Double.MAX_VALUE;
             if (usable && (cost < bestSoundCost || server == best)) {
                 bestSound = server;
                 bestSoundCost = cost;
             }
         }
-        return bestSound == null && blocked > MOST_BLOCKED * ready ? best : bestSound;
+        return bestSound == null ? blocked > MOST_BLOCKED * ready ? best : null : inTurn(bestSound);
+    }
+
+    /**
+     * The bound; while less than this gateway's part of the least is out on the mean, chance is allowed for.
+     * At one slot a backend and 0.6 of the capacity used, answers take twice their unloaded time and cut the
+     * bound down to the mean out from here: one in thirteen was turned away, none for want of capacity. In
+     * overload the mean is reached, and the bound alone decides.
+     */
+    private double mostInFlight() {
+        double part = LEAST_EACH * fleetSize / sharers;
+        double most = Math.max(LEAST_BOUND, bound);
+        return meanInFlight < part ? Math.max(most, part + CHANCE_DEVIATIONS * Math.sqrt(part)) : most;
+    }
+
+    /** Mean of what is out from here over the last seconds. */
+    private void note(long now) {
+        meanInFlight = inFlight + (meanInFlight - inFlight) * Math.exp((notedAt - now) / PACE_FORGET);
+        notedAt = now;
+    }
+
+    /**
+     * Of those that cost as little as the best, but for chance, the next on the ring: where this gateway has
+     * a set of its own among many. One quick answer makes a favourite for seconds, and of few gateways that
+     * use a backend one more or less that favours it shows: some got half as much again as others.
+     */
+    private Server inTurn(Server best) {
+        if (sharers >= settings.gateways()) {
+            return best;
+        }
+        double noise = Math.sqrt(spread * PACE_WEIGHT / (2 - PACE_WEIGHT));
+        double most = best.cost * (1 + NOISE_DEVIATIONS * noise);
+        Server next = best;
+        for (Server server : servers.values()) {
+            if (server.cost <= most && Long.compareUnsigned(server.place - ringAt, next.place - ringAt) < 0) {
+                next = server;
+            }
+        }
+        ringAt = next.place + 1;
+        return next;
     }
 
     /** Its trial at one that answers badly may cost a request: one that can be repeated. */
@@ -726,8 +790,10 @@
     }
 
     private double pace(Server server, long now) {
-        double kept = Math.exp((server.pacedAt - now) / PACE_FORGET);
-        double pace = 1 + (server.pace - 1) * kept;
+        double pace = server.pace;
+        if (pace != 1) {
+            pace = 1 + (pace - 1) * Math.exp((server.pacedAt - now) / PACE_FORGET);
+        }
         if (server.out > 0) {
             Job oldest = server.jobs.peekFirst();
             double age = (now - oldest.sentAt) / usual[oldest.request.requestClass()];
@@ -769,6 +835,7 @@
         job.attempts++;
         job.at = server;
         job.sentAt = now;
+        note(now);
         server.out++;
         inFlight++;
         customer.out++;
@@ -823,6 +890,7 @@
         server.jobs.remove(job);
         job.customer.out--;
         job.at = null;
+        note(now);
         inFlight--;
         judge(server, job, answer, now);
         job.mayHaveCome |= answer.outcome().mayHaveRun || answer.outcome() == Outcome.FULL;
@@ -882,7 +950,7 @@
             return;
         }
         if (outcome == Outcome.FULL) {
-            server.limit = Math.max(leastLimit, server.limit * LIMIT_CUT);
+            server.limit = Math.max(leastLimit(), server.limit * LIMIT_CUT);
         }
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
             doubt(server, outcome, now);
@@ -927,10 +995,12 @@
             }
         } else if (inFlight + 2 > bound || inFlight + 1 >= LIMIT_CUT * bound) {
             // In use when one more would not have fitted: between 1.25 and 2 it would else never grow again.
-            double more = Math.max(1, fleetSize / settings.gateways());
+            double more = Math.max(1, fleetSize / sharers);
             bound = Math.min(MOST_LIMIT * fleetSize, bound + more / Math.max(1, bound));
         }
         double ratio = Math.min(20, took / usual[kind]);
+        double off = Math.min(MOST_STRETCH, ratio) - 1;
+        spread += Math.max(CLASS_WEIGHT, 1.0 / (answers[kind] + 1)) * (off * off - spread);
         server.pace = pace(server, now);
         server.pace += PACE_WEIGHT * (ratio - server.pace);
         server.pacedAt = now;
@@ -939,7 +1009,7 @@
         double slow = server.pace * usual[kind];
         if (slow > Math.max(FULL_PACE * unloaded[kind], AIM_SHARE * job.kind.aimNs())) {
             if (now > server.cutAt + slow) {
-                server.limit = Math.max(leastLimit, Math.min(server.limit, server.out + 1) * LIMIT_CUT);
+                server.limit = Math.max(leastLimit(), Math.min(server.limit, server.out + 1) * LIMIT_CUT);
                 server.cutAt = now;
             }
         } else if (server.out + 1 >= 0.8 * server.limit) {
@@ -949,7 +1019,7 @@
 
     /** What answers badly costs each gateway a request at each trial: of many, each tries more rarely. */
     private void block(Server server, long now) {
-        double many = server.doubt < UNWELL ? 1 : Math.max(1, settings.gateways() / FEW_GATEWAYS);
+        double many = server.doubt < UNWELL ? 1 : Math.max(1, sharers / FEW_GATEWAYS);
         double block = Math.max(FIRST_BLOCK * many, 2 * server.block);
         server.block = (long) Math.min(MOST_BLOCK * many, block);
         server.blockedUntil = now + server.block;
@@ -1051,12 +1121,12 @@
             }
         }
         for (Backend entry : entries) {
-            Server server = servers.computeIfAbsent(entry.id(), id -> new Server());
+            Server server = servers.computeIfAbsent(entry.id(), this::placed);
             boolean restarted = server.entry == null || server.entry.startedAt() != entry.startedAt();
             server.entry = entry;
             server.ready = entry.state() == State.READY;
             if (server.limit == 0 || restarted) {
-                server.limit = Math.max(leastLimit, FIRST_LIMIT / settings.gateways());
+                server.limit = Math.max(leastLimit(), FIRST_LIMIT / sharers);
             }
             if (restarted && entry.startedAt() > 0) {
                 turnedCold(server, entry.startedAt());
@@ -1079,12 +1149,32 @@
         }
         meanSize = n == 0 ? 1 : sum / n;
         if (fleetSize == 0) {
-            bound = FIRST_LIMIT * n / settings.gateways();
+            bound = FIRST_LIMIT * n / sharers;
         }
         fleetSize = n;
         pump(now);
     }
 
+    /** The ring's order is that of a hash (MurmurHash3's finalizer): no two gateways go the same way. */
+    private Server placed(long id) {
+        Server server = new Server();
+        long mixed = id ^ ringSalt;
+        mixed = (mixed ^ mixed >>> 33) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ mixed >>> 33) * 0xc4ceb9fe1a85ec53L;
+        server.place = mixed ^ mixed >>> 33;
+        return server;
+    }
+
+    @Override
+    public void sharedBy(long now, double gateways) {
+        Gateway.require(gateways >= 1, "sharedBy");
+        sharers = gateways;
+    }
+
+    private double leastLimit() {
+        return Math.min(1, LEAST_TOGETHER / sharers);
+    }
+
     @Override
     public void listFailed(long now) {
         if (settings.asksForList()) {
--- a/decision/src/main/java/nettletrail/decision/Gateway.java
+++ b/decision/src/main/java/nettletrail/decision/Gateway.java
@@ -19,6 +19,12 @@
     /** The list of backends: the whole list, or only the entries that changed. */
     void listed(long now, boolean whole, List<Backend> entries);
 
+    /**
+     * Of the gateways, so many use each backend that this one is told of, on the mean; 1 or more. Comes before the list
+     * that it holds for. Without a word, all {@link Settings#gateways} do.
+     */
+    default void sharedBy(long now, double gateways) { }
+
     /** A call for the list failed, or the subscription broke; the list held so far stays valid. */
     void listFailed(long now);
 
