A deterministic aperture: which of many backends one of many gateways uses

At the plan's size (480 gateways, 7,500 backends) each gateway sends to each backend once in two minutes: a request costs the module more with each backend, nearly each send opens a connection, and nothing learned lasts until the next.

Aperture decides from the list and the gateway's number alone: per zone a ring by the hash of ids, an arc of each, so that each backend is in the sets of floor(s) or ceil(s) gateways; s = max(doorsPerBackend, least x gateways / backends, gateways / largest zone). ApertureGateway wraps a module and tells it only the set; up to `least` backends (256) the calls are the same, in the same order. Gateway.sharedBy tells how many gateways share each backend. SettingsReader reads Index and the figures. Not on yet: nothing makes one.

A zone with fewer than gateways / s backends is used by some gateways only. Were one of each zone in every set, a first backend of a new zone would get a part of every gateway's load, far beyond its share and its cold budget.

Properties over drawn fleets of 1 to 480 gateways, up to 8,000 backends, one to five uneven zones. Bounds: spread of gateways over backends in a zone ceil(s)/s, so below 9/8 from 8 on and 1 for a whole s; a change of one backend moves two others of its zone and none elsewhere where doorsPerBackend decides, else three and one.

--- a/decision/src/main/java/nettletrail/decision/SettingsReader.java
+++ b/decision/src/main/java/nettletrail/decision/SettingsReader.java
@@ -46,6 +46,23 @@
                 time("FamilyInfo.Metering"), classes, plans);
     }
 
+    /** This gateway's number among all, from 0; below 0 where the settings don't tell it. */
+    public int index() {
+        double index = number("Index", -1);
+        return index >= 0 && index < count("Balancers", 1) ? (int) index : -1;
+    }
+
+    /** How many backends it uses, where these settings say so; else as given. */
+    public ApertureSettings aperture(ApertureSettings absent) {
+        boolean enabled = switch (text("Aperture.Enabled", String.valueOf(absent.enabled()))) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw malformed("Aperture.Enabled");
+        };
+        return new ApertureSettings(enabled, count("Aperture.Least", absent.least()),
+                count("Aperture.DoorsPerBackend", absent.doorsPerBackend()));
+    }
+
     /** The names of a load report's values, in their order on the wire. */
     public List<String> reportFields() {
         return list("Report.Fields");
--- /dev/null
+++ b/decision/src/test/java/nettletrail/decision/ApertureGatewayTest.java
@@ -0,0 +1,252 @@
+package nettletrail.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import nettletrail.decision.Gateway.Answer;
+import nettletrail.decision.Gateway.Backend;
+import nettletrail.decision.Gateway.Effect;
+import nettletrail.decision.Gateway.Group;
+import nettletrail.decision.Gateway.Outcome;
+import nettletrail.decision.Gateway.Plan;
+import nettletrail.decision.Gateway.Request;
+import nettletrail.decision.Gateway.RequestClass;
+import nettletrail.decision.Gateway.Settings;
+import nettletrail.decision.Gateway.State;
+import org.junit.jupiter.api.Test;
+
+/** What a module behind an aperture is told, and what becomes of its requests. */
+class ApertureGatewayTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final ApertureSettings SMALL = new ApertureSettings(true, 4, 2);
+
+    /** Keeps the calls, word for word. */
+    private static final class Heard implements Gateway {
+        final List<String> calls = new ArrayList<>();
+
+        @Override
+        public void listed(long now, boolean whole, List<Backend> entries) {
+            calls.add("listed " + now + " " + whole + " " + entries);
+        }
+
+        @Override
+        public void sharedBy(long now, double gateways) {
+            calls.add("sharedBy " + now + " " + gateways);
+        }
+
+        @Override
+        public void listFailed(long now) {
+            calls.add("listFailed " + now);
+        }
+
+        @Override
+        public void arrived(long now, Request request) {
+            calls.add("arrived " + now + " " + request);
+        }
+
+        @Override
+        public void answered(long now, Answer answer) {
+            calls.add("answered " + now + " " + answer);
+        }
+
+        @Override
+        public void departed(long now, long requestId) {
+            calls.add("departed " + now + " " + requestId);
+        }
+
+        @Override
+        public void woken(long now, int token) {
+            calls.add("woken " + now + " " + token);
+        }
+    }
+
+    private static Settings settings(int gateways) {
+        return new Settings(gateways, 0, 7, 1_000_000, 4, false, 0.17, 17 * SECOND, 3, 3 * SECOND / 2, 0, 0,
+                List.of(new RequestClass(SECOND, 1, 0, Effect.REPEATABLE, Group.ALL, 0)),
+                List.of(new Plan(0, 0, 0, 0, 0, 0, 0, 0, 1)));
+    }
+
+    private static Backend backend(long id, State state, long startedAt) {
+        return new Backend(id, (int) (id % 3), 0, 0, state, 1, startedAt);
+    }
+
+    private static List<Backend> ready(int count) {
+        return IntStream.rangeClosed(1, count).mapToObj(id -> backend(id, State.READY, 0)).toList();
+    }
+
+    private static void play(Gateway gateway, int backends) {
+        gateway.listed(1, false, ready(2));
+        gateway.listed(1, true, ready(backends));
+        gateway.listed(2, false, List.of());
+        gateway.arrived(3, new Request(1, 0, 0, 9, 1, 1, SECOND));
+        gateway.listed(4, false, List.of(backend(3, State.DRAINING, 0), backend(3, State.GONE, 0),
+                backend(77, State.GONE, 0), backend(3, State.READY, 4), backend(3, State.READY, 4)));
+        gateway.answered(5, new Answer(1, 0, 2, Outcome.OK, true, 1, -1, 0, null));
+        gateway.listFailed(6);
+        gateway.departed(7, 1);
+        gateway.woken(8, 1);
+        gateway.listed(9, true, List.of());
+    }
+
+    @Test
+    void upToLeastBackendsTheModuleGetsTheSameCallsInTheSameOrder() {
+        for (int index = 0; index < 40; index += 13) {
+            Heard without = new Heard();
+            play(without, 256);
+            Heard with = new Heard();
+            Gateway gateway = ApertureGateway.around(with, settings(40), index, ApertureSettings.DEFAULT);
+            assertInstanceOf(ApertureGateway.class, gateway);
+            play(gateway, 256);
+            assertEquals(without.calls, with.calls);
+        }
+    }
+
+    @Test
+    void itIsLeftOutWhereItCouldChangeNothing() {
+        Heard module = new Heard();
+        assertSame(module, ApertureGateway.around(module, settings(40), 3, ApertureSettings.OFF));
+        assertSame(module, ApertureGateway.around(module, settings(40), -1, ApertureSettings.DEFAULT));
+        assertSame(module, ApertureGateway.around(module, settings(40), 40, ApertureSettings.DEFAULT));
+        assertSame(module, ApertureGateway.around(module, settings(8), 3, ApertureSettings.DEFAULT));
+        assertNotSame(module, ApertureGateway.around(module, settings(9), 8, ApertureSettings.DEFAULT));
+    }
+
+    @Test
+    void theModuleHearsFirstHowManyShareEachBackend() {
+        Heard heard = new Heard();
+        Gateway gateway = ApertureGateway.around(heard, settings(10), 0, SMALL);
+        gateway.listed(5, true, ready(4));
+        gateway.listed(6, true, ready(60));
+        gateway.listed(7, true, ready(60));
+        gateway.listed(8, true, ready(4));
+        assertEquals(List.of("listed 5", "sharedBy 6 2.0", "listed 6", "listed 7", "sharedBy 8 10.0", "listed 8"),
+                heard.calls.stream().map(each -> each.startsWith("listed") ? each.substring(0, 8) : each).toList());
+    }
+
+    @Test
+    void aChangeOutsideTheSetIsNotToldAtAll() {
+        Heard heard = new Heard();
+        Gateway gateway = ApertureGateway.around(heard, settings(10), 0, SMALL);
+        Aperture same = new Aperture(SMALL, 10, 0, false);
+        gateway.listed(5, true, ready(60));
+        same.listed(true, ready(60));
+        Backend outside = ready(60).stream().filter(each -> !same.set().contains(each)).findFirst().orElseThrow();
+        heard.calls.clear();
+        gateway.listed(6, false, List.of(backend(outside.id(), State.DRAINING, 0)));
+        gateway.listed(7, false, List.of(backend(outside.id(), State.READY, 7)));
+        assertEquals(List.of(), heard.calls);
+    }
+
+    /** Cold or draining, an entry comes as the list has it; who leaves the list while in the set is gone. */
+    @Test
+    void entriesOfTheSetComeUnchanged() {
+        Heard heard = new Heard();
+        Gateway gateway = ApertureGateway.around(heard, settings(10), 0, SMALL);
+        Aperture same = new Aperture(SMALL, 10, 0, false);
+        gateway.listed(5, true, ready(60));
+        same.listed(true, ready(60));
+        long id = same.set().get(0).id();
+        for (Backend told : List.of(backend(id, State.READY, 123), backend(id, State.DRAINING, 123),
+                backend(id, State.GONE, 123))) {
+            heard.calls.clear();
+            gateway.listed(6, false, List.of(told));
+            assertTrue(heard.calls.get(0).contains(told.toString()), heard.calls + "");
+        }
+    }
+
+    // ---- With the module --------------------------------------------------------------------------------
+
+    private static final class Doors implements Gateway.Actions {
+        final List<Long> sent = new ArrayList<>();
+        final List<Long> refused = new ArrayList<>();
+
+        @Override
+        public void send(long requestId, long backendId, long timeoutNs) {
+            sent.add(backendId);
+        }
+
+        @Override
+        public void refuse(long requestId, long retryAfterNs) {
+            refused.add(requestId);
+        }
+
+        @Override
+        public void fail(long requestId) {
+            refused.add(requestId);
+        }
+
+        @Override
+        public void wakeIn(int token, long ns) { }
+
+        @Override
+        public void followList() { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    /** Each answer takes the time that the module takes for usual, so that it keeps to no favourite. */
+    private static Set<Long> sends(Gateway gateway, Doors actions, long from, int count) {
+        actions.sent.clear();
+        for (int i = 0; i < count; i++) {
+            long now = from + i * SECOND / 100;
+            gateway.arrived(now, new Request(from + i, 0, 0, i % 50, 1, 1, SECOND));
+            if (actions.sent.size() > i) {
+                gateway.answered(now + SECOND / 1_000, new Answer(from + i, 0, actions.sent.get(i), Outcome.OK, true,
+                        SECOND / 5, -1, 0, null));
+            }
+        }
+        return new HashSet<>(actions.sent);
+    }
+
+    /** All gateways together use all backends, each only its set; who left the set gets nothing more. */
+    @Test
+    void eachGatewaySendsToItsSetAndAllOfThemToAll() {
+        Set<Long> all = new HashSet<>();
+        for (int index = 0; index < 10; index++) {
+            Doors actions = new Doors();
+            Gateway gateway = ApertureGateway.around(new Brain(settings(10), 1_000, actions), settings(10), index, SMALL);
+            Aperture same = new Aperture(SMALL, 10, index, false);
+            gateway.listed(1_000, true, ready(60));
+            same.listed(true, ready(60));
+            Set<Long> set = new HashSet<>(same.set().stream().map(Backend::id).toList());
+            Set<Long> used = sends(gateway, actions, 2_000, 600);
+            assertEquals(600, actions.sent.size());
+            assertEquals(set, used);
+            all.addAll(used);
+            List<Backend> gone = List.of(backend(set.iterator().next(), State.GONE, 0));
+            gateway.listed(9 * SECOND, false, gone);
+            same.listed(false, gone);
+            assertEquals(new HashSet<>(same.set().stream().map(Backend::id).toList()),
+                    sends(gateway, actions, 10 * SECOND, 600));
+        }
+        assertEquals(60, all.size());
+    }
+
+    // ---- Settings ---------------------------------------------------------------------------------------
+
+    @Test
+    void theSettingsTellTheNumberAndMaySetTheFigures() {
+        SettingsReader plain = new SettingsReader("Balancers=3\nIndex=2");
+        assertEquals(2, plain.index());
+        assertSame(ApertureSettings.DEFAULT.enabled(), plain.aperture(ApertureSettings.DEFAULT).enabled());
+        assertEquals(ApertureSettings.DEFAULT, plain.aperture(ApertureSettings.DEFAULT));
+        assertEquals(-1, new SettingsReader("Balancers=3").index());
+        assertEquals(-1, new SettingsReader("Balancers=3\nIndex=3").index());
+        assertEquals(-1, new SettingsReader("Balancers=3\nIndex=-1").index());
+        assertEquals(new ApertureSettings(false, 6, 2), new SettingsReader(
+                "Aperture.Enabled=false\nAperture.Least=6\nAperture.DoorsPerBackend=2").aperture(ApertureSettings.DEFAULT));
+        assertThrows(WireFault.class, () -> new SettingsReader("Aperture.Enabled=no").aperture(ApertureSettings.OFF));
+        assertThrows(IllegalArgumentException.class,
+                () -> new SettingsReader("Aperture.Least=0").aperture(ApertureSettings.DEFAULT));
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/nettletrail/decision/ApertureTest.java
@@ -0,0 +1,418 @@
+package nettletrail.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import nettletrail.decision.Gateway.Backend;
+import nettletrail.decision.Gateway.State;
+import org.junit.jupiter.api.Test;
+
+/** Each property over drawn fleets: 1 to 480 gateways, up to 8,000 backends in one to five uneven zones. */
+class ApertureTest {
+    private static final int TRIES = 60;
+
+    /** A fleet as drawn from a seed. */
+    private static final class Fleet {
+        final Random random;
+        final int doors;
+        final ApertureSettings settings;
+        final Map<Long, Backend> list = new LinkedHashMap<>();
+        private long nextId;
+
+        Fleet(long seed, int doors, int backends, ApertureSettings settings) {
+            random = new Random(seed);
+            this.doors = doors;
+            this.settings = settings;
+            double[] weights = random.doubles(1 + random.nextInt(5), 0.02, 1).toArray();
+            double sum = java.util.Arrays.stream(weights).sum();
+            for (int i = 0; i < backends; i++) {
+                double at = random.nextDouble() * sum;
+                int zone = 0;
+                while (zone + 1 < weights.length && at >= weights[zone]) {
+                    at -= weights[zone++];
+                }
+                add(zone);
+            }
+        }
+
+        Backend add(int zone) {
+            long id = ++nextId * 2_654_435_761L;
+            Backend made = new Backend(id, zone, 0, (int) (id >> 3 & 0xff), State.READY, 1, 0);
+            list.put(made.id(), made);
+            return made;
+        }
+
+        Backend any() {
+            List<Long> ids = new ArrayList<>(list.keySet());
+            return list.get(ids.get(random.nextInt(ids.size())));
+        }
+
+        List<Backend> entries() {
+            return new ArrayList<>(list.values());
+        }
+
+        Aperture at(int index) {
+            Aperture made = new Aperture(settings, doors, index, false);
+            made.listed(true, entries());
+            return made;
+        }
+
+        Map<Integer, Long> zones() {
+            return entries().stream().collect(Collectors.groupingBy(Backend::zone, TreeMap::new, Collectors.counting()));
+        }
+
+        /** s of the class comment. */
+        double share() {
+            double largest = zones().values().stream().mapToLong(each -> each).max().orElse(1);
+            return Math.min(doors, Math.max(Math.max(settings.doorsPerBackend(),
+                    settings.least() * (double) doors / list.size()), doors / largest));
+        }
+    }
+
+    private static Backend as(Backend entry, State state) {
+        return new Backend(entry.id(), entry.zone(), entry.kind(), entry.cell(), state, entry.size(), entry.startedAt());
+    }
+
+    private static Set<Long> ids(List<Backend> entries) {
+        return entries.stream().map(Backend::id).collect(Collectors.toSet());
+    }
+
+    private static Map<Integer, Set<Long>> byZone(List<Backend> entries) {
+        return entries.stream().collect(Collectors.groupingBy(Backend::zone,
+                Collectors.mapping(Backend::id, Collectors.toSet())));
+    }
+
+    private static int differ(Set<Long> a, Set<Long> b, long without) {
+        Set<Long> both = new HashSet<>(a);
+        both.retainAll(b);
+        Set<Long> either = new HashSet<>(a);
+        either.addAll(b);
+        either.removeAll(both);
+        either.remove(without);
+        return either.size();
+    }
+
+    private static int differ(Aperture before, Aperture after, int zone, long without) {
+        return differ(byZone(before.set()).getOrDefault(zone, Set.of()), byZone(after.set()).getOrDefault(zone, Set.of()),
+                without);
+    }
+
+    // ---- Spread -----------------------------------------------------------------------------------------
+
+    /**
+     * Each backend is in the sets of floor(s) or ceil(s) gateways; with s of 8 or more, max/mean is below 9/8 in each zone,
+     * and 1 for a whole s. Sets of two gateways differ by one in each zone at most.
+     */
+    @Property(tries = TRIES)
+    void eachBackendHasTheSameNumberOfGateways(@ForAll long seed, @ForAll @IntRange(min = 1, max = 480) int doors,
+            @ForAll @IntRange(min = 1, max = 8_000) int backends, @ForAll @IntRange(min = 1, max = 16) int doorsPerBackend,
+            @ForAll @IntRange(min = 1, max = 400) int least) {
+        Fleet fleet = new Fleet(seed, doors, backends, new ApertureSettings(true, least, doorsPerBackend));
+        Aperture aperture = fleet.at(0);
+        Map<Long, Integer> known = new LinkedHashMap<>();
+        Map<Integer, int[]> sizes = new TreeMap<>();
+        for (int index = 0; index < doors; index++) {
+            List<Backend> set = aperture.setOf(index);
+            set.forEach(each -> known.merge(each.id(), 1, Integer::sum));
+            assertEquals(set.size(), ids(set).size());
+            assertFalse(set.isEmpty());
+            Map<Integer, Set<Long>> zones = byZone(set);
+            fleet.zones().keySet().forEach(zone -> {
+                int size = zones.getOrDefault(zone, Set.of()).size();
+                int[] range = sizes.computeIfAbsent(zone, none -> new int[] {size, size});
+                range[0] = Math.min(range[0], size);
+                range[1] = Math.max(range[1], size);
+            });
+            double most = Math.min(backends, Math.max(least, fleet.share() * backends / doors));
+            assertTrue(Math.abs(set.size() - most) < fleet.zones().size() + 1e-6, set.size() + " for " + most);
+        }
+        sizes.values().forEach(range -> assertTrue(range[1] - range[0] <= 1));
+        double share = fleet.share();
+        assertEquals(share, aperture.sharers(), 1e-9 * share);
+        for (Backend each : fleet.entries()) {
+            int gateways = known.getOrDefault(each.id(), 0);
+            assertTrue(gateways >= Math.floor(share - 1e-9) && gateways <= Math.ceil(share + 1e-9),
+                    gateways + " gateways for " + share);
+        }
+        if (share >= 8) {
+            double worst = fleet.zones().keySet().stream().mapToDouble(zone -> fleet.entries().stream()
+                    .filter(each -> each.zone() == zone).mapToInt(each -> known.get(each.id())).summaryStatistics().getMax()
+                    / fleet.entries().stream().filter(each -> each.zone() == zone)
+                    .mapToInt(each -> known.get(each.id())).average().orElseThrow()).max().orElseThrow();
+            assertTrue(worst <= 9.0 / 8, worst + "");
+        }
+    }
+
+    /** Few backends in many zones: in none would a gateway's arc have a rank, if the largest didn't count. */
+    @Property(tries = TRIES)
+    void noGatewayIsLeftWithoutBackends(@ForAll long seed, @ForAll @IntRange(min = 1, max = 480) int doors,
+            @ForAll @IntRange(min = 1, max = 60) int backends) {
+        Fleet fleet = new Fleet(seed, doors, backends, new ApertureSettings(true, 1, 1));
+        Aperture aperture = fleet.at(0);
+        IntStream.range(0, doors).forEach(index -> assertFalse(aperture.setOf(index).isEmpty()));
+    }
+
+    /** A rack of neighbours by index, a twentieth of all: no backend loses more than two of its eight gateways. */
+    @Test
+    void neighboursByIndexHaveFarPlaces() {
+        for (int doors : new int[] {30, 60, 120, 240, 480}) {
+            Fleet fleet = new Fleet(5, doors, 16 * doors, new ApertureSettings(true, 1, 8));
+            Aperture aperture = fleet.at(0);
+            int rack = Math.max(1, doors / 20);
+            for (int first = 0; first + rack <= doors; first++) {
+                Map<Long, Integer> lost = new LinkedHashMap<>();
+                IntStream.range(first, first + rack).forEach(index ->
+                        aperture.setOf(index).forEach(each -> lost.merge(each.id(), 1, Integer::sum)));
+                assertTrue(Collections.max(lost.values()) <= 2, lost + "");
+            }
+        }
+    }
+
+    @Property(tries = TRIES)
+    void placesAreOneForEachGateway(@ForAll @IntRange(min = 1, max = 480) int doors) {
+        assertEquals(doors, IntStream.range(0, doors).mapToLong(index -> Aperture.place(index, doors)).distinct()
+                .filter(place -> place >= 0 && place < doors).count());
+    }
+
+    // ---- Changes ----------------------------------------------------------------------------------------
+
+    /**
+     * One backend more or fewer moves, beside itself, at most two of its zone and none of others where doorsPerBackend
+     * decides; else (least, or the largest zone) three and one.
+     */
+    @Property(tries = 4 * TRIES)
+    void aChangeOfOneBackendMovesFewOthers(@ForAll long seed, @ForAll @IntRange(min = 1, max = 480) int doors,
+            @ForAll @IntRange(min = 2, max = 3_000) int backends, @ForAll @IntRange(min = 1, max = 16) int doorsPerBackend,
+            @ForAll @IntRange(min = 1, max = 400) int least) {
+        Fleet fleet = new Fleet(seed, doors, backends, new ApertureSettings(true, least, doorsPerBackend));
+        int index = fleet.random.nextInt(doors);
+        double share = fleet.share();
+        Aperture before = fleet.at(index);
+        Backend changed = fleet.any();
+        fleet.list.remove(changed.id());
+        Aperture after = fleet.at(index);
+        boolean byShare = share == doorsPerBackend && fleet.share() == doorsPerBackend;
+        for (int zone : fleet.zones().keySet()) {
+            int others = differ(before, after, zone, changed.id());
+            int most = byShare ? zone == changed.zone() ? 2 : 0 : zone == changed.zone() ? 3 : 1;
+            assertTrue(others <= most, others + " others of zone " + zone + ", change in " + changed.zone() + ", s "
+                    + share + " " + fleet.share());
+        }
+    }
+
+    /** A gateway more: each arc's ends move by a gateway's step at most, b / D of each ring. */
+    @Property(tries = TRIES)
+    void aGatewayMoreMovesNoArcFurtherThanItsStep(@ForAll long seed, @ForAll @IntRange(min = 10, max = 479) int doors,
+            @ForAll @IntRange(min = 500, max = 8_000) int backends) {
+        ApertureSettings settings = new ApertureSettings(true, 1, 8);
+        Fleet fleet = new Fleet(seed, doors, backends, settings);
+        Aperture more = new Aperture(settings, doors + 1, 0, false);
+        more.listed(true, fleet.entries());
+        Aperture before = fleet.at(0);
+        Map<Integer, Long> zones = fleet.zones();
+        for (int index = 0; index < doors; index += 1 + doors / 20) {
+            Map<Integer, Set<Long>> was = byZone(before.setOf(index));
+            Map<Integer, Set<Long>> is = byZone(more.setOf(index));
+            for (int zone : zones.keySet()) {
+                int moved = differ(was.getOrDefault(zone, Set.of()), is.getOrDefault(zone, Set.of()), 0);
+                double step = zones.get(zone) / (double) doors;
+                assertTrue(moved <= 2 * (step + 1) + 1, moved + " of a step of " + step);
+            }
+        }
+    }
+
+    /** A whole zone goes: of the others each gateway has what it had, where doorsPerBackend decides. */
+    @Property(tries = TRIES)
+    void theLossOfAZoneLeavesTheOthers(@ForAll long seed, @ForAll @IntRange(min = 1, max = 480) int doors,
+            @ForAll @IntRange(min = 100, max = 8_000) int backends, @ForAll @IntRange(min = 1, max = 400) int least) {
+        Fleet fleet = new Fleet(seed, doors, backends, new ApertureSettings(true, least, 8));
+        for (int lost : fleet.zones().keySet()) {
+            Fleet rest = new Fleet(seed, doors, backends, fleet.settings);
+            rest.list.values().removeIf(each -> each.zone() == lost);
+            if (rest.list.isEmpty()) {
+                continue;
+            }
+            int index = fleet.random.nextInt(doors);
+            Map<Integer, Set<Long>> was = byZone(fleet.at(index).set());
+            Map<Integer, Set<Long>> is = byZone(rest.at(index).set());
+            rest.zones().forEach((zone, size) -> {
+                assertTrue(size < doors / 8.0 || !is.getOrDefault(zone, Set.of()).isEmpty());
+                if (fleet.share() == rest.share()) {
+                    assertEquals(was.get(zone), is.get(zone));
+                }
+            });
+            assertFalse(rest.at(index).set().isEmpty());
+        }
+    }
+
+    // ---- What the module is told ------------------------------------------------------------------------
+
+    /** By whatever events the list came: the set is that of the list, and the module has been told just it. */
+    @Property(tries = 2 * TRIES)
+    void theSetIsTheListsAndTheModuleKnowsIt(@ForAll long seed, @ForAll @IntRange(min = 1, max = 480) int doors,
+            @ForAll @IntRange(min = 1, max = 600) int backends, @ForAll @IntRange(min = 1, max = 300) int least) {
+        Fleet fleet = new Fleet(seed, doors, backends, new ApertureSettings(true, least, 8));
+        int index = fleet.random.nextInt(doors);
+        Aperture aperture = fleet.at(index);
+        Map<Long, Backend> told = new LinkedHashMap<>();
+        aperture.set().forEach(each -> told.put(each.id(), each));
+        for (int i = 0; i < 60; i++) {
+            boolean whole = fleet.random.nextInt(8) == 0;
+            List<Backend> changes = drawn(fleet, backends);
+            Aperture.Told news = aperture.listed(whole, whole ? shuffled(fleet) : changes);
+            if (news.whole()) {
+                told.clear();
+            }
+            for (Backend each : news.entries()) {
+                if (each.state() == State.GONE) {
+                    assertTrue(told.remove(each.id()) != null || aperture.all(), "never told: " + each);
+                } else {
+                    told.put(each.id(), each);
+                }
+            }
+            Aperture anew = fleet.at(index);
+            assertEquals(anew.set(), aperture.set());
+            assertEquals(new HashSet<>(anew.set()), new HashSet<>(told.values()));
+            assertEquals(anew.sharers(), aperture.sharers());
+            assertEquals(anew.all(), aperture.all());
+        }
+    }
+
+    private static List<Backend> shuffled(Fleet fleet) {
+        List<Backend> entries = fleet.entries();
+        Collections.shuffle(entries, fleet.random);
+        return entries;
+    }
+
+    /** Joins, losses, restarts, drains, their ends, moves: some at once. The fleet's list has them then. */
+    private static List<Backend> drawn(Fleet fleet, int most) {
+        Map<Long, Backend> changes = new LinkedHashMap<>();
+        for (int n = 1 + fleet.random.nextInt(fleet.random.nextInt(5) == 0 ? most : 3); n > 0; n--) {
+            int kind = fleet.random.nextInt(8);
+            Backend entry = fleet.list.isEmpty() || kind == 0 && fleet.list.size() < 2 * most
+                    ? fleet.add(fleet.random.nextInt(6)) : fleet.any();
+            Backend told = switch (kind) {
+                case 1, 2 -> as(entry, State.GONE);
+                case 3, 4 -> as(entry, State.DRAINING);
+                case 5 -> new Backend(entry.id(), entry.zone(), 0, entry.cell(), State.READY, 1, 1 + n);
+                case 6 -> new Backend(entry.id(), fleet.random.nextInt(6), 0, entry.cell(), entry.state(), 2, 0);
+                default -> entry;
+            };
+            changes.put(told.id(), told);
+            if (told.state() == State.GONE) {
+                fleet.list.remove(told.id());
+            } else {
+                fleet.list.put(told.id(), told);
+            }
+        }
+        return shuffled(fleet, changes);
+    }
+
+    private static List<Backend> shuffled(Fleet fleet, Map<Long, Backend> changes) {
+        List<Backend> entries = new ArrayList<>(changes.values());
+        Collections.shuffle(entries, fleet.random);
+        return entries;
+    }
+
+    /** Up to least backends the set is the list, and what is told is what came: the same object, the same order. */
+    @Property(tries = TRIES)
+    void upToLeastAllAreUsedAndToldAsTheyCame(@ForAll long seed, @ForAll @IntRange(min = 1, max = 480) int doors,
+            @ForAll @IntRange(min = 1, max = 256) int backends) {
+        Fleet fleet = new Fleet(seed, doors, backends, ApertureSettings.DEFAULT);
+        Aperture aperture = new Aperture(fleet.settings, doors, fleet.random.nextInt(doors), false);
+        List<Backend> entries = shuffled(fleet);
+        assertEquals(new Aperture.Told(true, entries), aperture.listed(true, entries));
+        assertEquals(ids(fleet.entries()), ids(aperture.set()));
+        for (int i = 0; i < 20; i++) {
+            List<Backend> changes = drawn(fleet, 1);
+            if (fleet.list.size() > 256) {
+                return;
+            }
+            assertEquals(new Aperture.Told(false, changes), aperture.listed(false, changes));
+            assertTrue(aperture.all());
+            assertEquals(doors, aperture.sharers());
+        }
+    }
+
+    // ---- Drains -----------------------------------------------------------------------------------------
+
+    /** A drain puts nobody out of a set, and as many ready ones as the arc has ranks are in it while there are some. */
+    @Property(tries = TRIES)
+    void drainsPutNobodyOutAndTheNextReadyOnesIn(@ForAll long seed, @ForAll @IntRange(min = 9, max = 480) int doors,
+            @ForAll @IntRange(min = 300, max = 3_000) int backends) {
+        Fleet fleet = new Fleet(seed, doors, backends, new ApertureSettings(true, 1, 8));
+        int index = fleet.random.nextInt(doors);
+        Aperture aperture = fleet.at(index);
+        Map<Integer, Set<Long>> first = byZone(aperture.set());
+        Set<Long> arc = ids(aperture.set());
+        for (int i = 0; i < 40; i++) {
+            Set<Long> before = ids(aperture.set());
+            List<Backend> set = aperture.set();
+            Backend drained = as(set.get(fleet.random.nextInt(set.size())), State.DRAINING);
+            fleet.list.put(drained.id(), drained);
+            aperture.listed(false, List.of(drained));
+            Set<Long> after = ids(aperture.set());
+            before.removeAll(after);
+            // Itself it may leave where another's drain had brought it in.
+            assertTrue(before.isEmpty() || before.equals(Set.of(drained.id())) && !arc.contains(drained.id()), before + "");
+            Map<Integer, Long> ready = aperture.set().stream().filter(each -> each.state() == State.READY)
+                    .collect(Collectors.groupingBy(Backend::zone, Collectors.counting()));
+            first.forEach((zone, ids) -> assertEquals(Math.min(ids.size(), fleet.entries().stream()
+                    .filter(each -> each.zone() == zone && each.state() == State.READY).count()),
+                    ready.getOrDefault(zone, 0L)));
+        }
+    }
+
+    /** Where a class drops repeats by cell, a cell's backends stand together: all but those at the ends are whole. */
+    @Test
+    void cellsStandTogetherWhereRepeatsAreDroppedByCell() {
+        Aperture aperture = new Aperture(new ApertureSettings(true, 40, 2), 20, 3, true);
+        List<Backend> list = IntStream.range(0, 400).mapToObj(i ->
+                new Backend(i, 0, 0, i % 100, State.READY, 1, 0)).toList();
+        aperture.listed(true, list);
+        Map<Integer, Long> cells = aperture.set().stream()
+                .collect(Collectors.groupingBy(Backend::cell, Collectors.counting()));
+        assertEquals(40, aperture.set().size());
+        assertTrue(cells.values().stream().filter(count -> count < 4).count() <= 2, cells + "");
+    }
+
+    // ---- Cost -------------------------------------------------------------------------------------------
+
+    /** 7,500 entries, each told anew: far below a millisecond on the mean, with room for a busy machine. */
+    @Test
+    void aChangeCostsFarLessThanAMillisecond() {
+        Fleet fleet = new Fleet(3, 480, 7_500, ApertureSettings.DEFAULT);
+        Aperture aperture = fleet.at(7);
+        Function<Integer, Double> play = rounds -> {
+            long from = System.nanoTime();
+            for (int i = 0; i < rounds; i++) {
+                Backend gone = fleet.entries().get(0);
+                fleet.list.remove(gone.id());
+                aperture.listed(false, List.of(as(gone, State.GONE)));
+                Backend made = fleet.add(gone.zone());
+                aperture.listed(false, List.of(made));
+                aperture.listed(false, List.of(as(made, State.READY)));
+            }
+            return (System.nanoTime() - from) / 3e3 / rounds;
+        };
+        play.apply(200);
+        double us = play.apply(300);
+        assertTrue(us < 500, us + " us a change, the test's own copy of the list in it");
+    }
+}
