A stand-in backend that starts again serves again

Its connections are kept in a group that closes all that are added after it was closed. Killed and started again (Site.restart, also after it fell over cold), it listened, and closed each connection at once: seen in three front doors that sent nothing to ten restarted backends in 20 s, with the aperture and without it. Each life has a group of its own now.

--- a/stand-ins/src/main/java/nettletrail/site/SiteBackend.java
+++ b/stand-ins/src/main/java/nettletrail/site/SiteBackend.java
@@ -75,7 +75,8 @@
     private final Meter meter;
     private final Map<String, String> customers = new ConcurrentHashMap<>();
     private final SplittableRandom random;
-    private final ChannelGroup connections;
+    /** Of this life: a group that was closed closes all that are added later. */
+    private volatile ChannelGroup connections;
     private final ArrayDeque<Work> queue = new ArrayDeque<>();
     private Channel listening;
     private long startedAt;
@@ -97,18 +98,19 @@
         this.events = events;
         this.meter = meter;
         random = new SplittableRandom(seed);
-        connections = new DefaultChannelGroup(loop, true);
         listen(0);
     }
 
     private ServerBootstrap bootstrap() {
+        ChannelGroup life = new DefaultChannelGroup(loop, true);
+        connections = life;
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel made) {
-                        connections.add(made);
+                        life.add(made);
                         Arrivals first = new Arrivals();
                         made.pipeline().addLast(first, new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
                                 new Requests(first));
