Front doors keep to their aperture where they know their number; [aperture] sets it

Up to 256 backends, up to 8 front doors or without a number nothing changes.

A zone's arcs begin a part of a rank behind another's, by the zone's hash: where all rounded alike, one of three front doors had 18 of 30 backends and the others 21.

The stand-in site has up to three zones and tells doors their number.

--- /dev/null
+++ b/app/src/main/java/nettletrail/app/ApertureSubsystem.java
@@ -0,0 +1,36 @@
+package nettletrail.app;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import nettletrail.core.Section;
+import nettletrail.decision.ApertureSettings;
+
+/** {@code [aperture]}: which of many backends a front door uses. */
+final class ApertureSubsystem implements Subsystem {
+    private static final String ENABLED = "enabled";
+    private static final String LEAST = "least";
+    private static final String SHARE = "doors_per_backend";
+
+    private final Section section = new Section("aperture", "Which of many backends each front door uses.")
+            .flag(ENABLED, ApertureSettings.DEFAULT.enabled(),
+                    "whether a front door that knows its number keeps to a part of very many backends")
+            .whole(LEAST, 1, ApertureSettings.MOST, ApertureSettings.DEFAULT.least(),
+                    "backends that each front door uses at least; up to so many, each uses all")
+            .whole(SHARE, 1, ApertureSettings.MOST, ApertureSettings.DEFAULT.doorsPerBackend(),
+                    "front doors that use each backend, at least; up to so many, each uses all backends");
+
+    @Override
+    public Section section() {
+        return section;
+    }
+
+    @Override
+    public void check(Section.Values values, Consumer<Section.Fault> faults) {
+        // Each value alone is sound, and they bind each other to nothing.
+    }
+
+    @Override
+    public Optional<ApertureSettings> aperture(Section.Values values) {
+        return Optional.of(new ApertureSettings(values.flag(ENABLED), (int) values.whole(LEAST), (int) values.whole(SHARE)));
+    }
+}
--- a/app/src/main/java/nettletrail/app/App.java
+++ b/app/src/main/java/nettletrail/app/App.java
@@ -15,6 +15,7 @@
 import nettletrail.core.Front;
 import nettletrail.core.Members;
 import nettletrail.core.Section;
+import nettletrail.decision.ApertureSettings;
 import nettletrail.door.FrontDoor;
 import nettletrail.door.Main;
 import picocli.CommandLine;
@@ -78,6 +79,7 @@
         Bound.Maker bound = Additions.NONE.bound();
         Admission.Maker admission = Additions.NONE.admission();
         Members.Maker members = Additions.NONE.members();
+        ApertureSettings aperture = Additions.NONE.aperture();
         Desk desk = new Desk();
         for (Subsystem subsystem : Subsystem.ALL) {
             Section.Values values = operator.section(subsystem.section().name());
@@ -86,8 +88,9 @@
             bound = subsystem.bound(values).orElse(bound);
             admission = subsystem.admission(values).orElse(admission);
             members = subsystem.members(values, desk).orElse(members);
+            aperture = subsystem.aperture(values).orElse(aperture);
         }
-        return new Additions(fronts, bound, admission, members);
+        return new Additions(fronts, bound, admission, members, aperture);
     }
 
     /** The module on the simulator's wire. */
--- a/app/src/main/java/nettletrail/app/Subsystem.java
+++ b/app/src/main/java/nettletrail/app/Subsystem.java
@@ -8,12 +8,13 @@
 import nettletrail.core.Front;
 import nettletrail.core.Members;
 import nettletrail.core.Section;
+import nettletrail.decision.ApertureSettings;
 
 /** What the operator file may turn on. */
 interface Subsystem {
     /** All there are, in the file's order. */
     List<Subsystem> ALL = List.of(new ExtProcSubsystem(), new LimitsSubsystem(), new TokensSubsystem(),
-            new MembersSubsystem(), new ControlSubsystem(), new EventsSubsystem());
+            new MembersSubsystem(), new ApertureSubsystem(), new ControlSubsystem(), new EventsSubsystem());
 
     Section section();
 
@@ -35,6 +36,11 @@
         return Optional.empty();
     }
 
+    /** Which backends it has the front door use, if it says so. */
+    default Optional<ApertureSettings> aperture(Section.Values values) {
+        return Optional.empty();
+    }
+
     /** What it does before all else is made. */
     default void begin(Section.Values values) { }
 
--- a/app/src/main/java/nettletrail/app/TestedDoor.java
+++ b/app/src/main/java/nettletrail/app/TestedDoor.java
@@ -45,7 +45,7 @@
             };
         });
         FrontDoor.serve(System.getenv(), new Additions(fronts, additions.bound(), additions.admission(),
-                additions.members()));
+                additions.members(), additions.aperture()));
         return 0;
     }
 
--- a/app/src/test/java/nettletrail/app/OperatorFileTest.java
+++ b/app/src/test/java/nettletrail/app/OperatorFileTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import nettletrail.decision.ApertureSettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -58,6 +59,21 @@
         assertEquals(4, ran.err().lines().count(), ran.err());
     }
 
+    @Test
+    void theApertureIsCheckedAndTaken() throws Exception {
+        Ran ran = check("[aperture]\nenabled = 1\nleast = 0\ndoors_per_backend = -1\n");
+        assertEquals(2, ran.status());
+        assertTrue(ran.err().contains("operator.toml:2: aperture.enabled: must be true or false"), ran.err());
+        assertTrue(ran.err().contains("operator.toml:3: aperture.least: must be a whole number from 1 to 1000000"),
+                ran.err());
+        assertTrue(ran.err().contains("operator.toml:4: aperture.doors_per_backend: must be a whole number"), ran.err());
+        Path file = folder.resolve("operator.toml");
+        Files.writeString(file, "[aperture]\nenabled = false\nleast = 6\ndoors_per_backend = 2\n");
+        assertEquals(new ApertureSettings(false, 6, 2), App.additions(OperatorFile.read(file)).aperture());
+        Files.writeString(file, "");
+        assertEquals(ApertureSettings.DEFAULT, App.additions(OperatorFile.read(file)).aperture());
+    }
+
     @Test
     void whatIsNoTomlIsNamedByItsLine() throws Exception {
         Ran ran = check("[ext_proc]\nenabled = maybe\n");
--- a/decision/src/main/java/nettletrail/decision/Aperture.java
+++ b/decision/src/main/java/nettletrail/decision/Aperture.java
@@ -23,8 +23,8 @@
  * ratio's multiples: a bijection, so places are even; and gateways with close indexes (a rack, a zone) are far apart, so
  * that no backend loses all of its gateways with one rack.
  *
- * <p><b>Arc.</b> Of each ring it uses the ranks from floor(p b / D) to before floor((p + s) b / D), over the end to rank 0,
- * with s = max(doorsPerBackend, least D / n, D / b of the largest zone) for n backends in all; all of them if s reaches D.
+ * <p><b>Arc.</b> Of each ring it uses the ranks from floor(p b / D + t) to before floor((p + s) b / D + t), over the end
+ * to rank 0, with t from 0 to 1 by the zone's hash, lest all zones round the same gateway's arc down, and s = max(doorsPerBackend, least D / n, D / b of the largest zone) for n backends in all; all of them if s reaches D.
  * Each backend is so in the arcs of floor(s) or ceil(s) gateways, exactly s for a whole s; each gateway has floor or
  * ceil of s b / D of the zone, least or more in all. A zone of fewer than D / s is used by some gateways only: were it
  * used by all, each of its backends would get the load of D gateways, and none of them would come up from the cold.
@@ -38,6 +38,9 @@
     /** 2^64 over the golden ratio. */
     private static final long GOLDEN = 0x9E3779B97F4A7C15L;
 
+    /** Parts of a rank that a zone's arcs begin behind those of another. */
+    private static final long TURN = 64;
+
     /** What the module is to be told, as {@link Gateway#listed} has it; nothing if it is not whole and has no entries. */
     record Told(boolean whole, List<Backend> entries) { }
 
@@ -251,11 +254,13 @@
         List<Member> found = new ArrayList<>();
         Share share = share();
         boolean every = share.over() >= doors * share.under();
-        for (Ring ring : rings.values()) {
-            long first = every ? 0 : from * ring.size / doors;
-            long end = every ? ring.size : (from * share.under() + share.over()) * ring.size / (doors * share.under());
-            ring.arc(first, end - first, found);
-        }
+        rings.forEach((zone, ring) -> {
+            long turn = Math.floorMod(mixed(zone), TURN);
+            long first = (TURN * from * ring.size + turn * doors) / (TURN * doors);
+            long whole = TURN * doors * share.under();
+            long end = (TURN * (from * share.under() + share.over()) * ring.size + turn * doors * share.under()) / whole;
+            ring.arc(every ? 0 : first, every ? ring.size : end - first, found);
+        });
         return found;
     }
 
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -35,6 +35,8 @@
 import nettletrail.core.Members;
 import nettletrail.core.Report;
 import nettletrail.core.Unread;
+import nettletrail.decision.ApertureGateway;
+import nettletrail.decision.ApertureSettings;
 import nettletrail.decision.Brain;
 import nettletrail.decision.Gateway;
 import nettletrail.decision.WireFault;
@@ -124,7 +126,10 @@
         bound = more.bound().make(config.name(), loop, config.settings(), settings);
         bound.knows(members);
         admission = more.admission().make(config.name(), loop, clock, config.settings(), settings);
-        dispatcher = new Dispatcher(loop, clock, admission, bound, carriers, config.settings(), settings, module);
+        int index = config.settings().index();
+        ApertureSettings aperture = config.settings().aperture(more.aperture());
+        dispatcher = new Dispatcher(loop, clock, admission, bound, carriers, config.settings(), settings,
+                (told, now, actions) -> ApertureGateway.around(module.make(told, now, actions), told, index, aperture));
         discovery = new Discovery(loop, config.discovery(), version(config.known()), config.seed(), this);
         dispatcher.news(discovery::look);
     }
--- a/stand-ins/src/main/java/nettletrail/site/Site.java
+++ b/stand-ins/src/main/java/nettletrail/site/Site.java
@@ -17,18 +17,40 @@
     private final StandInAgent agent;
     private final Meter meter = new Meter(METER_LATE_NS);
     private final long seed;
+    private final SiteBackend.Machine machine;
+    private final int zones;
+    private int crowds;
 
     public Site(SiteSettings settings, int count, SiteBackend.Machine machine, long seed) {
+        this(settings, count, 1, machine, seed);
+    }
+
+    /** With so many zones, up to three, and the backends by turns in each. */
+    public Site(SiteSettings settings, int count, int zones, SiteBackend.Machine machine, long seed) {
         this.settings = settings;
+        this.machine = machine;
         this.seed = seed;
+        this.zones = zones;
         agent = new StandInAgent(group);
         for (int i = 0; i < count; i++) {
-            SiteBackend made = new SiteBackend("s-" + i, group, settings, machine, events, meter, seed + i);
-            backends.add(made);
-            agent.set(made.name(), made.address(), "SERVING", 0);
+            add();
         }
     }
 
+    /** One backend more, warm, in the zone whose turn it is. */
+    public SiteBackend add() {
+        int number = backends.size();
+        SiteBackend made = new SiteBackend("s-" + number, group, settings, machine, events, meter, seed + number);
+        backends.add(made);
+        agent.set(made.name(), made.address(), zone(made), "SERVING", 0);
+        return made;
+    }
+
+    /** The name of its zone. */
+    public String zone(SiteBackend backend) {
+        return String.valueOf((char) ('a' + backends.indexOf(backend) % zones));
+    }
+
     public SiteSettings settings() {
         return settings;
     }
@@ -49,16 +71,21 @@
         return group;
     }
 
-    /** Clients of front doors that listen there. */
+    /** Clients of front doors that listen there; no two of them give the same ids. */
     public SiteClients clients(List<InetSocketAddress> doors) {
-        return new SiteClients(group, settings, doors, events, seed * 31 + 7);
+        return new SiteClients(group, settings, doors, events, seed * 31 + 7).idsFrom((long) ++crowds << 40);
     }
 
     /** A front door's configuration file. */
     public String config(String name) {
         return "{\"name\":\"" + name + "\",\"discovery\":\"127.0.0.1:" + agent.address().getPort() + "\",\"seed\":\""
                 + Long.toHexString(seed * 17 + name.hashCode()) + "\",\"limits\":{\"cores\":1,\"memory_mb\":192,"
-                + "\"sockets\":1024},\"known\":" + agent.list(-1) + ",\"settings\":" + settings.json() + "}";
+                + "\"sockets\":1024},\"known\":" + agent.list(-1) + ",\"settings\":" + settings.json(number(name)) + "}";
+    }
+
+    /** Of a door's name, n0 and on; below 0 for another. */
+    private static int number(String name) {
+        return name.matches("n\\d{1,4}") ? Integer.parseInt(name.substring(1)) : -1;
     }
 
     /** Drained by the operators: told first, and the backend takes nothing new once the grace is over. */
@@ -78,8 +105,13 @@
         tell(backend, "SERVING", System.currentTimeMillis());
     }
 
+    /** Is listed no more. */
+    public void delist(SiteBackend backend) {
+        tell(backend, "DELETED", 0);
+    }
+
     private void tell(SiteBackend backend, String status, long sinceMs) {
-        agent.set(backend.name(), backend.address(), status, sinceMs);
+        agent.set(backend.name(), backend.address(), zone(backend), status, sinceMs);
         events.add(new Events.Told(backend.name(), status, System.nanoTime()));
     }
 
--- a/stand-ins/src/main/java/nettletrail/site/SiteClients.java
+++ b/stand-ins/src/main/java/nettletrail/site/SiteClients.java
@@ -87,6 +87,12 @@
         doors.forEach(each -> this.doors.add(new Door(each)));
     }
 
+    /** The ids follow this number. */
+    SiteClients idsFrom(long before) {
+        loop.submit(() -> number = before).syncUninterruptibly();
+        return this;
+    }
+
     /**
      * Requests bring credentials from now on.
      *
--- a/stand-ins/src/main/java/nettletrail/site/SiteSettings.java
+++ b/stand-ins/src/main/java/nettletrail/site/SiteSettings.java
@@ -52,7 +52,12 @@
         return plans.stream().filter(each -> each.name().equals(name)).findFirst().orElse(null);
     }
 
-    /** The settings as a front door's configuration has them. */
+    /** The settings as the configuration of the front door with this number has them. */
+    public String json(int index) {
+        return "{\"Index\":" + index + "," + json().substring(1);
+    }
+
+    /** The same without a number. */
     public String json() {
         String services = classes.stream().map(each -> String.format(Locale.ROOT,
                 "{\"Name\":\"%s\",\"Aim\":%d,\"Deadline\":%d,\"Effect\":\"%s\",\"Worth\":%s,\"LateValue\":%s}", each.name(),
@@ -64,7 +69,7 @@
                 each.mostOut(), each.ceilingRate(), each.ceilingBurst(), each.ceilingSlack(), each.price()))
                 .collect(Collectors.joining(","));
         return String.format(Locale.ROOT, "{\"Balancers\":%d,\"Ceilings\":{\"ConnIdle\":20000000000,"
-                + "\"ConnectTimeout\":250000000,\"MaxAttempts\":3},\"Dcs\":[\"a\"],\"Discovery\":\"push\","
+                + "\"ConnectTimeout\":250000000,\"MaxAttempts\":3},\"Dcs\":[\"a\",\"b\",\"c\"],\"Discovery\":\"push\","
                 + "\"FamilyInfo\":{%s\"MostUnits\":%s},\"Flavors\":[\"m1\"],\"Obligations\":{\"ColdFrom\":%s,"
                 + "\"RampTime\":%d,\"OverloadFactor\":%s,\"Fall\":%d},\"Report\":{\"Fields\":[\"pending\",\"cpu_share\"],"
                 + "\"How\":\"inline\"},\"Services\":[%s],\"TiersOfService\":[%s],\"Zone\":0}", doors,
--- a/stand-ins/src/main/java/nettletrail/site/StandInAgent.java
+++ b/stand-ins/src/main/java/nettletrail/site/StandInAgent.java
@@ -28,7 +28,7 @@
 
 /** The discovery agent on loopback: the whole list, and watches that wait for what is newer. Any thread. */
 public final class StandInAgent implements AutoCloseable {
-    private record Entry(String address, String status, long sinceMs, long changedAt) { }
+    private record Entry(String address, String zone, String status, long sinceMs, long changedAt) { }
 
     private record Watch(ChannelHandlerContext on, long index) { }
 
@@ -57,9 +57,14 @@
      * @param status SERVING, DRAINING or DELETED
      * @param sinceMs Unix time of its last start; 0 for long ago
      */
-    public synchronized void set(String name, InetSocketAddress address, String status, long sinceMs) {
+    public void set(String name, InetSocketAddress address, String status, long sinceMs) {
+        set(name, address, "a", status, sinceMs);
+    }
+
+    /** The same of one that stands in this zone. */
+    public synchronized void set(String name, InetSocketAddress address, String zone, String status, long sinceMs) {
         index++;
-        entries.put(name, new Entry(address.getAddress().getHostAddress() + ":" + address.getPort(), status, sinceMs,
+        entries.put(name, new Entry(address.getAddress().getHostAddress() + ":" + address.getPort(), zone, status, sinceMs,
                 index));
         for (Watch watch : List.copyOf(watches)) {
             watches.remove(watch);
@@ -81,7 +86,7 @@
         entries.forEach((name, entry) -> {
             if (since < 0 ? !entry.status().equals("DELETED") : entry.changedAt() > since) {
                 rows.add("{\"name\":\"" + name + "\",\"address\":\"" + entry.address()
-                        + "\",\"zone\":\"a\",\"type\":\"m1\",\"group\":1,\"status\":\"" + entry.status()
+                        + "\",\"zone\":\"" + entry.zone() + "\",\"type\":\"m1\",\"group\":1,\"status\":\"" + entry.status()
                         + "\",\"weight\":1.0,\"since_ms\":" + entry.sinceMs() + "}");
             }
         });
