--- a/app/src/main/java/nettletrail/app/scale/Capacity.java
+++ b/app/src/main/java/nettletrail/app/scale/Capacity.java
@@ -1,5 +1,6 @@
 package nettletrail.app.scale;
 
+import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -118,10 +119,11 @@
         return new Outcome(figures, Budgets.broken(figures));
     }
 
-    private static void told(List<Map<String, Object>> runs) {
+    /** Each run's figures as soon as it is over: a sweep that is broken off keeps what it has measured. */
+    private static void told(List<Map<String, Object>> runs) throws IOException {
         Map<String, Object> run = runs.get(runs.size() - 1);
         System.err.println("capacity: " + run.get("hollow_doors") + "/" + run.get("backends") + " seed " + run.get("seed")
-                + " in " + run.get("run_s") + " s");
+                + " in " + run.get("run_s") + " s: " + JSON.std.asString(run));
     }
 
     private static Map<String, Object> only(Map<String, Object> figures) {
