--- a/decision/src/main/java/nettletrail/decision/Aperture.java
+++ b/decision/src/main/java/nettletrail/decision/Aperture.java
@@ -146,7 +146,7 @@
     }
 
     /** SplitMix64's last steps: ids that are numbered through come to lie anywhere. */
-    private static long mixed(long value) {
+    static long mixed(long value) {
         long mixed = (value + GOLDEN ^ value + GOLDEN >>> 30) * 0xBF58476D1CE4E5B9L;
         mixed = (mixed ^ mixed >>> 27) * 0x94D049BB133111EBL;
         return mixed ^ mixed >>> 31;
--- a/decision/src/main/java/nettletrail/decision/Brain.java
+++ b/decision/src/main/java/nettletrail/decision/Brain.java
@@ -153,9 +153,8 @@
     private static final double COLD_PART = 0.5;
     /** Sends to a cold backend that a gateway may save up, each for the overload span. */
     private static final double COLD_SAVED = 2;
-    /** Share of the fleet's capacity that is taken to be there at least, where most backends are cold. */
+    /** Share of the fleet's capacity taken to be there at least; with all cold each gets all that it may. */
     private static final double LEAST_WARM = 0.45;
-    /** The same with all cold, where each backend gets all it may: so it has about what it can do then. */
     private static final double LEAST_WARM_ALL_COLD = 0.75;
 
     private static final class Customer {
@@ -254,7 +253,6 @@
     private long notedAt;
     /** Mean square of what answers differ by from the usual latency, in usual latencies. */
     private double spread;
-    /** Gateways that use each backend, on the mean. */
     private double sharers;
     /** Gives the ring its order; where on it the next send in turn looks from. */
     private final long ringSalt;
@@ -718,8 +716,8 @@
      */
     private double mostInFlight() {
         double part = LEAST_EACH * fleetSize / sharers;
-        double most = Math.max(LEAST_BOUND, bound);
-        return meanInFlight < part ? Math.max(most, part + CHANCE_DEVIATIONS * Math.sqrt(part)) : most;
+        double chance = meanInFlight < part ? part + CHANCE_DEVIATIONS * Math.sqrt(part) : LEAST_BOUND;
+        return Math.max(Math.max(LEAST_BOUND, bound), chance);
     }
 
     /** Mean of what is out from here over the last seconds. */
@@ -1155,13 +1153,10 @@
         pump(now);
     }
 
-    /** The ring's order is that of a hash (MurmurHash3's finalizer): no two gateways go the same way. */
+    /** The ring's order is that of a hash: no two gateways go the same way. */
     private Server placed(long id) {
         Server server = new Server();
-        long mixed = id ^ ringSalt;
-        mixed = (mixed ^ mixed >>> 33) * 0xff51afd7ed558ccdL;
-        mixed = (mixed ^ mixed >>> 33) * 0xc4ceb9fe1a85ec53L;
-        server.place = mixed ^ mixed >>> 33;
+        server.place = Aperture.mixed(id ^ ringSalt);
         return server;
     }
 
@@ -1214,14 +1209,10 @@
      * capacity, times half the overload multiple. What all gateways together send it so follows what they
      * send a warm one, however many they are; one that sends little mostly sends it nothing. Further attempts
      * earn nothing, or the loss of others would. Where all are cold, each request within its quota earns it,
-     * sent or not: from sends alone none would ever be sent. What is not used within the overload span
-     * lapses: of many gateways each would else hold some, and when others are lost all of it would go at
-     * once.
+     * sent or not, or none would ever be sent. What is not used within the overload span lapses: each of many
+     * gateways would else hold some, and all of it would go at once when others are lost.
      */
     private void ration(long now) {
-        if (cold.isEmpty()) {
-            return;
-        }
         double capacity = fleetSize;
         for (int i = cold.size() - 1; i >= 0; i--) {
             if (warmth(cold.get(i), now) >= 1) {
