--- a/app/src/main/java/nettletrail/app/scale/SizeRun.java
+++ b/app/src/main/java/nettletrail/app/scale/SizeRun.java
@@ -23,7 +23,11 @@
      * @param aloneS in which only the real front doors get requests, and entries go on changing
      * @param events whether racks, zones, a region, restarts and a loss of discovery follow
      */
-    record Schedule(int warmS, int changesS, int aloneS, boolean events) { }
+    record Schedule(int warmS, int changesS, int aloneS, boolean events) {
+        Schedule withoutEvents() {
+            return new Schedule(warmS, changesS, aloneS, false);
+        }
+    }
 
     /** A day's 320 in 80 s. The same at every size, as the plan's are. */
     static final int CHANGES_PER_S = 4;
--- a/app/src/main/java/nettletrail/app/scale/Thin.java
+++ b/app/src/main/java/nettletrail/app/scale/Thin.java
@@ -1,23 +1,42 @@
 package nettletrail.app.scale;
 
-/** What thin traffic does, by another rig than the fleet's: real modules in virtual time, from few backends to all. */
+import nettletrail.app.scale.thin.ThinCase;
+import nettletrail.app.scale.thin.ThinFleet;
+import nettletrail.app.scale.thin.ThinResult;
+import nettletrail.decision.ApertureSettings;
+
+/**
+ * What thin traffic does, by another rig than the fleet's: real modules of all front doors in virtual time, at the plan's density
+ * with a quarter of the backends told as restarted.
+ */
 public interface Thin {
     /**
      * Its figures.
      *
-     * @param cpuUsSmall CPU of the module a request, us, at the fewest backends
-     * @param cpuUsFull the same at the most
      * @param refused share of requests refused, 0 to 1
      * @param imbalance most over mean of sends, the worst of the zones
+     * @param meanMs of the answers served
      * @param source what they came from, for people
      */
-    record Figures(double cpuUsSmall, double cpuUsFull, double refused, double imbalance, String source) { }
+    record Figures(double refused, double imbalance, double meanMs, String source) { }
 
     /**
      * Runs it, on the calling thread.
      *
-     * @param backends the most of them
      * @param on whether the mechanism is on
      */
-    Figures run(int backends, long seed, boolean on);
+    Figures run(int doors, int backends, long seed, boolean on);
+
+    /** The modules themselves, for so many seconds of their time. */
+    static Thin modules(int seconds) {
+        return (doors, backends, seed, on) -> {
+            ApertureSettings aperture = ApertureSettings.DEFAULT;
+            int each = Math.max(aperture.doorsPerBackend(), aperture.least() * doors / backends);
+            boolean sets = on && each < doors;
+            ThinCase play = ThinCase.planned(doors, backends, ThinCase.Choice.MODULE, seed).lasting(seconds);
+            ThinResult told = ThinFleet.play(sets ? play.arcs(each) : play);
+            return new Figures(told.refused(), told.zoneImbalance(), told.meanMs(), "virtual time, " + doors + "/" + backends
+                    + ", " + seconds + " s, " + (sets ? each + " front doors a backend" : "whole lists"));
+        };
+    }
 }
