--- a/app/src/main/java/nettletrail/app/scale/thin/ThinCase.java
+++ b/app/src/main/java/nettletrail/app/scale/thin/ThinCase.java
@@ -17,7 +17,8 @@
  *     work at the least share that the settings tell and rise evenly; otherwise the list tells a new start and that
  *     is all
  * @param choice who chooses the backend
- * @param doorsEach how many doors each backend is known to, in arcs of equal width, one backend at least; 0 for all
+ * @param doorsEach how many doors each backend is known to, by the module's aperture, or for plain choices in arcs of equal
+ *     width, one backend at least; 0 for all
  * @param seed of all that is drawn
  */
 public record ThinCase(int doors, int backends, int slots, int queue, double serviceMs, double used, int seconds,
--- a/app/src/main/java/nettletrail/app/scale/thin/ThinDoor.java
+++ b/app/src/main/java/nettletrail/app/scale/thin/ThinDoor.java
@@ -2,6 +2,8 @@
 
 import java.util.Arrays;
 import java.util.List;
+import nettletrail.decision.ApertureGateway;
+import nettletrail.decision.ApertureSettings;
 import nettletrail.decision.Brain;
 import nettletrail.decision.Gateway;
 import nettletrail.decision.Gateway.Answer;
@@ -25,8 +27,8 @@
     final int index;
     private final ThinFleet fleet;
     private final ThinCase play;
-    private final Brain brain;
-    /** Of all backends, those from here on are in this door's arc; their number. */
+    private final Gateway brain;
+    /** Of all backends, those from here on are in the arc of a plain choice; their number. */
     private final int arcFrom;
     private final int arcSize;
     private int turn;
@@ -48,12 +50,13 @@
         Arrays.fill(lastSent, NEVER);
         Arrays.fill(lastEnded, NEVER);
         turn = fleet.chance().nextInt(arcSize);
-        brain = play.choice() == ThinCase.Choice.MODULE
-                ? new Brain(settings(play.doors(), index, play.seed()), fleet.now(), actions())
-                : null;
-        if (brain != null && each > 0) {
-            brain.sharedBy(fleet.now(), each);
-        }
+        brain = play.choice() == ThinCase.Choice.MODULE ? module() : null;
+    }
+
+    private Gateway module() {
+        Settings settings = settings(play.doors(), index, play.seed());
+        return ApertureGateway.around(new Brain(settings, fleet.now(), actions()), settings, index, play.doorsEach() == 0
+                ? ApertureSettings.OFF : new ApertureSettings(true, 1, play.doorsEach()));
     }
 
     static Settings settings(int gateways, int index, long seed) {
@@ -62,15 +65,9 @@
                 ThinCase.OVERLOAD_SPAN_MS * MS, 0, 1_000 * MS, List.of(KIND), List.of(FREE));
     }
 
-    private boolean knows(long backend) {
-        return Math.floorMod((int) backend - arcFrom, play.backends()) < arcSize;
-    }
-
     void listed(boolean whole, List<Backend> entries) {
         if (brain != null) {
-            List<Backend> mine = arcSize == play.backends() ? entries
-                    : entries.stream().filter(entry -> knows(entry.id())).toList();
-            fleet.timed(() -> brain.listed(fleet.now(), whole, mine));
+            fleet.timed(() -> brain.listed(fleet.now(), whole, entries));
         }
     }
 
