--- a/decision/src/main/java/nettletrail/decision/Aperture.java
+++ b/decision/src/main/java/nettletrail/decision/Aperture.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -123,8 +124,16 @@
      * @param index its number among them, from 0
      */
     Aperture(ApertureSettings settings, Settings gateways, int index) {
-        this(settings, gateways.gateways(), index, gateways.classes().stream()
-                .anyMatch(each -> each.effect() == Effect.KEYED && each.group() == Group.CELL));
+        this(settings, gateways.gateways(), index, byCell(gateways));
+    }
+
+    private static boolean byCell(Settings gateways) {
+        for (Gateway.RequestClass each : gateways.classes()) {
+            if (each.effect() == Effect.KEYED && each.group() == Group.CELL) {
+                return true;
+            }
+        }
+        return false;
     }
 
     Aperture(ApertureSettings settings, int doors, int index, boolean byCell) {
@@ -164,12 +173,20 @@
 
     /** The set in use: by zone, and from the arc's first rank on. */
     List<Backend> set() {
-        return set(place).stream().map(member -> member.entry).toList();
+        return entries(set(place));
     }
 
     /** That of another gateway, by the same list. */
     List<Backend> setOf(int index) {
-        return set(place(index, doors)).stream().map(member -> member.entry).toList();
+        return entries(set(place(index, doors)));
+    }
+
+    private static List<Backend> entries(List<Member> members) {
+        List<Backend> entries = new ArrayList<>(members.size());
+        for (Member member : members) {
+            entries.add(member.entry);
+        }
+        return entries;
     }
 
     /** Takes a list in, whole or only what changed, and says what the module is to be told of it. */
@@ -181,13 +198,13 @@
             take(entry, gone);
         }
         if (whole) {
-            listed.values().removeIf(member -> {
-                boolean left = member.toldBy != lists;
-                if (left) {
+            for (Iterator<Member> it = listed.values().iterator(); it.hasNext();) {
+                Member member = it.next();
+                if (member.toldBy != lists) {
                     leaves(member);
+                    it.remove();
                 }
-                return left;
-            });
+            }
         }
         Share share = share();
         all = share.over() >= doors * share.under();
@@ -199,7 +216,9 @@
         List<Member> old = set;
         set = set(place);
         if (whole || before) {
-            set.forEach(member -> member.usedBy = lists);
+            for (Member member : set) {
+                member.usedBy = lists;
+            }
             return new Told(true, set());
         }
         return new Told(false, changes(old, gone));
@@ -223,7 +242,12 @@
         if (known == null) {
             known = new Member(entry, byCell);
             listed.put(entry.id(), known);
-            rings.computeIfAbsent(entry.zone(), zone -> new Ring()).add(known);
+            Ring ring = rings.get(entry.zone());
+            if (ring == null) {
+                ring = new Ring();
+                rings.put(entry.zone(), ring);
+            }
+            ring.add(known);
         }
         known.entry = entry;
         known.toldBy = lists;
@@ -254,13 +278,14 @@
         List<Member> found = new ArrayList<>();
         Share share = share();
         boolean every = share.over() >= doors * share.under();
-        rings.forEach((zone, ring) -> {
-            long turn = Math.floorMod(mixed(zone), TURN);
+        for (Map.Entry<Integer, Ring> each : rings.entrySet()) {
+            Ring ring = each.getValue();
+            long turn = Math.floorMod(mixed(each.getKey()), TURN);
             long first = (TURN * from * ring.size + turn * doors) / (TURN * doors);
             long whole = TURN * doors * share.under();
             long end = (TURN * (from * share.under() + share.over()) * ring.size + turn * doors * share.under()) / whole;
             ring.arc(every ? 0 : first, every ? ring.size : end - first, found);
-        });
+        }
         return found;
     }
 
--- a/front-door/src/main/java/nettletrail/door/FrontDoor.java
+++ b/front-door/src/main/java/nettletrail/door/FrontDoor.java
@@ -108,6 +108,24 @@
     /** The project's own. */
     public static final Dispatcher.Maker MODULE = Brain::new;
 
+    /** No lambda: one that isn't in the archive of classes costs each start more. */
+    private static final class BehindAperture implements Dispatcher.Maker {
+        private final Dispatcher.Maker module;
+        private final int index;
+        private final ApertureSettings aperture;
+
+        BehindAperture(Dispatcher.Maker module, int index, ApertureSettings aperture) {
+            this.module = module;
+            this.index = index;
+            this.aperture = aperture;
+        }
+
+        @Override
+        public Gateway make(Gateway.Settings told, long now, Gateway.Actions actions) {
+            return ApertureGateway.around(module.make(told, now, actions), told, index, aperture);
+        }
+    }
+
     private FrontDoor(Config config, Dispatcher.Maker module, Additions more) {
         this.config = config;
         settings = config.settings().settings(config.seed());
@@ -129,7 +147,7 @@
         int index = config.settings().index();
         ApertureSettings aperture = config.settings().aperture(more.aperture());
         dispatcher = new Dispatcher(loop, clock, admission, bound, carriers, config.settings(), settings,
-                (told, now, actions) -> ApertureGateway.around(module.make(told, now, actions), told, index, aperture));
+                new BehindAperture(module, index, aperture));
         discovery = new Discovery(loop, config.discovery(), version(config.known()), config.seed(), this);
         dispatcher.news(discovery::look);
     }
