--- a/app/src/main/java/nettletrail/app/Measure.java
+++ b/app/src/main/java/nettletrail/app/Measure.java
@@ -35,7 +35,8 @@
 
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of("capacity", new MeasureCapacity(), "ext-proc", new MeasureExtProc(),
             "faults", new MeasureFaults(), "front-door", new MeasureFrontDoor(), "limits",
-            new MeasureLimits(), "roles", new MeasureRoles(), "start", new MeasureStart(), "tokens", new MeasureTokens()));
+            new MeasureLimits(), "members", new MeasureMembers(), "members-virtual", new MeasureMembersVirtual(), "roles",
+            new MeasureRoles(), "start", new MeasureStart(), "tokens", new MeasureTokens()));
 
     /** Their names, for help and completion, and for the test that starts each. */
     static final class Names implements Iterable<String> {
--- /dev/null
+++ b/app/src/main/java/nettletrail/app/explore/package-info.java
@@ -0,0 +1,2 @@
+/** All orders of steps of a small world around real deciders, within bounds. */
+package nettletrail.app.explore;
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/package-info.java
@@ -0,0 +1,2 @@
+/** Control plane: replicated shards, leases, registry of backends, feed, grants. */
+package nettletrail.control;
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/package-info.java
@@ -0,0 +1,2 @@
+/** An in-memory fleet: network, disks, clocks, engines, judge; for tests and experiments. */
+package nettletrail.emulator;
--- /dev/null
+++ b/store/src/main/java/nettletrail/store/package-info.java
@@ -0,0 +1,2 @@
+/** Versions on disk: one file each, written aside, synced and renamed. */
+package nettletrail.store;
