--- /dev/null
+++ b/configuration/src/main/java/nettletrail/configuration/ConfigurationModel.java
@@ -0,0 +1,13 @@
+package nettletrail.configuration;
+
+import java.util.List;
+
+/** The typed content of a document, before the rules between items are checked. */
+record ConfigurationModel(
+    long edition, List<Route> routes, List<Service> services, List<Tenant> tenants, Limits limits) {
+  ConfigurationModel {
+    routes = List.copyOf(routes);
+    services = List.copyOf(services);
+    tenants = List.copyOf(tenants);
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/nettletrail/configuration/FieldReader.java
@@ -0,0 +1,153 @@
+package nettletrail.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import nettletrail.configuration.ConfigurationException.Step;
+
+/** Reads typed fields of one JSON object; a field that is null counts as absent. */
+final class FieldReader {
+  private final JsonValue object;
+  private final String place;
+
+  /**
+   * Makes a reader.
+   *
+   * @param value must be an object
+   * @param place where it stands, for messages
+   */
+  FieldReader(JsonValue value, String place) throws ConfigurationException {
+    if (value.kind() != JsonValue.Kind.OBJECT) {
+      throw wrongType(place, "an object");
+    }
+    this.object = value;
+    this.place = place;
+  }
+
+  String place() {
+    return place;
+  }
+
+  boolean has(String field) {
+    JsonValue value = object.member(field);
+    return value != null && value.kind() != JsonValue.Kind.NULL;
+  }
+
+  String requiredText(String field) throws ConfigurationException {
+    requirePresent(field);
+    String text = optionalText(field, "");
+    if (text.isEmpty()) {
+      throw new ConfigurationException(Step.READ_FIELDS, placeOf(field), "empty");
+    }
+    return text;
+  }
+
+  String optionalText(String field, String fallback) throws ConfigurationException {
+    if (!has(field)) {
+      return fallback;
+    }
+    return typed(field, JsonValue.Kind.STRING, "a string").text();
+  }
+
+  boolean optionalBoolean(String field, boolean fallback) throws ConfigurationException {
+    if (!has(field)) {
+      return fallback;
+    }
+    return typed(field, JsonValue.Kind.BOOLEAN, "a boolean").text().equals("true");
+  }
+
+  long requiredLong(String field) throws ConfigurationException {
+    requirePresent(field);
+    return optionalLong(field, 0);
+  }
+
+  /** A whole number; a fraction is rounded up, a number out of range becomes the nearest long. */
+  long optionalLong(String field, long fallback) throws ConfigurationException {
+    if (!has(field)) {
+      return fallback;
+    }
+    String text = typed(field, JsonValue.Kind.NUMBER, "a number").text();
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException notPlain) {
+      return (long) Math.ceil(Double.parseDouble(text));
+    }
+  }
+
+  int requiredInt(String field) throws ConfigurationException {
+    requirePresent(field);
+    return optionalInt(field, 0);
+  }
+
+  /** As {@link #optionalLong}, for an int. */
+  int optionalInt(String field, int fallback) throws ConfigurationException {
+    long value = optionalLong(field, fallback);
+    return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, value));
+  }
+
+  /** As {@link #optionalInt}; zero and below count as absent. */
+  int positiveInt(String field, int fallback) throws ConfigurationException {
+    int value = optionalInt(field, fallback);
+    return value > 0 ? value : fallback;
+  }
+
+  double optionalDouble(String field, double fallback) throws ConfigurationException {
+    if (!has(field)) {
+      return fallback;
+    }
+    return Double.parseDouble(typed(field, JsonValue.Kind.NUMBER, "a number").text());
+  }
+
+  /** The strings of a list; empty if it is absent. */
+  List<String> texts(String field) throws ConfigurationException {
+    List<String> texts = new ArrayList<>();
+    for (JsonValue item : items(field)) {
+      if (item.kind() != JsonValue.Kind.STRING) {
+        throw wrongType(placeOf(field), "a list of strings");
+      }
+      texts.add(item.text());
+    }
+    return texts;
+  }
+
+  /** Readers for the objects of a list; empty if it is absent. */
+  List<FieldReader> objects(String field) throws ConfigurationException {
+    List<FieldReader> readers = new ArrayList<>();
+    for (JsonValue item : items(field)) {
+      readers.add(new FieldReader(item, placeOf(field) + "[" + readers.size() + "]"));
+    }
+    return readers;
+  }
+
+  /** A reader for an object, or null if it is absent. */
+  FieldReader optionalObject(String field) throws ConfigurationException {
+    return has(field) ? new FieldReader(object.member(field), placeOf(field)) : null;
+  }
+
+  void requirePresent(String field) throws ConfigurationException {
+    if (!has(field)) {
+      throw new ConfigurationException(Step.READ_FIELDS, placeOf(field), "missing");
+    }
+  }
+
+  private List<JsonValue> items(String field) throws ConfigurationException {
+    return has(field) ? typed(field, JsonValue.Kind.ARRAY, "a list").items() : List.of();
+  }
+
+  private JsonValue typed(String field, JsonValue.Kind kind, String wanted)
+      throws ConfigurationException {
+    JsonValue value = object.member(field);
+    if (value.kind() != kind) {
+      throw wrongType(placeOf(field), wanted);
+    }
+    return value;
+  }
+
+  String placeOf(String field) {
+    return place.isEmpty() ? field : place + "." + field;
+  }
+
+  private static ConfigurationException wrongType(String place, String wanted) {
+    String shown = place.isEmpty() ? "document" : place;
+    return new ConfigurationException(Step.READ_FIELDS, shown, "expected " + wanted);
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/nettletrail/configuration/RoutingTable.java
@@ -0,0 +1,101 @@
+package nettletrail.configuration;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** One edition compiled for use per request. Immutable and safe for use by several threads. */
+public final class RoutingTable {
+  private final ConfigurationModel model;
+  private final Map<String, HostRoutes> routesOfHost;
+  private final Map<String, Service> services;
+  private final Map<String, Tenant> tenants;
+  private final Map<String, Tenant> tenantsByKey;
+
+  private RoutingTable(ConfigurationModel model) {
+    this.model = model;
+    this.routesOfHost = HostRoutes.byHost(model.routes());
+    this.services = new HashMap<>();
+    this.tenants = new HashMap<>();
+    this.tenantsByKey = new HashMap<>();
+    model.services().forEach(service -> services.put(service.name(), service));
+    model.tenants().forEach(this::indexTenant);
+  }
+
+  private void indexTenant(Tenant tenant) {
+    tenants.put(tenant.name(), tenant);
+    tenant.keys().forEach(key -> tenantsByKey.put(key, tenant));
+  }
+
+  /**
+   * Compiles a document.
+   *
+   * @throws ConfigurationException if the document breaks a rule, see {@link
+   *     ConfigurationDocument#requireValidAfter}; its edition is not compared with another
+   */
+  public static RoutingTable compile(ConfigurationDocument document)
+      throws ConfigurationException {
+    ModelValidator.requireValid(document.model());
+    return new RoutingTable(document.model());
+  }
+
+  /** The number of the edition compiled. */
+  public long edition() {
+    return model.edition();
+  }
+
+  /**
+   * The route of a request: the longest prefix of the host that begins the path.
+   *
+   * @param host the Host header; case and port don't matter
+   * @param path the path without query, as sent
+   * @return null if there is no route
+   */
+  public Route match(String host, String path) {
+    HostRoutes routes = routesOfHost.get(host);
+    if (routes == null) {
+      routes = routesOfHost.get(HostNames.normalized(host));
+    }
+    return routes == null ? null : routes.match(path);
+  }
+
+  /** The tenant that holds a key, or null. */
+  public Tenant tenantOfKey(String key) {
+    return tenantsByKey.get(key);
+  }
+
+  /** The tenant of a name, or null. */
+  public Tenant tenant(String name) {
+    return tenants.get(name);
+  }
+
+  /** The service of a name, or null. */
+  public Service service(String name) {
+    return services.get(name);
+  }
+
+  /** The bounds on clients. */
+  public Limits limits() {
+    return model.limits();
+  }
+
+  /** Whether requests need a key unless their route is open: there are tenants. */
+  public boolean keysRequired() {
+    return !model.tenants().isEmpty();
+  }
+
+  /** All routes in the order of the document. */
+  public Collection<Route> routes() {
+    return model.routes();
+  }
+
+  /** All services in the order of the document. */
+  public Collection<Service> services() {
+    return model.services();
+  }
+
+  /** All tenants in the order of the document. */
+  public Collection<Tenant> tenants() {
+    return model.tenants();
+  }
+}
