Framed Avro links between the processes of a fleet

The deciders' messages need a way between processes that notices a peer that says nothing, comes back after a restart, and holds bounded memory.

Ruled out: answering pings (both sides ping, so an answer adds nothing) and queues for peers that are away (unbounded, and stale when they return).

--- /dev/null
+++ b/protocol/src/main/java/nettletrail/protocol/link/SocketAddresses.java
@@ -0,0 +1,40 @@
+package nettletrail.protocol.link;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Reads {@code ip:port}. Names are refused, so nothing here ever waits for a look-up. */
+final class SocketAddresses {
+  private static final int HIGHEST_PORT = 65_535;
+
+  private SocketAddresses() {}
+
+  /**
+   * Reads an address.
+   *
+   * @param step what the address is wanted for, named in the error
+   * @throws ProtocolException if the text isn't an IP number, a colon and a port
+   */
+  static InetSocketAddress parse(String text, LinkStep step) throws ProtocolException {
+    int colon = text.lastIndexOf(':');
+    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    if (ip == null) {
+      throw new ProtocolException(step, text, "the address isn't ip:port");
+    }
+    try {
+      return new InetSocketAddress(InetAddress.getByAddress(ip), port(text.substring(colon + 1)));
+    } catch (NumberFormatException | UnknownHostException failure) {
+      throw new ProtocolException(step, text, "the address isn't ip:port", failure);
+    }
+  }
+
+  private static int port(String text) {
+    int port = Integer.parseInt(text);
+    if (port < 0 || port > HIGHEST_PORT) {
+      throw new NumberFormatException("port " + port);
+    }
+    return port;
+  }
+}
--- /dev/null
+++ b/protocol/src/test/java/nettletrail/protocol/link/EnvelopeCodecTest.java
@@ -0,0 +1,98 @@
+package nettletrail.protocol.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Random;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.Ping;
+import nettletrail.protocol.ShardVersion;
+import org.apache.avro.specific.SpecificRecord;
+import org.junit.jupiter.api.Test;
+
+class EnvelopeCodecTest {
+  private static final String PEER = "10.0.0.1:7680";
+
+  private final EnvelopeCodec codec = new EnvelopeCodec();
+
+  private static Accept accept(int valueBytes) {
+    Ballot ballot = new Ballot(7L, "core-a");
+    List<Member> members = List.of(new Member("10.0.0.1:7680#0", PEER));
+    ShardVersion version =
+        new ShardVersion(ballot, 12L, members, ByteBuffer.wrap(new byte[valueBytes]));
+    return new Accept(3, "10.0.0.2:7680#0", ballot, version);
+  }
+
+  private SpecificRecord throughBuffer(SpecificRecord body, ByteBuf buffer) throws Exception {
+    try {
+      codec.encode(body, buffer, PEER);
+      return codec.decode(buffer, PEER);
+    } finally {
+      buffer.release();
+    }
+  }
+
+  @Test
+  void everyMessageComesBackEqualFromHeapAndDirectBuffers() throws Exception {
+    for (int valueBytes : new int[] {0, 10, 5_000, 200_000, 3}) {
+      Accept sent = accept(valueBytes);
+      assertEquals(sent, throughBuffer(sent, Unpooled.buffer()));
+      assertEquals(sent, throughBuffer(sent, ByteBufAllocator.DEFAULT.directBuffer()));
+    }
+  }
+
+  @Test
+  void messageWithoutRequiredFieldNamesStepAndPeerAndLeavesTheCodecUsable() throws Exception {
+    ConfigurationPush incomplete = new ConfigurationPush();
+    ByteBuf buffer = Unpooled.buffer();
+    ProtocolException failure =
+        assertThrows(ProtocolException.class, () -> codec.encode(incomplete, buffer, PEER));
+    assertEquals(LinkStep.ENCODE, failure.step());
+    assertEquals(PEER, failure.peer());
+    Ping ping = new Ping(5L);
+    assertEquals(ping, throughBuffer(ping, Unpooled.buffer()));
+  }
+
+  @Test
+  void bytesAfterTheMessageAreRefused() throws Exception {
+    ByteBuf buffer = Unpooled.buffer();
+    codec.encode(new Ping(5L), buffer, PEER);
+    buffer.writeByte(0);
+    ProtocolException failure =
+        assertThrows(ProtocolException.class, () -> codec.decode(buffer, PEER));
+    assertEquals(LinkStep.DECODE, failure.step());
+  }
+
+  @Test
+  void cutAndChangedFramesEndInACheckedExceptionOnly() throws Exception {
+    ByteBuf whole = Unpooled.buffer();
+    codec.encode(accept(40), whole, PEER);
+    for (int length = 0; length < whole.readableBytes(); length++) {
+      ByteBuf cut = whole.slice(0, length);
+      assertThrows(ProtocolException.class, () -> codec.decode(cut, PEER));
+    }
+    Random random = new Random(11);
+    for (int round = 0; round < 2_000; round++) {
+      ByteBuf changed = whole.copy();
+      int position = random.nextInt(changed.readableBytes());
+      changed.setByte(position, changed.getByte(position) ^ (1 << random.nextInt(8)));
+      decodeOrRefuse(changed);
+    }
+  }
+
+  private void decodeOrRefuse(ByteBuf frame) {
+    try {
+      codec.decode(frame, PEER);
+    } catch (ProtocolException failure) {
+      assertEquals(LinkStep.DECODE, failure.step());
+    }
+  }
+}
