--- a/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
@@ -9,6 +9,8 @@
  * not copied; nobody may change them.
  */
 public final class ConfigurationDocument {
+  private static final String SOURCE_NAME = "document";
+
   private final byte[] json;
   private final ConfigurationModel model;
 
@@ -22,10 +24,10 @@
    * #requireValidAfter}.
    *
    * @throws ConfigurationException if the text is not one whole JSON object, a required field is
-   *     missing, or a field has the wrong type
+   *     missing, a field has the wrong type, or a tenant lists a key twice
    */
   public static ConfigurationDocument parse(byte[] json) throws ConfigurationException {
-    return new ConfigurationDocument(json, ModelReader.read(JsonParser.parse(json)));
+    return new ConfigurationDocument(json, ModelReader.read(JsonParser.parse(json, SOURCE_NAME)));
   }
 
   /** The number of this edition. */
@@ -47,7 +49,7 @@
    *     has to be checked with {@link #requireValidAfter}
    */
   public ConfigurationDocument patched(byte[] patch) throws ConfigurationException {
-    return parse(DocumentPatch.parse(patch).applyTo(JsonParser.parse(json)));
+    return parse(DocumentPatch.parse(patch).applyTo(JsonParser.parse(json, SOURCE_NAME)));
   }
 
   /**
--- a/configuration/src/main/java/nettletrail/configuration/DocumentPatch.java
+++ b/configuration/src/main/java/nettletrail/configuration/DocumentPatch.java
@@ -1,8 +1,7 @@
 package nettletrail.configuration;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,100 +16,111 @@
  * the one with its name, or goes to the end of its list.
  */
 final class DocumentPatch {
+  private static final String SOURCE_NAME = "patch";
   private static final String EDITION = "edition";
   private static final String ADDITIONS = "deliver";
   private static final String REMOVALS = "withdraw";
   private static final String NAME = "name";
 
   private final JsonValue edition;
-  private final Map<String, JsonValue> additions;
-  private final Map<String, JsonValue> removals;
-
-  private DocumentPatch(
-      JsonValue edition, Map<String, JsonValue> additions, Map<String, JsonValue> removals) {
-    this.edition = edition;
-    this.additions = additions;
-    this.removals = removals;
+  private final Map<String, JsonValue.Member> additions;
+  private final Map<String, JsonValue.Member> removals;
+
+  private DocumentPatch(JsonValue body) throws ConfigurationException {
+    this.edition = body.member(EDITION);
+    this.additions = membersOf(body, ADDITIONS);
+    this.removals = membersOf(body, REMOVALS);
   }
 
-  /** Reads a patch; throws if it is not readable as a whole. */
+  /**
+   * Reads a patch.
+   *
+   * @throws ConfigurationException if it cannot be read as a whole
+   */
   static DocumentPatch parse(byte[] json) throws ConfigurationException {
-    JsonValue body = JsonParser.parse(json);
-    new FieldReader(body, "").requiredLong(EDITION);
-    Map<String, JsonValue> removals = membersOf(body, REMOVALS);
-    for (Map.Entry<String, JsonValue> removal : removals.entrySet()) {
-      requireStrings(removal.getKey(), removal.getValue());
+    JsonValue body = JsonParser.parse(json, SOURCE_NAME);
+    new FieldReader(body, SOURCE_NAME).requiredLong(EDITION);
+    DocumentPatch patch = new DocumentPatch(body);
+    for (JsonValue.Member removal : patch.removals.values()) {
+      requireNames(removal);
     }
-    return new DocumentPatch(body.member(EDITION), membersOf(body, ADDITIONS), removals);
+    return patch;
   }
 
-  private static Map<String, JsonValue> membersOf(JsonValue body, String field)
+  private static Map<String, JsonValue.Member> membersOf(JsonValue body, String field)
       throws ConfigurationException {
     JsonValue value = body.member(field);
     if (value == null || value.kind() == JsonValue.Kind.NULL) {
       return Map.of();
     }
     if (value.kind() != JsonValue.Kind.OBJECT) {
-      throw new ConfigurationException(Step.PATCH, field, "expected an object");
+      throw failure(field, "expected an object");
     }
     return membersByName(value);
   }
 
-  private static Map<String, JsonValue> membersByName(JsonValue object) {
-    Map<String, JsonValue> byName = new LinkedHashMap<>();
+  /** The members in the order written; of several with one name, the last. */
+  private static Map<String, JsonValue.Member> membersByName(JsonValue object) {
+    Map<String, JsonValue.Member> byName = new LinkedHashMap<>();
     for (JsonValue.Member member : object.members()) {
-      byName.put(member.name(), member.value());
+      byName.put(member.name(), member);
     }
     return byName;
   }
 
-  private static void requireStrings(String list, JsonValue names) throws ConfigurationException {
-    boolean strings = names.kind() == JsonValue.Kind.ARRAY;
-    for (JsonValue name : names.items()) {
-      strings &= name.kind() == JsonValue.Kind.STRING;
+  private static void requireNames(JsonValue.Member removal) throws ConfigurationException {
+    boolean names = removal.value().kind() == JsonValue.Kind.ARRAY;
+    for (JsonValue name : removal.value().items()) {
+      names &= name.kind() == JsonValue.Kind.STRING;
     }
-    if (!strings) {
-      throw new ConfigurationException(
-          Step.PATCH, REMOVALS + "." + list, "expected a list of names");
+    if (!names) {
+      throw failure(REMOVALS + "." + removal.name(), "expected a list of names");
     }
   }
 
   /** The text of the document after this change. */
   byte[] applyTo(JsonValue document) throws ConfigurationException {
-    Map<String, byte[]> result = new LinkedHashMap<>();
-    for (Map.Entry<String, JsonValue> member : membersByName(document).entrySet()) {
-      result.put(member.getKey(), changed(member.getKey(), member.getValue()));
-    }
-    for (Map.Entry<String, JsonValue> addition : additions.entrySet()) {
-      result.putIfAbsent(addition.getKey(), addition.getValue().bytes());
+    Map<String, JsonValue.Member> current = membersByName(document);
+    JsonOutput output = JsonOutput.object();
+    for (JsonValue.Member member : current.values()) {
+      output.member(member.key().bytes(), changed(member));
+    }
+    for (JsonValue.Member addition : additions.values()) {
+      if (!current.containsKey(addition.name())) {
+        output.member(addition.key().bytes(), addition.value().bytes());
+      }
     }
-    result.put(EDITION, edition.bytes());
-    return writeObject(result);
+    return output.toBytes();
   }
 
-  private byte[] changed(String field, JsonValue current) throws ConfigurationException {
-    JsonValue added = additions.get(field);
-    JsonValue removed = removals.get(field);
-    if (current.kind() == JsonValue.Kind.ARRAY && (added != null || removed != null)) {
-      return changedList(field, current, added, removed);
+  private byte[] changed(JsonValue.Member member) throws ConfigurationException {
+    if (member.name().equals(EDITION)) {
+      return edition.bytes();
+    }
+    JsonValue.Member added = additions.get(member.name());
+    JsonValue.Member removed = removals.get(member.name());
+    boolean named = added != null || removed != null;
+    if (named && member.value().kind() == JsonValue.Kind.ARRAY) {
+      return changedList(member.value(), added, removed);
     }
-    return added == null ? current.bytes() : added.bytes();
+    return added == null ? member.value().bytes() : added.value().bytes();
   }
 
   private static byte[] changedList(
-      String list, JsonValue current, JsonValue added, JsonValue removed)
+      JsonValue list, JsonValue.Member added, JsonValue.Member removed)
       throws ConfigurationException {
-    if (added != null && added.kind() != JsonValue.Kind.ARRAY) {
-      throw new ConfigurationException(Step.PATCH, ADDITIONS + "." + list, "expected a list");
-    }
-    List<JsonValue> items = new ArrayList<>(current.items());
+    List<JsonValue> items = new ArrayList<>(list.items());
     if (removed != null) {
-      removeNamed(items, removed);
+      removeNamed(items, removed.value());
     }
     if (added != null) {
       addOrReplace(items, added);
     }
-    return writeArray(items);
+    JsonOutput output = JsonOutput.array();
+    for (JsonValue item : items) {
+      output.item(item.bytes());
+    }
+    return output.toBytes();
   }
 
   private static void removeNamed(List<JsonValue> items, JsonValue names) {
@@ -121,14 +131,14 @@
     items.removeIf(item -> removed.contains(nameOf(item)));
   }
 
-  private static void addOrReplace(List<JsonValue> items, JsonValue added) {
-    Map<String, Integer> positions = new LinkedHashMap<>();
-    for (int index = 0; index < items.size(); index++) {
-      positions.put(nameOf(items.get(index)), index);
+  private static void addOrReplace(List<JsonValue> items, JsonValue.Member added)
+      throws ConfigurationException {
+    if (added.value().kind() != JsonValue.Kind.ARRAY) {
+      throw failure(ADDITIONS + "." + added.name(), "expected a list");
     }
-    for (JsonValue item : added.items()) {
-      String name = nameOf(item);
-      Integer position = name == null ? null : positions.get(name);
+    Map<String, Integer> positions = positionsByName(items);
+    for (JsonValue item : added.value().items()) {
+      Integer position = positions.get(nameOf(item));
       if (position == null) {
         items.add(item);
       } else {
@@ -137,34 +147,22 @@
     }
   }
 
+  private static Map<String, Integer> positionsByName(List<JsonValue> items) {
+    Map<String, Integer> positions = new HashMap<>();
+    for (int index = 0; index < items.size(); index++) {
+      positions.put(nameOf(items.get(index)), index);
+    }
+    positions.remove(null);
+    return positions;
+  }
+
   /** The name of an item, or null if it has none. */
   private static String nameOf(JsonValue item) {
     JsonValue name = item.member(NAME);
     return name != null && name.kind() == JsonValue.Kind.STRING ? name.text() : null;
   }
 
-  private static byte[] writeArray(List<JsonValue> items) {
-    ByteArrayOutputStream output = new ByteArrayOutputStream();
-    String separator = "[";
-    for (JsonValue item : items) {
-      output.writeBytes(separator.getBytes(StandardCharsets.UTF_8));
-      output.writeBytes(item.bytes());
-      separator = ",";
-    }
-    output.writeBytes((items.isEmpty() ? "[]" : "]").getBytes(StandardCharsets.UTF_8));
-    return output.toByteArray();
-  }
-
-  private static byte[] writeObject(Map<String, byte[]> members) {
-    ByteArrayOutputStream output = new ByteArrayOutputStream();
-    String separator = "{";
-    for (Map.Entry<String, byte[]> member : members.entrySet()) {
-      String head = separator + JsonText.quoted(member.getKey()) + ":";
-      output.writeBytes(head.getBytes(StandardCharsets.UTF_8));
-      output.writeBytes(member.getValue());
-      separator = ",";
-    }
-    output.write('}');
-    return output.toByteArray();
+  private static ConfigurationException failure(String place, String reason) {
+    return new ConfigurationException(Step.PATCH, SOURCE_NAME + "." + place, reason);
   }
 }
--- a/configuration/src/main/java/nettletrail/configuration/JsonParser.java
+++ b/configuration/src/main/java/nettletrail/configuration/JsonParser.java
@@ -22,21 +22,24 @@
   private static final int FIRST_PRINTABLE = 0x20;
 
   private final byte[] source;
+  private final String sourceName;
   private final JsonIterator stringDecoder = new JsonIterator();
   private int position;
 
-  private JsonParser(byte[] source) {
+  private JsonParser(byte[] source, String sourceName) {
     this.source = source;
+    this.sourceName = sourceName;
   }
 
   /**
    * Parses the whole text.
    *
+   * @param sourceName what the text is, for messages
    * @throws ConfigurationException if the text is not exactly one JSON value in UTF-8
    */
-  static JsonValue parse(byte[] source) throws ConfigurationException {
-    requireUtf8(source);
-    JsonParser parser = new JsonParser(source);
+  static JsonValue parse(byte[] source, String sourceName) throws ConfigurationException {
+    JsonParser parser = new JsonParser(source, sourceName);
+    parser.requireUtf8();
     JsonValue value = parser.parseValue(0);
     parser.skipWhitespace();
     if (parser.position < source.length) {
@@ -45,11 +48,11 @@
     return value;
   }
 
-  private static void requireUtf8(byte[] source) throws ConfigurationException {
+  private void requireUtf8() throws ConfigurationException {
     try {
       StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(source));
     } catch (CharacterCodingException malformed) {
-      throw new ConfigurationException(Step.PARSE, "text", "not UTF-8");
+      throw new ConfigurationException(Step.PARSE, sourceName, "not UTF-8");
     }
   }
 
@@ -86,10 +89,10 @@
 
   private JsonValue.Member parseMember(int depth) throws ConfigurationException {
     skipWhitespace();
-    String name = parseString().text();
+    JsonValue key = parseString();
     skipWhitespace();
     expect(':');
-    return new JsonValue.Member(name, parseValue(depth + 1));
+    return new JsonValue.Member(key, parseValue(depth + 1));
   }
 
   private JsonValue parseArray(int depth) throws ConfigurationException {
@@ -232,6 +235,6 @@
   }
 
   private ConfigurationException failure(String reason) {
-    return new ConfigurationException(Step.PARSE, "byte " + position, reason);
+    return new ConfigurationException(Step.PARSE, sourceName + " byte " + position, reason);
   }
 }
--- a/configuration/src/main/java/nettletrail/configuration/JsonValue.java
+++ b/configuration/src/main/java/nettletrail/configuration/JsonValue.java
@@ -28,8 +28,16 @@
     NULL
   }
 
-  /** A name and a value of an object. */
-  record Member(String name, JsonValue value) {}
+  /**
+   * A name and a value of an object.
+   *
+   * @param key the name, a string
+   */
+  record Member(JsonValue key, JsonValue value) {
+    String name() {
+      return key.text();
+    }
+  }
 
   private JsonValue(
       Kind kind,
