Fleet settings: read, checked whole, watched

A process is told about itself by a file that may change under it. A start that fails should name all that is wrong at once, and a running process should keep what it has when the new file can't be used.

--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings that the platform gives a process: read from a file, checked whole, watched for changes. */
+package nettletrail.fleet.settings;
