--- /dev/null
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -0,0 +1,304 @@
+package nettletrail.control;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import nettletrail.control.grant.GrantOwner;
+import nettletrail.control.grant.QuotaLimit;
+import nettletrail.control.registry.BackendRegistry;
+import nettletrail.control.registry.BackendRegistry.Change;
+import nettletrail.control.registry.CorePeers;
+import nettletrail.control.registry.DoorSessions;
+import nettletrail.control.registry.Feed;
+import nettletrail.control.registry.PendingCalls;
+import nettletrail.control.registry.RegistryAction;
+import nettletrail.control.registry.RegistryAction.AnswerBackend;
+import nettletrail.control.registry.RegistryAction.SendToCore;
+import nettletrail.control.registry.RegistryAction.SendToDoor;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendFreshness;
+import nettletrail.protocol.BackendState;
+import nettletrail.protocol.DoorHeartbeat;
+import nettletrail.protocol.DoorHeartbeatReply;
+import nettletrail.protocol.FeedAck;
+import nettletrail.protocol.GrantReply;
+import nettletrail.protocol.GrantRequest;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.RegistryDigest;
+import nettletrail.protocol.RegistryUpdate;
+import nettletrail.protocol.RegistryUpdateReply;
+import org.apache.avro.specific.SpecificRecord;
+
+/**
+ * A core process's part in the registry of backends, the feed to the doors, the doors' leases and the grants of quota.
+ *
+ * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what has to be done. One thread.
+ * Messages that don't concern these parts are ignored.
+ *
+ * <p>Backends: a call that brings nothing new is answered at once and reaches other core processes only in digests. A change goes
+ * to them as an update, kept as a hint until it is acknowledged, and to the doors through the feed. That a backend closes or is
+ * gone is acknowledged once another core process has it and it was handed to all linked doors, or all live doors acknowledged it,
+ * or there is no other core process.
+ */
+public final class CoreRegistry {
+  private static final long MILLIS = 1_000_000L;
+  private static final long DIGEST_EVERY = 700 * MILLIS;
+  private static final int OK = 200;
+  private static final String DELETE = "DELETE";
+
+  private final CoreRegistrySettings settings;
+  private final ShardOwnership ownership;
+  private final BackendRegistry registry;
+  private final Feed feed;
+  private final DoorSessions doors;
+  private final CorePeers peers;
+  private final GrantOwner grants;
+  private final PendingCalls pending = new PendingCalls();
+  private long nextDigest;
+  private long configurationSequence;
+
+  /** Begins empty. {@code ownership} is asked at each call. */
+  public CoreRegistry(CoreRegistrySettings settings, ShardOwnership ownership, long now) {
+    this.settings = settings;
+    this.ownership = ownership;
+    this.registry = new BackendRegistry(settings.beatMs(), now);
+    this.feed = new Feed(settings.address(), settings.feed());
+    this.doors = new DoorSessions(feed, registry);
+    this.peers = new CorePeers(settings.address());
+    this.grants = new GrantOwner(settings.grants());
+    this.nextDigest = now + DIGEST_EVERY;
+  }
+
+  /**
+   * A backend called. {@code method} is PUT or DELETE; of a DELETE only the id counts. An {@link AnswerBackend} with the same
+   * number follows, now or within 800 ms.
+   */
+  public List<RegistryAction> backendCall(long call, String method, Backend record, long now) {
+    Backend report = method.equals(DELETE) ? gone(record) : record;
+    Change change = registry.heardDirectly(report, now);
+    List<RegistryAction> actions = new ArrayList<>();
+    Backend held = registry.get(report.getId());
+    if (change == Change.CHANGED) {
+      followMembers();
+      publish(held);
+    }
+    if (report.getState() == BackendState.READY) {
+      actions.add(new AnswerBackend(call, OK));
+    } else {
+      acknowledgeLater(call, held, now);
+    }
+    actions.addAll(flush(now));
+    return actions;
+  }
+
+  /** A message of another core process. {@code address}: the peer's address as it is dialled. */
+  public List<RegistryAction> receiveFromCore(String address, SpecificRecord message, long now) {
+    List<RegistryAction> actions = new ArrayList<>();
+    if (message instanceof RegistryUpdate update) {
+      update.getBackends().forEach(backend -> enterFromPeer(backend, now));
+      actions.add(
+          new SendToCore(address, new RegistryUpdateReply(settings.address(), update.getUpdate())));
+    } else if (message instanceof RegistryUpdateReply reply) {
+      peers.acknowledged(address, reply).forEach(pending::otherCoreHas);
+    } else if (message instanceof RegistryDigest digest) {
+      digest.getBackends().forEach(freshness -> heardElsewhere(freshness, now));
+    } else {
+      return actions;
+    }
+    actions.addAll(flush(now));
+    return actions;
+  }
+
+  /** A message of a door. {@code door}: its name, as in its heartbeats. */
+  public List<RegistryAction> receiveFromDoor(String door, SpecificRecord message, long now) {
+    List<RegistryAction> actions = new ArrayList<>();
+    if (message instanceof DoorHeartbeat heartbeat) {
+      doors.heartbeat(heartbeat, now);
+      actions.addAll(flush(now));
+      actions.add(new SendToDoor(door, heartbeatReply(heartbeat, now)));
+    } else if (message instanceof FeedAck acknowledgement) {
+      doors.acknowledged(acknowledgement);
+      actions.addAll(flush(now));
+    } else if (message instanceof GrantRequest request) {
+      actions.add(new SendToDoor(door, grant(request, now)));
+    }
+    return actions;
+  }
+
+  /** A link with a door is up. */
+  public List<RegistryAction> doorUp(String door, long now) {
+    doors.linkUp(door, now);
+    return List.of();
+  }
+
+  /** The link with a door is gone. */
+  public List<RegistryAction> doorDown(String door, long now) {
+    doors.linkDown(door, now);
+    return flush(now);
+  }
+
+  /** A link with another core process is up. */
+  public List<RegistryAction> coreUp(String address, long now) {
+    peers.up(address, registry.contents(), now);
+    return flush(now);
+  }
+
+  /** The link with another core process is gone. */
+  public List<RegistryAction> coreDown(String address, long now) {
+    peers.down(address);
+    registry.hearingDisturbed(now);
+    return List.of();
+  }
+
+  /**
+   * A configuration is committed, as this process knows; one that is older than another told before is ignored.
+   * {@code limits}: the limits of all its tenants, also of those without one.
+   */
+  public List<RegistryAction> configuration(
+      long sequence, long edition, byte[] document, Map<String, QuotaLimit> limits, long now) {
+    if (sequence <= configurationSequence) {
+      return List.of();
+    }
+    configurationSequence = sequence;
+    doors.configuration(sequence, edition, document);
+    grants.limits(limits, now);
+    return flush(now);
+  }
+
+  /** To be called about every 50 ms. */
+  public List<RegistryAction> tick(long now) {
+    followMembers();
+    noteOwnedShards(now);
+    for (String id : registry.expire(now)) {
+      feed.appendExpired(id);
+    }
+    List<RegistryAction> actions = new ArrayList<>();
+    if (now - nextDigest >= 0) {
+      nextDigest = now + DIGEST_EVERY;
+      List<BackendFreshness> heard = registry.takeDigest(now);
+      if (!heard.isEmpty()) {
+        actions.addAll(peers.digest(new RegistryDigest(settings.address(), heard)));
+      }
+    }
+    actions.addAll(flush(now));
+    return actions;
+  }
+
+  /** The backends that are known and not expired, with tombstones. */
+  public List<Backend> backends() {
+    return registry.contents();
+  }
+
+  /** How many doors hold a lease here. */
+  public int liveDoors(long now) {
+    return doors.liveDoors(now);
+  }
+
+  private void enterFromPeer(Backend backend, long now) {
+    if (registry.enter(backend, now) == Change.CHANGED) {
+      feed.append(registry.get(backend.getId()));
+    }
+  }
+
+  private void heardElsewhere(BackendFreshness freshness, long now) {
+    if (registry.heardElsewhere(freshness, now)) {
+      feed.append(registry.get(freshness.getId()));
+    }
+  }
+
+  private void publish(Backend backend) {
+    peers.tell(backend);
+    feed.append(backend);
+  }
+
+  /** A repeated call waits on its own; the report is told again, so that there is something to be acknowledged. */
+  private void acknowledgeLater(long call, Backend held, long now) {
+    followMembers();
+    peers.tell(held);
+    pending.add(call, held, feed.offset(), now);
+  }
+
+  private List<RegistryAction> flush(long now) {
+    List<RegistryAction> actions = new ArrayList<>(peers.send(now));
+    actions.addAll(doors.push(now));
+    actions.addAll(pending.settle(call -> covered(call, now), now));
+    return actions;
+  }
+
+  private boolean covered(PendingCalls.Call call, long now) {
+    return onlyCore()
+        || call.otherCoreHasIt() && doors.handedToAllLinked(call.offset())
+        || doors.acknowledgedByAllLive(call.offset(), now);
+  }
+
+  /** Nobody else could have it. Not so while the membership isn't known yet. */
+  private boolean onlyCore() {
+    return peers.none() && !ownership.members().isEmpty();
+  }
+
+  private void followMembers() {
+    Set<String> addresses = new HashSet<>();
+    for (Member member : ownership.members()) {
+      addresses.add(member.getAddress());
+    }
+    peers.members(addresses);
+  }
+
+  private void noteOwnedShards(long now) {
+    for (int shard = 0; shard < ownership.shardCount(); shard++) {
+      if (ownership.owns(shard, now)) {
+        grants.owned(shard, ownership.token(shard), now);
+      }
+    }
+  }
+
+  private GrantReply grant(GrantRequest request, long now) {
+    int shard = request.getShard();
+    boolean known = shard >= 0 && shard < ownership.shardCount();
+    if (!known || !ownership.owns(shard, now)) {
+      return GrantOwner.notOwner(settings.address(), request);
+    }
+    return grants.answer(settings.address(), request, ownership.token(shard), now);
+  }
+
+  private DoorHeartbeatReply heartbeatReply(DoorHeartbeat heartbeat, long now) {
+    OptionalLong confirmedAt = ownership.confirmedAt();
+    long ageMs = confirmedAt.isPresent() ? ageMsRoundedUp(now - confirmedAt.getAsLong()) : 0;
+    return new DoorHeartbeatReply(
+        settings.address(),
+        heartbeat.getSentAt(),
+        confirmedAt.isPresent(),
+        ageMs,
+        ownership.configurationSequence(),
+        feed.id(),
+        feed.offset(),
+        doors.liveDoors(now),
+        ownership.members(),
+        owners(now));
+  }
+
+  private List<String> owners(long now) {
+    List<String> owners = new ArrayList<>();
+    for (int shard = 0; shard < ownership.shardCount(); shard++) {
+      owners.add(
+          ownership.owns(shard, now) ? settings.address() : ownership.ownerAddress(shard));
+    }
+    return owners;
+  }
+
+  private static long ageMsRoundedUp(long nanos) {
+    return (Math.max(0, nanos) + MILLIS - 1) / MILLIS;
+  }
+
+  private Backend gone(Backend record) {
+    Backend held = registry.get(record.getId());
+    Backend base = held == null ? record : held;
+    return Backend.newBuilder(base)
+        .setState(BackendState.GONE)
+        .setCallSequence(Math.max(record.getCallSequence(), base.getCallSequence()))
+        .build();
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/CoreRegistrySettings.java
@@ -0,0 +1,20 @@
+package nettletrail.control;
+
+import nettletrail.control.grant.GrantTerms;
+
+/**
+ * What the core's registry has to be told.
+ *
+ * @param address this process's address as other core processes and doors dial it
+ * @param feed the id of this life's feed; above 0 and never used before
+ * @param beatMs how often backends call, in milliseconds
+ * @param grants the bounds that grants keep
+ */
+public record CoreRegistrySettings(String address, long feed, long beatMs, GrantTerms grants) {
+  /** Checks the ranges. */
+  public CoreRegistrySettings {
+    if (feed <= 0 || beatMs <= 0) {
+      throw new IllegalArgumentException("feed and beatMs must be above 0, not " + feed + ", " + beatMs);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -0,0 +1,278 @@
+package nettletrail.control.door;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.DoorHeartbeat;
+import nettletrail.protocol.DoorHeartbeatReply;
+import nettletrail.protocol.FeedAck;
+import nettletrail.protocol.FeedEvents;
+import nettletrail.protocol.FeedSnapshot;
+import nettletrail.protocol.GrantReply;
+import nettletrail.protocol.Member;
+import org.apache.avro.specific.SpecificRecord;
+
+/**
+ * The door's view of the control plane: it dials all core processes, sends them heartbeats, follows their feeds and keeps the
+ * newest configuration.
+ *
+ * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what has to be done. One thread.
+ */
+public final class DoorControl {
+  private static final long MILLIS = 1_000_000L;
+  private static final long HEARTBEAT_EVERY = 400 * MILLIS;
+  private static final long UNDIAL_AFTER = 30_000 * MILLIS;
+  private static final long REACHABLE = 2_000 * MILLIS;
+
+  private final DoorControlSettings settings;
+  private final Map<String, CoreLink> links = new LinkedHashMap<>();
+  private final BackendView backends = new BackendView();
+  private final OwnerDirectory owners = new OwnerDirectory();
+  private final DoorCount doorCount = new DoorCount();
+  private final KeyLease keys;
+  private final GrantClient grants;
+  private Set<String> seeds;
+  private long configurationSequence;
+  private long lastTick;
+  private boolean draining;
+
+  /** Nothing is dialled before {@link #settingsChanged} or {@link #tick}. */
+  public DoorControl(DoorControlSettings settings, long now) {
+    this.settings = settings;
+    this.keys = new KeyLease(settings.revokeMs());
+    this.grants = new GrantClient(settings.door(), settings.life(), new Owners());
+    this.seeds = new HashSet<>(settings.seeds());
+    this.lastTick = now;
+  }
+
+  /** The settings name these seeds from here on. */
+  public List<DoorAction> settingsChanged(List<String> seedAddresses, long now) {
+    seeds = new HashSet<>(seedAddresses);
+    return dialNew(seeds, now);
+  }
+
+  /** The door is about to end; its heartbeats say so. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** A link to a core process is up. */
+  public List<DoorAction> linkUp(String address, long now) {
+    CoreLink link = links.computeIfAbsent(address, unseen -> new CoreLink(address, now));
+    link.linkUp(now);
+    return poll(now);
+  }
+
+  /** The link to a core process is lost. */
+  public List<DoorAction> linkDown(String address, long now) {
+    CoreLink link = links.get(address);
+    if (link != null) {
+      link.linkDown(now);
+      backends.unlinked(address);
+    }
+    return List.of();
+  }
+
+  /** A message of a core process; those that don't concern the door are ignored. */
+  public List<DoorAction> received(String address, SpecificRecord message, long now) {
+    List<DoorAction> actions = new ArrayList<>();
+    CoreLink link = links.get(address);
+    if (link == null) {
+      return actions;
+    }
+    if (message instanceof DoorHeartbeatReply reply) {
+      heartbeatReply(link, reply, actions, now);
+    } else if (message instanceof ConfigurationPush push) {
+      configuration(push, actions);
+    } else if (message instanceof FeedSnapshot snapshot) {
+      snapshot(link, snapshot, actions, now);
+    } else if (message instanceof FeedEvents events) {
+      events(link, events, actions, now);
+    } else if (message instanceof GrantReply reply) {
+      grants.received(reply, now);
+    }
+    actions.addAll(poll(now));
+    return actions;
+  }
+
+  /** To be called about every 50 ms. */
+  public List<DoorAction> tick(long now) {
+    lastTick = now;
+    List<DoorAction> actions = dialNew(seeds, now);
+    undialUseless(actions, now);
+    backends.tick(now);
+    doorCount.tick(links.values(), now);
+    actions.addAll(poll(now));
+    return actions;
+  }
+
+  /** What is due outside of the ticks: to be called after a request found too few quota tokens. */
+  public List<DoorAction> poll(long now) {
+    List<DoorAction> actions = new ArrayList<>();
+    for (CoreLink link : links.values()) {
+      if (link.heartbeatDue(HEARTBEAT_EVERY, now)) {
+        actions.add(new DoorAction.SendToCore(link.address(), heartbeat(link, now)));
+      }
+    }
+    actions.addAll(grants.poll(now));
+    for (String service : backends.takeChangedServices()) {
+      actions.add(new DoorAction.BackendsChanged(service));
+    }
+    return actions;
+  }
+
+  /** The sequence of the configuration in force, 0 for none; never goes back. */
+  public long configurationSequence() {
+    return configurationSequence;
+  }
+
+  /** The steady instant, nanoseconds, until which keys may be used and refused; empty when nothing was ever confirmed. */
+  public OptionalLong keysHeldUntil() {
+    return keys.until();
+  }
+
+  /** Whether keys may be used and refused at this instant. */
+  public boolean keysHeld(long now) {
+    OptionalLong until = keys.until();
+    return until.isPresent() && now - until.getAsLong() < 0;
+  }
+
+  /** The backends of a service that aren't gone, ready and closing ones; the list isn't changed later. */
+  public List<Backend> backends(String service) {
+    return backends.backends(service);
+  }
+
+  /** How many doors there are, 0 while that isn't known; falls only after a while, for budgets that all doors share. */
+  public int doorCount() {
+    return doorCount.count();
+  }
+
+  /** Whether a core process answered lately, as of the last tick. */
+  public boolean coreReachable() {
+    for (CoreLink link : links.values()) {
+      if (link.repliedWithin(REACHABLE, lastTick)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** The quota tokens that this door holds. */
+  public GrantClient grants() {
+    return grants;
+  }
+
+  private DoorHeartbeat heartbeat(CoreLink link, long now) {
+    return new DoorHeartbeat(
+        settings.door(),
+        settings.zone(),
+        settings.life(),
+        now,
+        configurationSequence,
+        link.feed(),
+        link.offset(),
+        draining);
+  }
+
+  private void heartbeatReply(
+      CoreLink link, DoorHeartbeatReply reply, List<DoorAction> actions, long now) {
+    link.replied(reply.getDoors(), now);
+    keys.confirmed(reply);
+    owners.told(link.address(), reply.getOwners(), now);
+    doorCount.tick(links.values(), now);
+    if (reply.getFeed() == link.feed() && reply.getFeedOffset() == link.offset()) {
+      backends.linked(link.address(), now);
+    }
+    List<String> members = reply.getCore().stream().map(Member::getAddress).toList();
+    actions.addAll(dialNew(members, now));
+  }
+
+  private void configuration(ConfigurationPush push, List<DoorAction> actions) {
+    if (push.getSequence() > configurationSequence) {
+      configurationSequence = push.getSequence();
+      keys.holds(configurationSequence);
+      actions.add(
+          new DoorAction.ConfigurationChanged(
+              push.getSequence(), push.getEdition(), push.getDocument().asReadOnlyBuffer()));
+    }
+  }
+
+  private void snapshot(
+      CoreLink link, FeedSnapshot snapshot, List<DoorAction> actions, long now) {
+    boolean sameLife = link.feed() == snapshot.getFeed();
+    backends.linked(link.address(), now);
+    backends.snapshot(link.address(), snapshot.getBackends(), sameLife, now);
+    link.read(snapshot.getFeed(), snapshot.getOffset());
+    acknowledge(link, actions);
+  }
+
+  /** Events that don't join what was read are left: the next heartbeat tells the core process where the door stands. */
+  private void events(CoreLink link, FeedEvents events, List<DoorAction> actions, long now) {
+    if (events.getFeed() != link.feed() || events.getFromOffset() > link.offset()) {
+      return;
+    }
+    backends.linked(link.address(), now);
+    if (events.getOffset() > link.offset()) {
+      events.getBackends().forEach(backend -> backends.reported(link.address(), backend, now));
+      events.getExpired().forEach(id -> backends.expired(link.address(), id));
+      link.read(events.getFeed(), events.getOffset());
+    }
+    acknowledge(link, actions);
+  }
+
+  private void acknowledge(CoreLink link, List<DoorAction> actions) {
+    FeedAck acknowledgement = new FeedAck(settings.door(), link.feed(), link.offset());
+    actions.add(new DoorAction.SendToCore(link.address(), acknowledgement));
+  }
+
+  private List<DoorAction> dialNew(Iterable<String> addresses, long now) {
+    List<DoorAction> actions = new ArrayList<>();
+    for (String address : addresses) {
+      CoreLink known = links.get(address);
+      if (known == null) {
+        links.put(address, new CoreLink(address, now));
+        actions.add(new DoorAction.Dial(address));
+      } else {
+        known.named(now);
+      }
+    }
+    return actions;
+  }
+
+  private void undialUseless(List<DoorAction> actions, long now) {
+    for (Iterator<CoreLink> iterator = links.values().iterator(); iterator.hasNext(); ) {
+      CoreLink link = iterator.next();
+      if (link.uselessFor(UNDIAL_AFTER, now)) {
+        iterator.remove();
+        owners.forget(link.address());
+        actions.add(new DoorAction.Undial(link.address()));
+      }
+    }
+  }
+
+  /** Owners among the linked core processes. */
+  private final class Owners implements GrantClient.OwnerLookup {
+    @Override
+    public Optional<String> owner(int shard, long now) {
+      return owners.owner(shard, DoorControl.this::isUp, now);
+    }
+
+    @Override
+    public void denied(int shard, String address, long now) {
+      owners.denied(shard, address, now);
+    }
+  }
+
+  private boolean isUp(String address) {
+    CoreLink link = links.get(address);
+    return link != null && link.up();
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/door/DoorCount.java
@@ -0,0 +1,40 @@
+package nettletrail.control.door;
+
+import java.util.Collection;
+
+/** How many doors there are: the most that any linked core process sees; falls only after it was lower for a while. */
+final class DoorCount {
+  private static final long FALLS_AFTER = 10_000_000_000L;
+
+  private int count;
+  private boolean lower;
+  private long lowerSince;
+  private int mostSinceLower;
+
+  void tick(Collection<CoreLink> links, long now) {
+    int seen = 0;
+    for (CoreLink link : links) {
+      seen = Math.max(seen, link.up() ? link.doors() : 0);
+    }
+    if (seen == 0 || seen >= count) {
+      count = Math.max(count, seen);
+      lower = false;
+      return;
+    }
+    if (!lower) {
+      lower = true;
+      lowerSince = now;
+      mostSinceLower = 0;
+    }
+    mostSinceLower = Math.max(mostSinceLower, seen);
+    if (now - lowerSince > FALLS_AFTER) {
+      count = mostSinceLower;
+      lower = false;
+    }
+  }
+
+  /** The count, 0 while nothing is known. */
+  int count() {
+    return count;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/door/KeyLease.java
@@ -0,0 +1,65 @@
+package nettletrail.control.door;
+
+import java.util.OptionalLong;
+import nettletrail.protocol.DoorHeartbeatReply;
+
+/**
+ * Until when the keys of the configuration that the door holds may be used.
+ *
+ * <p>A core process says that at some instant a majority knew no newer configuration than a sequence. Whatever is newer was
+ * acknowledged after that instant, so a door that holds that sequence or a later one may use its keys for the revocation time from
+ * then on. The instant is counted on the door's clock from before it asked. Times are steady nanoseconds.
+ */
+final class KeyLease {
+  private static final long MILLIS = 1_000_000L;
+
+  /** For clocks that run unlike each other, and for a request that has been let in and isn't sent yet. */
+  private static final long MARGIN_MS = 100;
+
+  private final long lasts;
+  private long heldSequence;
+  private boolean held;
+  private long heldUntil;
+  private boolean waiting;
+  private long waitingSequence;
+  private long waitingUntil;
+
+  KeyLease(long revokeMs) {
+    this.lasts = (revokeMs - MARGIN_MS) * MILLIS;
+  }
+
+  /** A confirmation came; one of a configuration that the door hasn't got yet waits for it. */
+  void confirmed(DoorHeartbeatReply reply) {
+    if (!reply.getConfirmed()) {
+      return;
+    }
+    long until = reply.getSentAt() - reply.getConfirmedAgeMs() * MILLIS + lasts;
+    if (reply.getConfigurationSequence() <= heldSequence) {
+      extend(until);
+    } else if (!waiting
+        || reply.getConfigurationSequence() >= waitingSequence && until - waitingUntil > 0) {
+      waiting = true;
+      waitingSequence = reply.getConfigurationSequence();
+      waitingUntil = until;
+    }
+  }
+
+  /** The door holds this configuration from here on. */
+  void holds(long sequence) {
+    heldSequence = sequence;
+    if (waiting && waitingSequence <= sequence) {
+      waiting = false;
+      extend(waitingUntil);
+    }
+  }
+
+  /** The end, or empty when nothing was ever confirmed. */
+  OptionalLong until() {
+    return held ? OptionalLong.of(heldUntil) : OptionalLong.empty();
+  }
+
+  private void extend(long until) {
+    heldUntil = held ? Math.max(heldUntil, until) : until;
+    held = true;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -0,0 +1,209 @@
+package nettletrail.control.grant;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import nettletrail.protocol.TenantUse;
+
+/**
+ * One tenant's token bucket at the owner of its shard.
+ *
+ * <p>{@code level + outstanding <= capacity} always holds, and only refilling at the rate adds to the sum. Outstanding is what
+ * doors may still use: at each request a door says what it holds and promises to drop replies that it hasn't got; what it
+ * neither used nor holds is credited. A door that stays away keeps its tokens counted until they have surely run out; those are
+ * not credited, since it may have used them.
+ *
+ * <p>When doors want more than there is, it is divided max-min: nobody gets more than a common share, small wants are met
+ * whole. The door whose first waiting request waits longest may go beyond the share, so that a large request is reached.
+ */
+final class TenantBucket {
+  private static final double SECOND = 1e9;
+  private static final long MILLIS = 1_000_000L;
+
+  /** A door that asked within this time counts as serving the tenant. */
+  private static final long SERVING = 3_000 * MILLIS;
+
+  /** A waiting door that didn't ask for this long isn't waited for. */
+  private static final long WAITING = 300 * MILLIS;
+
+  /** While a door waits for a large request, others get at most this part of the level at a time. */
+  private static final double PART_BESIDE_FIRST = 0.5;
+
+  /** Above this part of the capacity in doors' hands, doors that can't use what they hold give it back. */
+  private static final double CROWDED = 0.9;
+
+  private final GrantTerms terms;
+  private final Map<Holder, Holding> holdings = new LinkedHashMap<>();
+  private final Pressure pressure = new Pressure();
+  private QuotaLimit limit;
+  private double level;
+  private long refilledAt;
+
+  /** One life of a door's process. */
+  record Holder(String door, long life) {}
+
+  /** What the bucket has of one holder; times in steady nanoseconds. */
+  private static final class Holding {
+    long lastRequest;
+    long usedTotal;
+    double outstanding;
+    double wanted;
+    double least;
+    long expiresAt;
+    long askedAt;
+    long waitingSince;
+    boolean waiting;
+  }
+
+  TenantBucket(GrantTerms terms, QuotaLimit limit, long now) {
+    this.terms = terms;
+    this.limit = limit;
+    this.refilledAt = now;
+  }
+
+  /** Changes the limit from here on. */
+  void limit(QuotaLimit newLimit, long now) {
+    refill(now);
+    limit = newLimit;
+  }
+
+  /**
+   * Enters a door's account and returns what it may use from that request on, what it holds included; -1 for a request that is
+   * older than one already seen.
+   */
+  long ask(Holder holder, long request, TenantUse use, long now) {
+    refill(now);
+    Holding holding = holdings.computeIfAbsent(holder, unseen -> newHolding(use));
+    if (request <= holding.lastRequest) {
+      return -1;
+    }
+    holding.lastRequest = request;
+    holding.askedAt = now;
+    double held = account(holding, use, now);
+    holding.wanted = Math.max(use.getWantedTokens(), use.getLeastTokens());
+    holding.least = use.getLeastTokens();
+    markWaiting(holding, held, now);
+    long granted = (long) share(holding, held);
+    level -= Math.max(0, granted - held);
+    holding.outstanding = Math.max(granted, held);
+    holding.expiresAt = now + terms.outstandingMs() * MILLIS;
+    holding.waiting = holding.waiting && granted < holding.least;
+    return granted;
+  }
+
+  /** Use of the limit over the last period, in per cent of the rate. */
+  double pressure(long now) {
+    return pressure.percentOf(limit.ratePerSecond(), now);
+  }
+
+  /** How many doors serve the tenant. */
+  int doorsServing(long now) {
+    int serving = 0;
+    for (Holding holding : holdings.values()) {
+      serving += now - holding.askedAt < SERVING ? 1 : 0;
+    }
+    return serving;
+  }
+
+  private static Holding newHolding(TenantUse use) {
+    Holding holding = new Holding();
+    holding.usedTotal = use.getUsedTotal();
+    return holding;
+  }
+
+  /** Settles what the door used and dropped since its last request; returns what it surely still holds of this bucket. */
+  private double account(Holding holding, TenantUse use, long now) {
+    long used = Math.max(0, use.getUsedTotal() - holding.usedTotal);
+    holding.usedTotal = Math.max(holding.usedTotal, use.getUsedTotal());
+    pressure.add(used, now);
+    double left = Math.max(0, holding.outstanding - used);
+    double held = Math.min(Math.max(0, use.getHeldTokens()), left);
+    level += left - held;
+    holding.outstanding = held;
+    return held;
+  }
+
+  private void markWaiting(Holding holding, double held, long now) {
+    boolean waits = holding.least > held;
+    if (waits && !holding.waiting) {
+      holding.waitingSince = now;
+    }
+    holding.waiting = waits;
+  }
+
+  private double share(Holding holding, double held) {
+    double supply = level + outstanding();
+    double available = held + level;
+    List<Holding> wanting = wanting(holding.askedAt);
+    Holding first = firstWaiting(wanting, holding.askedAt);
+    double most = Math.min(holding.wanted, available);
+    if (first != null && first != holding) {
+      most = Math.min(most, held + level * PART_BESIDE_FIRST);
+    }
+    double wantedInAll = 0;
+    for (Holding other : wanting) {
+      wantedInAll += other.wanted;
+    }
+    double granted =
+        wantedInAll <= supply ? most : Math.min(most, MaxMinShare.of(wants(wanting), supply));
+    if (holding.waiting && first == holding) {
+      return Math.max(granted, Math.min(holding.least, available));
+    }
+    boolean useless = holding.waiting && granted < holding.least;
+    return useless && crowded() ? 0 : granted;
+  }
+
+  private boolean crowded() {
+    return level + outstanding() >= CROWDED * terms.capacity(limit);
+  }
+
+  private List<Holding> wanting(long now) {
+    List<Holding> wanting = new ArrayList<>();
+    for (Holding holding : holdings.values()) {
+      if (holding.wanted > 0 && now - holding.askedAt < terms.validMs() * MILLIS) {
+        wanting.add(holding);
+      }
+    }
+    return wanting;
+  }
+
+  private static double[] wants(List<Holding> wanting) {
+    return wanting.stream().mapToDouble(holding -> holding.wanted).toArray();
+  }
+
+  private static Holding firstWaiting(List<Holding> wanting, long now) {
+    Holding first = null;
+    for (Holding holding : wanting) {
+      boolean waits = holding.waiting && now - holding.askedAt < WAITING;
+      if (waits && (first == null || holding.waitingSince - first.waitingSince < 0)) {
+        first = holding;
+      }
+    }
+    return first;
+  }
+
+  private void refill(long now) {
+    for (Iterator<Holding> iterator = holdings.values().iterator(); iterator.hasNext(); ) {
+      Holding holding = iterator.next();
+      if (holding.outstanding > 0 && now - holding.expiresAt >= 0) {
+        holding.outstanding = 0;
+      }
+      if (holding.outstanding == 0 && now - holding.askedAt > 2 * SERVING) {
+        iterator.remove();
+      }
+    }
+    double refilled = level + limit.ratePerSecond() * (now - refilledAt) / SECOND;
+    refilledAt = now;
+    level = Math.max(0, Math.min(refilled, terms.capacity(limit) - outstanding()));
+  }
+
+  private double outstanding() {
+    double sum = 0;
+    for (Holding holding : holdings.values()) {
+      sum += holding.outstanding;
+    }
+    return sum;
+  }
+}
--- a/control/src/main/java/nettletrail/control/package-info.java
+++ b/control/src/main/java/nettletrail/control/package-info.java
@@ -1,2 +1,2 @@
-/** Control plane: replicated shards, leases, registry of backends, feed, grants. */
+/** Control plane: replicated shards and their owners, registry of backends with its feed, leases of doors, grants. Pure deciders only. */
 package nettletrail.control;
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -0,0 +1,114 @@
+package nettletrail.control.registry;
+
+import nettletrail.protocol.DoorHeartbeat;
+
+/** What this core process knows of one door: its lease, and how far it has read the feed. Times are steady nanoseconds. */
+final class DoorSession {
+  private static final long MILLIS = 1_000_000L;
+
+  /** How long a door counts as live after its last heartbeat. */
+  private static final long LEASE = 3_000 * MILLIS;
+
+  /** After so long without an acknowledgement, what was pushed is pushed again. */
+  private static final long PUSH_AGAIN = 600 * MILLIS;
+
+  private final String door;
+  private boolean linkUp;
+  private boolean greeted;
+  private long leaseUntil;
+  private long configurationSequence;
+  private long pushedSequence;
+  private long configurationPushedAt;
+  private long feed;
+  private long acknowledgedOffset;
+  private long sentOffset;
+  private long feedSentAt;
+
+  DoorSession(String door, long now) {
+    this.door = door;
+    this.leaseUntil = now;
+  }
+
+  String door() {
+    return door;
+  }
+
+  void linkUp() {
+    linkUp = true;
+    greeted = false;
+    pushedSequence = 0;
+  }
+
+  void linkDown() {
+    linkUp = false;
+    greeted = false;
+  }
+
+  /** Renews the lease and takes over where the door stands. */
+  void heartbeat(DoorHeartbeat heartbeat, long now) {
+    linkUp = true;
+    leaseUntil = now + LEASE;
+    configurationSequence = heartbeat.getConfigurationSequence();
+    boolean anew = !greeted || heartbeat.getFeed() != feed;
+    boolean stuck =
+        heartbeat.getFeedOffset() < sentOffset
+            && heartbeat.getFeedOffset() == acknowledgedOffset
+            && now - feedSentAt > PUSH_AGAIN;
+    if (anew && !(greeted && now - feedSentAt <= PUSH_AGAIN) || stuck) {
+      feed = heartbeat.getFeed();
+      sentOffset = heartbeat.getFeedOffset();
+      acknowledgedOffset = heartbeat.getFeedOffset();
+    } else if (!anew) {
+      acknowledged(heartbeat.getFeed(), heartbeat.getFeedOffset());
+    }
+    greeted = true;
+  }
+
+  /** The door has read the feed up to here. */
+  void acknowledged(long ofFeed, long offset) {
+    if (ofFeed == feed) {
+      acknowledgedOffset = Math.max(acknowledgedOffset, offset);
+    }
+  }
+
+  boolean live(long now) {
+    return now - leaseUntil < 0;
+  }
+
+  boolean silentFor(long nanos, long now) {
+    return !linkUp && now - leaseUntil > nanos;
+  }
+
+  /** Whether messages can be sent and it is known where the door stands. */
+  boolean ready() {
+    return linkUp && greeted;
+  }
+
+  boolean needsConfiguration(long sequence, long now) {
+    boolean pushed = pushedSequence >= sequence && now - configurationPushedAt <= PUSH_AGAIN;
+    return ready() && configurationSequence < sequence && !pushed;
+  }
+
+  void configurationPushed(long sequence, long now) {
+    pushedSequence = sequence;
+    configurationPushedAt = now;
+  }
+
+  long feed() {
+    return feed;
+  }
+
+  long sentOffset() {
+    return sentOffset;
+  }
+
+  long acknowledgedOffset() {
+    return acknowledgedOffset;
+  }
+
+  void feedSent(long ofFeed, long offset, long now) {
+    feed = ofFeed;
+    sentOffset = offset;
+    feedSentAt = now;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -0,0 +1,123 @@
+package nettletrail.control.registry;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.DoorHeartbeat;
+import nettletrail.protocol.FeedAck;
+
+/** The doors that talk to this core process: their leases, and what has to be pushed to each of them. */
+public final class DoorSessions {
+  private static final long FORGET_AFTER = 60_000_000_000L;
+
+  private final Map<String, DoorSession> sessions = new LinkedHashMap<>();
+  private final Feed feed;
+  private final BackendRegistry registry;
+  private ConfigurationPush configuration;
+
+  /** Pushes from this feed, and snapshots from this registry. */
+  public DoorSessions(Feed feed, BackendRegistry registry) {
+    this.feed = feed;
+    this.registry = registry;
+  }
+
+  /** A link to the door is up; nothing is pushed before its first heartbeat tells where it stands. */
+  public void linkUp(String door, long now) {
+    session(door, now).linkUp();
+  }
+
+  /** The door's link is gone; its lease runs on. */
+  public void linkDown(String door, long now) {
+    session(door, now).linkDown();
+  }
+
+  /** Renews the door's lease. */
+  public void heartbeat(DoorHeartbeat heartbeat, long now) {
+    session(heartbeat.getDoor(), now).heartbeat(heartbeat, now);
+  }
+
+  /** A door has read the feed up to an offset. */
+  public void acknowledged(FeedAck acknowledgement) {
+    DoorSession session = sessions.get(acknowledgement.getDoor());
+    if (session != null) {
+      session.acknowledged(acknowledgement.getFeed(), acknowledgement.getOffset());
+    }
+  }
+
+  /** A newer configuration is committed. */
+  public void configuration(long sequence, long edition, byte[] document) {
+    configuration = new ConfigurationPush(sequence, edition, ByteBuffer.wrap(document));
+  }
+
+  /** What doors lack and weren't sent yet. */
+  public List<RegistryAction> push(long now) {
+    List<RegistryAction> actions = new ArrayList<>();
+    sessions.values().removeIf(session -> session.silentFor(FORGET_AFTER, now));
+    for (DoorSession session : sessions.values()) {
+      if (session.ready()) {
+        pushConfiguration(session, actions, now);
+        pushFeed(session, actions, now);
+      }
+    }
+    return actions;
+  }
+
+  /** How many doors hold a lease. */
+  public int liveDoors(long now) {
+    int live = 0;
+    for (DoorSession session : sessions.values()) {
+      live += session.live(now) ? 1 : 0;
+    }
+    return live;
+  }
+
+  /** Whether every door with a working link was sent the feed up to this offset. */
+  public boolean handedToAllLinked(long offset) {
+    for (DoorSession session : sessions.values()) {
+      if (session.ready() && (session.feed() != feed.id() || session.sentOffset() < offset)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Whether there are live doors and each of them acknowledged the feed up to this offset. */
+  public boolean acknowledgedByAllLive(long offset, long now) {
+    boolean any = false;
+    for (DoorSession session : sessions.values()) {
+      if (session.live(now)) {
+        any = true;
+        if (session.feed() != feed.id() || session.acknowledgedOffset() < offset) {
+          return false;
+        }
+      }
+    }
+    return any;
+  }
+
+  private void pushConfiguration(DoorSession session, List<RegistryAction> actions, long now) {
+    if (configuration != null && session.needsConfiguration(configuration.getSequence(), now)) {
+      session.configurationPushed(configuration.getSequence(), now);
+      actions.add(new RegistryAction.SendToDoor(session.door(), configuration));
+    }
+  }
+
+  private void pushFeed(DoorSession session, List<RegistryAction> actions, long now) {
+    if (!feed.holdsAfter(session.feed(), session.sentOffset())) {
+      actions.add(
+          new RegistryAction.SendToDoor(session.door(), feed.snapshot(registry.contents())));
+      session.feedSent(feed.id(), feed.offset(), now);
+    } else if (session.sentOffset() < feed.offset()) {
+      actions.add(
+          new RegistryAction.SendToDoor(session.door(), feed.eventsAfter(session.sentOffset())));
+      session.feedSent(feed.id(), feed.offset(), now);
+    }
+  }
+
+  private DoorSession session(String door, long now) {
+    return sessions.computeIfAbsent(door, name -> new DoorSession(name, now));
+  }
+}
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/ControlFleet.java
@@ -0,0 +1,419 @@
+package nettletrail.control;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import nettletrail.control.door.DoorAction;
+import nettletrail.control.door.DoorControl;
+import nettletrail.control.door.DoorControlSettings;
+import nettletrail.control.grant.GrantTerms;
+import nettletrail.control.grant.QuotaLimit;
+import nettletrail.control.registry.RegistryAction;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Member;
+import org.apache.avro.specific.SpecificRecord;
+
+/** Core processes and doors over a network in memory, on a virtual clock; who owns which shard is set by the test. */
+final class ControlFleet {
+  static final long MILLIS = 1_000_000L;
+  static final long BEAT_MS = 1_200;
+  static final long REVOKE_MS = 5_000;
+  static final GrantTerms TERMS =
+      new GrantTerms(8, 0.1, 190_000, GrantTerms.USUAL_VALID_MS);
+  private static final long TICK = 50 * MILLIS;
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Random random;
+  private final Map<String, Core> cores = new TreeMap<>();
+  private final Map<String, Door> doors = new TreeMap<>();
+  private final Set<String> cuts = new TreeSet<>();
+  private final Set<String> links = new TreeSet<>();
+  final Map<Long, Integer> answers = new LinkedHashMap<>();
+  private long sequence;
+  private long lives;
+  private long calls;
+  long now = 7_000_000_000L;
+  long shortestDelay = MILLIS;
+  long longestDelay = 2 * MILLIS;
+
+  private record Event(long at, long order, Runnable run) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+
+  /** One core process. */
+  final class Core implements ShardOwnership {
+    final String address;
+    CoreRegistry registry;
+    long life;
+    boolean running = true;
+    OptionalLong confirmedAt = OptionalLong.empty();
+    long configurationSequence;
+    boolean confirming;
+
+    Core(String address) {
+      this.address = address;
+      start();
+    }
+
+    void start() {
+      running = true;
+      life = ++lives;
+      registry =
+          new CoreRegistry(new CoreRegistrySettings(address, life, BEAT_MS, TERMS), this, now);
+      schedule(random.nextInt(50) * MILLIS, () -> tick(life));
+    }
+
+    private void tick(long ofLife) {
+      if (!running || life != ofLife) {
+        return;
+      }
+      if (confirming) {
+        confirmedAt = OptionalLong.of(now - 20 * MILLIS);
+      }
+      perform(this, registry.tick(now));
+      schedule(TICK, () -> tick(ofLife));
+    }
+
+    @Override
+    public boolean owns(int shard, long at) {
+      return address.equals(owners.get(shard)) && !ownersPaused;
+    }
+
+    @Override
+    public Ballot token(int shard) {
+      return new Ballot(rounds.get(shard), address);
+    }
+
+    @Override
+    public String ownerAddress(int shard) {
+      return ownersPaused ? "" : owners.getOrDefault(shard, "");
+    }
+
+    @Override
+    public List<Member> members() {
+      return cores.keySet().stream().map(name -> new Member(name + "#0", name)).toList();
+    }
+
+    @Override
+    public int shardCount() {
+      return ShardMap.SHARD_COUNT;
+    }
+
+    @Override
+    public OptionalLong confirmedAt() {
+      return confirmedAt;
+    }
+
+    @Override
+    public long configurationSequence() {
+      return configurationSequence;
+    }
+  }
+
+  /** One door. */
+  final class Door {
+    final String name;
+    final List<Long> configurations = new ArrayList<>();
+    final Set<String> dialled = new TreeSet<>();
+    DoorControl control;
+    long life;
+    boolean running = true;
+
+    Door(String name) {
+      this.name = name;
+      start();
+    }
+
+    void start() {
+      running = true;
+      life = ++lives;
+      dialled.clear();
+      control =
+          new DoorControl(
+              new DoorControlSettings(
+                  name, "zone", life, REVOKE_MS, List.of(cores.keySet().iterator().next())),
+              now);
+      schedule(random.nextInt(50) * MILLIS, () -> tick(life));
+    }
+
+    private void tick(long ofLife) {
+      if (!running || life != ofLife) {
+        return;
+      }
+      perform(this, control.tick(now));
+      schedule(TICK, () -> tick(ofLife));
+    }
+
+    /** Takes quota as the data plane does. */
+    boolean take(String tenant, long tokens) {
+      boolean taken = control.grants().take(tenant, tokens, now);
+      if (!taken) {
+        perform(this, control.poll(now));
+      }
+      return taken;
+    }
+  }
+
+  final Map<Integer, String> owners = new TreeMap<>();
+  final Map<Integer, Long> rounds = new TreeMap<>();
+  boolean ownersPaused;
+
+  ControlFleet(int coreCount, int doorCount, long seed) {
+    random = new Random(seed);
+    for (int index = 0; index < coreCount; index++) {
+      cores.put("core-" + index, null);
+    }
+    for (String address : List.copyOf(cores.keySet())) {
+      cores.put(address, new Core(address));
+    }
+    for (int shard = 0; shard < ShardMap.SHARD_COUNT; shard++) {
+      own(shard, "core-" + shard % coreCount);
+    }
+    for (int index = 0; index < doorCount; index++) {
+      doors.put("door-" + index, new Door("door-" + index));
+    }
+    schedule(0, this::connect);
+  }
+
+  Core core(int index) {
+    return cores.get("core-" + index);
+  }
+
+  Door door(int index) {
+    return doors.get("door-" + index);
+  }
+
+  int doorCount() {
+    return doors.size();
+  }
+
+  /** Adds a door that starts now. */
+  Door addDoor(int index) {
+    Door door = new Door("door-" + index);
+    doors.put(door.name, door);
+    return door;
+  }
+
+  /** Makes a core process the owner of a shard, under a new token. */
+  void own(int shard, String address) {
+    owners.put(shard, address);
+    rounds.merge(shard, 1L, Long::sum);
+  }
+
+  /** All core processes learn of a committed configuration. */
+  void commit(long configuration, Map<String, QuotaLimit> limits) {
+    for (Core core : cores.values()) {
+      core.configurationSequence = configuration;
+      core.confirming = true;
+      perform(
+          core,
+          core.registry.configuration(configuration, configuration, new byte[] {1}, limits, now));
+    }
+    for (Door door : doors.values()) {
+      door.control.grants().limits(limits);
+    }
+  }
+
+  /** Cuts one process off from all others, or from one. */
+  void cut(String one, String other) {
+    cuts.add(pair(one, other));
+    for (String link : List.copyOf(links)) {
+      if (link.equals(pair(one, other))) {
+        down(link);
+      }
+    }
+  }
+
+  void cutOff(String name) {
+    cores.keySet().stream().filter(other -> !other.equals(name)).forEach(other -> cut(name, other));
+    doors.keySet().stream().filter(other -> !other.equals(name)).forEach(other -> cut(name, other));
+  }
+
+  void heal() {
+    cuts.clear();
+  }
+
+  void kill(String name) {
+    if (cores.get(name) != null) {
+      cores.get(name).running = false;
+    } else {
+      doors.get(name).running = false;
+    }
+    for (String link : List.copyOf(links)) {
+      if (List.of(link.split("~")).contains(name)) {
+        down(link);
+      }
+    }
+  }
+
+  void restart(String name) {
+    if (cores.get(name) != null) {
+      cores.get(name).start();
+    } else {
+      doors.get(name).start();
+    }
+  }
+
+  /** A backend calls a core process; the returned number stands in {@link #answers} once it is answered. */
+  long call(int core, String method, Backend backend) {
+    long call = ++calls;
+    Core target = core(core);
+    perform(target, target.registry.backendCall(call, method, backend, now));
+    return call;
+  }
+
+  /** Lets the virtual clock run. */
+  void run(long millis) {
+    long until = now + millis * MILLIS;
+    while (!events.isEmpty() && events.peek().at() <= until) {
+      Event event = events.poll();
+      now = event.at();
+      event.run().run();
+    }
+    now = until;
+  }
+
+  /** Runs something later on the virtual clock. */
+  void schedule(long delay, Runnable run) {
+    events.add(new Event(now + delay, ++sequence, run));
+  }
+
+  static Backend backend(String id, BackendState state, long callSequence) {
+    return new Backend(
+        id, "lm", "10.0.0.1:80", "zone", "v1", 8, state, 0L, "", List.of("m"), callSequence);
+  }
+
+  /** Dials again what is down, as the links' code does. */
+  private void connect() {
+    for (String one : List.copyOf(cores.keySet())) {
+      for (String other : cores.keySet()) {
+        if (one.compareTo(other) < 0) {
+          up(one, other);
+        }
+      }
+      for (Door door : doors.values()) {
+        if (door.dialled.contains(one)) {
+          up(one, door.name);
+        }
+      }
+    }
+    schedule(100 * MILLIS, this::connect);
+  }
+
+  private void up(String core, String other) {
+    String link = pair(core, other);
+    if (links.contains(link) || cuts.contains(link) || !running(core) || !running(other)) {
+      return;
+    }
+    links.add(link);
+    Core target = cores.get(core);
+    if (cores.get(other) != null) {
+      perform(target, target.registry.coreUp(other, now));
+      perform(cores.get(other), cores.get(other).registry.coreUp(core, now));
+    } else {
+      perform(target, target.registry.doorUp(other, now));
+      perform(doors.get(other), doors.get(other).control.linkUp(core, now));
+    }
+  }
+
+  private void down(String link) {
+    links.remove(link);
+    String[] ends = link.split("~");
+    for (int end = 0; end < ends.length; end++) {
+      String self = ends[end];
+      String other = ends[1 - end];
+      if (!running(self)) {
+        continue;
+      }
+      if (cores.get(self) == null) {
+        perform(doors.get(self), doors.get(self).control.linkDown(other, now));
+      } else if (cores.get(other) != null) {
+        perform(cores.get(self), cores.get(self).registry.coreDown(other, now));
+      } else {
+        perform(cores.get(self), cores.get(self).registry.doorDown(other, now));
+      }
+    }
+  }
+
+  private boolean running(String name) {
+    return cores.get(name) != null ? cores.get(name).running : doors.get(name).running;
+  }
+
+  private void perform(Core core, List<RegistryAction> actions) {
+    for (RegistryAction action : actions) {
+      if (action instanceof RegistryAction.SendToCore send) {
+        send(core.address, send.address(), send.message());
+      } else if (action instanceof RegistryAction.SendToDoor send) {
+        send(core.address, send.door(), send.message());
+      } else if (action instanceof RegistryAction.AnswerBackend answer) {
+        answers.put(answer.call(), answer.status());
+      }
+    }
+  }
+
+  private void perform(Door door, List<DoorAction> actions) {
+    for (DoorAction action : actions) {
+      if (action instanceof DoorAction.SendToCore send) {
+        send(door.name, send.address(), send.message());
+      } else if (action instanceof DoorAction.Dial dial) {
+        door.dialled.add(dial.address());
+      } else if (action instanceof DoorAction.Undial undial) {
+        door.dialled.remove(undial.address());
+      } else if (action instanceof DoorAction.ConfigurationChanged changed) {
+        door.configurations.add(changed.sequence());
+      }
+    }
+  }
+
+  private final Map<String, Long> arrivals = new TreeMap<>();
+
+  /** In order on each link, each message after a random delay; what is under way when a link goes is lost. */
+  private void send(String from, String to, SpecificRecord message) {
+    String link = pair(from, to);
+    if (!links.contains(link)) {
+      return;
+    }
+    long span = Math.max(1, longestDelay - shortestDelay);
+    long at = now + shortestDelay + (long) (random.nextDouble() * span);
+    at = Math.max(at, arrivals.getOrDefault(from + ">" + to, 0L) + 1);
+    arrivals.put(from + ">" + to, at);
+    long targetLife = life(to);
+    schedule(
+        at - now,
+        () -> {
+          if (links.contains(link) && running(to) && life(to) == targetLife) {
+            deliver(from, to, message);
+          }
+        });
+  }
+
+  private long life(String name) {
+    return cores.get(name) != null ? cores.get(name).life : doors.get(name).life;
+  }
+
+  private void deliver(String from, String to, SpecificRecord message) {
+    if (cores.get(to) == null) {
+      perform(doors.get(to), doors.get(to).control.received(from, message, now));
+    } else if (cores.get(from) != null) {
+      perform(cores.get(to), cores.get(to).registry.receiveFromCore(from, message, now));
+    } else {
+      perform(cores.get(to), cores.get(to).registry.receiveFromDoor(from, message, now));
+    }
+  }
+
+  private static String pair(String one, String other) {
+    return one.compareTo(other) < 0 ? one + "~" + other : other + "~" + one;
+  }
+}
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/RegistryStoriesTest.java
@@ -0,0 +1,213 @@
+package nettletrail.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
+import org.junit.jupiter.api.Test;
+
+/** Stories of backends, core processes and doors over a network in memory. */
+class RegistryStoriesTest {
+  private final ControlFleet fleet = new ControlFleet(3, 3, 1);
+
+  @Test
+  void givenDoorsWithOneSeedWhenTheyStartThenTheyReachTheWholeCoreAndCountEachOther() {
+    fleet.run(2_000);
+    for (int door = 0; door < 3; door++) {
+      assertEquals(3, fleet.door(door).dialled.size());
+      assertTrue(fleet.door(door).control.coreReachable());
+      assertEquals(3, fleet.door(door).control.doorCount());
+    }
+  }
+
+  @Test
+  void givenABackendWhenItCallsOneCoreProcessThenAllDoorsSeeIt() {
+    fleet.run(1_000);
+    long call = fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    assertEquals(200, fleet.answers.get(call));
+    fleet.run(20);
+    for (int door = 0; door < 3; door++) {
+      assertEquals(List.of("b"), ids(door));
+    }
+  }
+
+  @Test
+  void givenAClosingBackendWhenOthersHaveItThenItIsAcknowledgedAndDoorsSeeItClosing() {
+    fleet.run(1_000);
+    fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.run(100);
+    long call = fleet.call(1, "PUT", ControlFleet.backend("b", BackendState.CLOSING, 2));
+    assertNull(fleet.answers.get(call));
+    fleet.run(20);
+    assertEquals(200, fleet.answers.get(call));
+    assertEquals(BackendState.CLOSING, state(0));
+    long late = fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.run(20);
+    assertEquals(200, fleet.answers.get(late));
+    assertEquals(BackendState.CLOSING, state(0));
+  }
+
+  @Test
+  void givenACoreProcessWithoutOthersWhenABackendClosesThereThenItIsSentElsewhere() {
+    fleet.run(1_000);
+    fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.run(100);
+    fleet.cutOff("core-0");
+    long call = fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.CLOSING, 2));
+    fleet.run(700);
+    assertNull(fleet.answers.get(call));
+    fleet.run(200);
+    assertEquals(503, fleet.answers.get(call));
+    long again = fleet.call(1, "PUT", ControlFleet.backend("b", BackendState.CLOSING, 3));
+    fleet.run(20);
+    assertEquals(200, fleet.answers.get(again));
+  }
+
+  @Test
+  void givenOtherCoreProcessesDownWhenADoorsAllAcknowledgeThenClosingIsAcknowledged() {
+    fleet.run(1_000);
+    fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.kill("core-1");
+    fleet.kill("core-2");
+    fleet.run(100);
+    long call = fleet.call(0, "DELETE", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.run(20);
+    assertEquals(200, fleet.answers.get(call));
+    assertTrue(ids(0).isEmpty());
+  }
+
+  @Test
+  void givenACutPeerWhenItIsBackThenHintsBringItUpAndADeletedBackendStaysAway() {
+    fleet.run(1_000);
+    fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.run(100);
+    fleet.cutOff("core-2");
+    fleet.call(0, "DELETE", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.call(0, "PUT", ControlFleet.backend("c", BackendState.READY, 1));
+    fleet.run(3_000);
+    assertEquals(List.of("b"), coreIds(2));
+    fleet.heal();
+    fleet.run(500);
+    assertEquals(List.of("c"), coreIds(2));
+    fleet.call(2, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.run(500);
+    assertEquals(List.of("c"), ids(0));
+  }
+
+  @Test
+  void givenASilentBackendAmongOthersWhenItIsExpiredThenDoorsDropItAndItMayComeBack() {
+    beat(8_000, List.of("a", "b", "c"));
+    assertEquals(List.of("a", "b", "c"), ids(0));
+    beat(8_000, List.of("a", "b"));
+    assertEquals(List.of("a", "b"), ids(0));
+    assertEquals(List.of("a", "b"), ids(2));
+    beat(2_000, List.of("a", "b", "c"));
+    assertEquals(List.of("a", "b", "c"), ids(0));
+  }
+
+  @Test
+  void givenAllBackendsUnheardWhenTheCoreIsCutFromThemThenNobodyIsExpired() {
+    beat(8_000, List.of("a", "b", "c"));
+    fleet.run(30_000);
+    assertEquals(List.of("a", "b", "c"), ids(0));
+    beat(3_000, List.of("a", "b", "c"));
+    assertEquals(List.of("a", "b", "c"), ids(0));
+  }
+
+  @Test
+  void givenRestartsOfTheWholeCoreWhenDoorsReconnectThenTheyKeepTheirBackends() {
+    beat(4_000, List.of("a", "b"));
+    for (int core = 0; core < 3; core++) {
+      fleet.kill("core-" + core);
+    }
+    fleet.run(500);
+    assertEquals(List.of("a", "b"), ids(1));
+    for (int core = 0; core < 3; core++) {
+      fleet.restart("core-" + core);
+    }
+    fleet.run(1_500);
+    assertEquals(List.of("a", "b"), ids(1));
+    beat(30_000, List.of("a"));
+    assertEquals(List.of("a"), ids(1));
+  }
+
+  @Test
+  void givenADoorCutFromOneCoreProcessWhenTheOthersHearThenItFollowsThem() {
+    beat(4_000, List.of("a"));
+    fleet.cut("core-0", "door-1");
+    fleet.call(0, "PUT", ControlFleet.backend("d", BackendState.READY, 1));
+    fleet.run(100);
+    assertEquals(List.of("a", "d"), ids(1));
+    fleet.cutOff("door-1");
+    fleet.run(60_000);
+    assertEquals(List.of("a", "d"), ids(1));
+  }
+
+  @Test
+  void givenACommittedConfigurationWhenPushedThenDoorsHaveItAtOnceAndKeysHoldOnlyWhileConfirmed() {
+    fleet.run(1_000);
+    assertFalse(fleet.door(0).control.keysHeld(fleet.now));
+    fleet.commit(3, Map.of());
+    fleet.run(10);
+    assertEquals(List.of(3L), fleet.door(0).configurations);
+    fleet.run(1_000);
+    assertTrue(fleet.door(0).control.keysHeld(fleet.now));
+    fleet.cutOff("door-0");
+    fleet.run(4_000);
+    assertTrue(fleet.door(0).control.keysHeld(fleet.now));
+    fleet.run(1_000);
+    assertFalse(fleet.door(0).control.keysHeld(fleet.now));
+    fleet.commit(4, Map.of());
+    fleet.heal();
+    fleet.run(1_000);
+    assertEquals(List.of(3L, 4L), fleet.door(0).configurations);
+    assertTrue(fleet.door(0).control.keysHeld(fleet.now));
+  }
+
+  @Test
+  void givenAKilledDoorWhenItsLeaseEndsThenItIsNoLongerCounted() {
+    fleet.run(2_000);
+    fleet.kill("door-2");
+    fleet.run(2_000);
+    assertEquals(3, fleet.core(0).registry.liveDoors(fleet.now));
+    fleet.run(1_500);
+    assertEquals(2, fleet.core(0).registry.liveDoors(fleet.now));
+    fleet.run(11_000);
+    assertEquals(2, fleet.door(0).control.doorCount());
+  }
+
+  private long callSequence = 1;
+
+  /** Lets backends call core processes in turn, as they do. */
+  private void beat(long millis, List<String> ids) {
+    for (long elapsed = 0; elapsed < millis; elapsed += ControlFleet.BEAT_MS) {
+      callSequence++;
+      for (String id : ids) {
+        int core = (int) (callSequence % 3);
+        fleet.call(core, "PUT", ControlFleet.backend(id, BackendState.READY, callSequence));
+      }
+      fleet.run(ControlFleet.BEAT_MS);
+    }
+  }
+
+  private List<String> ids(int door) {
+    return fleet.door(door).control.backends("lm").stream().map(Backend::getId).sorted().toList();
+  }
+
+  private List<String> coreIds(int core) {
+    return fleet.core(core).registry.backends().stream()
+        .filter(backend -> backend.getState() != BackendState.GONE)
+        .map(Backend::getId)
+        .sorted()
+        .toList();
+  }
+
+  private BackendState state(int door) {
+    return fleet.door(door).control.backends("lm").get(0).getState();
+  }
+}
