--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
@@ -0,0 +1,61 @@
+package nettletrail.fleet.http;
+
+import com.jsoniter.output.JsonStream;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * One answer, to be written as soon as all earlier calls of its connection are answered.
+ *
+ * @param status HTTP status
+ * @param json body
+ * @param allow the field Allow; empty for none
+ */
+record ControlAnswer(int status, byte[] json, String allow) {
+  /** Keeps answers below 4 KiB however their text is escaped; longer ones don't count for a backend. */
+  private static final int MAX_ERROR_LENGTH = 512;
+
+  private static final byte[] EMPTY_OBJECT = "{}".getBytes(StandardCharsets.US_ASCII);
+
+  /** An answer with a body; null or no bytes stand for an empty object. */
+  static ControlAnswer of(int status, byte[] json) {
+    boolean empty = json == null || json.length == 0;
+    return new ControlAnswer(status, empty ? EMPTY_OBJECT : json, "");
+  }
+
+  /** An answer that tells the caller what is wrong. */
+  static ControlAnswer error(HttpResponseStatus status, String message) {
+    String shortened = message.substring(0, Math.min(message.length(), MAX_ERROR_LENGTH));
+    String json = JsonStream.serialize(Map.of("error", shortened));
+    return of(status.code(), json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** An answer to a method that the path doesn't have. */
+  static ControlAnswer wrongMethod(String allow) {
+    ControlAnswer error =
+        error(HttpResponseStatus.METHOD_NOT_ALLOWED, "this path allows " + allow);
+    return new ControlAnswer(error.status(), error.json(), allow);
+  }
+
+  /** The response, with all its fields but Connection. */
+  FullHttpResponse toResponse() {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(json));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
+    if (!allow.isEmpty()) {
+      response.headers().set(HttpHeaderNames.ALLOW, allow);
+    }
+    return response;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlSettings.java
@@ -0,0 +1,25 @@
+package nettletrail.fleet.http;
+
+/**
+ * Bounds of a {@link ControlServer}.
+ *
+ * @param maxConnections connections at one time; more are closed at once
+ * @param maxHeaderBytes bytes of all header fields of a request together
+ * @param maxBodyBytes bytes of a request's body
+ * @param maxPipelined calls of one connection that wait for their answer; no more is read meanwhile
+ * @param requestTimeoutMillis time from a request's first byte to its last
+ * @param idleTimeoutMillis how long a connection may rest between requests
+ */
+public record ControlSettings(
+    int maxConnections,
+    int maxHeaderBytes,
+    int maxBodyBytes,
+    int maxPipelined,
+    int requestTimeoutMillis,
+    int idleTimeoutMillis) {
+
+  /** The fleet's figures: 1024 connections, bodies to 8 MB, 10 s for a request, 60 s at rest. */
+  public static ControlSettings defaults() {
+    return new ControlSettings(1024, 16 * 1024, 8 << 20, 16, 10_000, 60_000);
+  }
+}
--- a/fleet/src/main/java/nettletrail/fleet/settings/FleetSettings.java
+++ b/fleet/src/main/java/nettletrail/fleet/settings/FleetSettings.java
@@ -1,5 +1,6 @@
 package nettletrail.fleet.settings;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -79,6 +80,13 @@
     return seeds.stream().map(this::internalAddressOf).distinct().toList();
   }
 
+  /** Where an address of these settings is bound or dialled; it holds an IP number, so nothing is looked up. */
+  public static InetSocketAddress socketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    int port = Integer.parseInt(address.substring(colon + 1));
+    return new InetSocketAddress(address.substring(0, colon), port);
+  }
+
   private String internalAddressOf(String controlAddress) {
     String seedIp = controlAddress.substring(0, controlAddress.lastIndexOf(':'));
     return seedIp + ":" + internalPort();
--- a/fleet/src/test/java/nettletrail/fleet/settings/SettingsReaderTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/settings/SettingsReaderTest.java
@@ -79,6 +79,7 @@
     assertEquals(
         List.of("10.1.0.17:7680", "10.2.0.34:7680", "10.3.0.42:7680"),
         settings.seedInternalAddresses());
+    assertEquals(7680, FleetSettings.socketAddress(settings.internalAddress()).getPort());
   }
 
   @Test
