--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/Acceptor.java
@@ -0,0 +1,223 @@
+package nettletrail.control.shard;
+
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.PreVote;
+import nettletrail.protocol.PreVoteReply;
+import nettletrail.protocol.Prepare;
+import nettletrail.protocol.PrepareReply;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.store.StoredShard;
+
+/**
+ * The voting half of a replica: what it promised, what it accepted, and to whom its lease runs.
+ *
+ * <p>A ballot is promised only if it is above all promised before, no other owner's lease runs, and a whole lease has passed since
+ * the process started (a lease given in a former life is not on disk). Promises and versions are answered once they are durable.
+ * One storage operation is under way at a time; a version that waits goes before a promise that waits, so that the answer to a
+ * Prepare names every version that this replica acknowledged or will acknowledge below that ballot.
+ */
+final class Acceptor {
+
+  /** A message that is answered once its content is durable. */
+  private record WaitingPrepare(String address, Ballot ballot) {}
+
+  private record WaitingAccept(String address, ShardVersion version) {}
+
+  private static final long NO_TICKET = -1;
+
+  private final int shard;
+  private final Member self;
+  private final ShardSettings settings;
+  private final Outbox outbox;
+  private final long promisesFrom;
+
+  private Ballot promised;
+  private ShardVersion accepted;
+
+  private String leaseHolder = "";
+  private long leaseUntil = Long.MIN_VALUE;
+
+  private WaitingPrepare waitingPrepare;
+  private WaitingAccept waitingAccept;
+  private long storingTicket = NO_TICKET;
+  private WaitingPrepare storingPrepare;
+  private WaitingAccept storingAccept;
+
+  Acceptor(
+      int shard,
+      Member self,
+      ShardSettings settings,
+      StoredShard stored,
+      Outbox outbox,
+      long promisesFrom) {
+    this.shard = shard;
+    this.self = self;
+    this.settings = settings;
+    this.outbox = outbox;
+    this.promisesFrom = promisesFrom;
+    this.accepted = stored.version();
+    this.promised = Ballots.max(stored.promised(), accepted == null ? null : accepted.getBallot());
+  }
+
+  /** The highest ballot that it promised, durable or about to be. */
+  Ballot promised() {
+    return promised;
+  }
+
+  /** The newest version that is durable here, or null. */
+  ShardVersion accepted() {
+    return accepted;
+  }
+
+  /** True while it is bound to an owner other than the node given, or does not know whether it is. */
+  boolean boundToOther(String node, long now) {
+    if (now < promisesFrom) {
+      return true;
+    }
+    return now < leaseUntil && !leaseHolder.equals(node);
+  }
+
+  /** Stores the version that the whole system starts from. */
+  void bootstrap(ShardVersion initial) {
+    accepted = initial;
+    waitingAccept = new WaitingAccept(null, initial);
+    startStoring();
+  }
+
+  void onPreVote(String address, PreVote request, long now) {
+    boolean granted = mayPromise(request.getBallot(), now);
+    outbox.send(
+        address, new PreVoteReply(shard, self.getId(), request.getBallot(), granted, promised));
+  }
+
+  /** Returns true if the ballot is promised as soon as that is durable. */
+  boolean onPrepare(String address, Prepare request, long now) {
+    Ballot ballot = request.getBallot();
+    if (!mayPromise(ballot, now)) {
+      outbox.send(
+          address, new PrepareReply(shard, self.getId(), ballot, false, promised, null));
+      return false;
+    }
+    promised = ballot;
+    waitingPrepare = new WaitingPrepare(address, ballot);
+    startStoring();
+    return true;
+  }
+
+  private boolean mayPromise(Ballot ballot, long now) {
+    return Ballots.above(ballot, promised) && !boundToOther(ballot.getNode(), now);
+  }
+
+  void onAccept(String address, Accept request) {
+    ShardVersion version = request.getVersion();
+    if (Ballots.above(promised, version.getBallot())) {
+      replyAccept(address, version, false, "");
+      return;
+    }
+    int order = VersionStamp.compare(version, accepted);
+    if (order == 0) {
+      replyAccept(address, version, true, "");
+    }
+    if (order <= 0 || isUnderWay(version)) {
+      return;
+    }
+    promised = Ballots.max(promised, version.getBallot());
+    waitingAccept = new WaitingAccept(address, version);
+    startStoring();
+  }
+
+  private boolean isUnderWay(ShardVersion version) {
+    boolean storing =
+        storingAccept != null && VersionStamp.compare(version, storingAccept.version()) <= 0;
+    boolean waiting =
+        waitingAccept != null && VersionStamp.compare(version, waitingAccept.version()) <= 0;
+    return storing || waiting;
+  }
+
+  /** Renews the owner's lease unless a higher ballot is promised. */
+  ShardBeatReply onBeat(ShardBeat beat, long now) {
+    boolean granted = !Ballots.above(promised, beat.getBallot());
+    if (granted) {
+      leaseHolder = beat.getBallot().getNode();
+      leaseUntil = Math.max(leaseUntil, now + settings.lease());
+    }
+    return new ShardBeatReply(
+        shard,
+        granted,
+        promised,
+        accepted == null ? null : accepted.getBallot(),
+        accepted == null ? 0L : accepted.getSequence());
+  }
+
+  /** Takes the outcome of the storage operation under way; false if the ticket is not of this replica. */
+  boolean onStored(long ticket, StoreOutcome outcome) {
+    if (ticket != storingTicket) {
+      return false;
+    }
+    WaitingAccept storedAccept = storingAccept;
+    WaitingPrepare storedPrepare = storingPrepare;
+    storingTicket = NO_TICKET;
+    storingAccept = null;
+    storingPrepare = null;
+    if (storedAccept != null) {
+      finishAccept(storedAccept, outcome);
+    }
+    if (storedPrepare != null) {
+      finishPrepare(storedPrepare, outcome);
+    }
+    startStoring();
+    return true;
+  }
+
+  private void finishAccept(WaitingAccept done, StoreOutcome outcome) {
+    if (outcome.stored()) {
+      accepted = done.version();
+    }
+    if (done.address() != null) {
+      replyAccept(done.address(), done.version(), outcome.stored(), outcome.failure());
+    }
+  }
+
+  private void finishPrepare(WaitingPrepare done, StoreOutcome outcome) {
+    boolean overtaken = Ballots.above(promised, done.ballot());
+    boolean granted = outcome.stored() && !overtaken;
+    outbox.send(
+        done.address(),
+        new PrepareReply(
+            shard, self.getId(), done.ballot(), granted, promised, granted ? accepted : null));
+  }
+
+  private void startStoring() {
+    if (storingTicket != NO_TICKET) {
+      return;
+    }
+    if (waitingAccept != null) {
+      storingAccept = waitingAccept;
+      waitingAccept = null;
+      storingTicket = outbox.storeVersion(shard, storingAccept.version());
+    } else if (waitingPrepare != null) {
+      storingPrepare = waitingPrepare;
+      waitingPrepare = null;
+      storingTicket = outbox.storePromise(shard, storingPrepare.ballot());
+    }
+  }
+
+  private void replyAccept(
+      String address, ShardVersion version, boolean stored, String failure) {
+    outbox.send(
+        address,
+        new AcceptReply(
+            shard,
+            self.getId(),
+            version.getBallot(),
+            version.getSequence(),
+            stored,
+            promised,
+            failure));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -0,0 +1,436 @@
+package nettletrail.control.shard;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.ConfirmQuery;
+import nettletrail.protocol.ConfirmReply;
+import nettletrail.protocol.JoinRequest;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.OrderForward;
+import nettletrail.protocol.OrderForwardReply;
+import nettletrail.protocol.OwnerHeartbeat;
+import nettletrail.protocol.OwnerHeartbeatReply;
+import nettletrail.protocol.PreVote;
+import nettletrail.protocol.PreVoteReply;
+import nettletrail.protocol.Prepare;
+import nettletrail.protocol.PrepareReply;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.protocol.VersionQuery;
+import nettletrail.protocol.VersionReply;
+import nettletrail.store.NodeIdentity;
+import nettletrail.store.StoredShard;
+import org.apache.avro.specific.SpecificRecord;
+
+/**
+ * All replicated shards of one core process: shard {@value #CONFIGURATION_SHARD} holds the configuration, the others only decide who
+ * owns them.
+ *
+ * <p>Pure and confined to one thread: each event returns the actions that follow from it. Times are nanoseconds of this process'
+ * steady clock. {@link #tick} is due about every 50 ms; timers are no finer than that.
+ */
+public final class CoreShards {
+
+  /** The shard that holds the operator's configuration. */
+  public static final int CONFIGURATION_SHARD = 0;
+
+  private final ShardSettings settings;
+  private final Member self;
+  private final Outbox outbox;
+  private final List<ShardReplica> replicas = new ArrayList<>();
+  private final ShardReplica configurationReplica;
+  private final ConfigurationRegister register;
+  private final OrderRouter orders;
+  private final Confirmation confirmation = new Confirmation();
+  private final AddressBook addressBook;
+  private final long startedAt;
+  private long heartbeatDueAt;
+  private long confirmDueAt;
+  private long joinDueAt;
+  private long versionAskedAt;
+  private long announcedSequence;
+
+  /**
+   * Starts the process' shards.
+   *
+   * @param self identity and address of this process
+   * @param seedAddresses where other core processes may be found; at the first run the founding group
+   * @param firstRun true only at the first start of the whole system
+   * @param stored what the disk holds, by shard; a shard that is missing has nothing
+   * @param seed of the random numbers; should differ between processes and lives
+   */
+  public CoreShards(
+      ShardSettings settings,
+      Member self,
+      List<String> seedAddresses,
+      boolean firstRun,
+      int shardCount,
+      Map<Integer, StoredShard> stored,
+      long seed,
+      long now) {
+    this(
+        settings,
+        self,
+        seedAddresses,
+        firstRun,
+        shardCount,
+        stored,
+        seed,
+        now,
+        new DocumentRules());
+  }
+
+  /** As the other constructor, with other rules for documents. */
+  public CoreShards(
+      ShardSettings settings,
+      Member self,
+      List<String> seedAddresses,
+      boolean firstRun,
+      int shardCount,
+      Map<Integer, StoredShard> stored,
+      long seed,
+      long now,
+      ConfigurationRules rules) {
+    this.settings = settings;
+    this.self = self;
+    this.startedAt = now;
+    this.outbox = new Outbox(self.getAddress());
+    this.addressBook = new AddressBook(seedAddresses);
+    SplittableRandom random = new SplittableRandom(seed);
+    for (int shard = 0; shard < shardCount; shard++) {
+      StoredShard content = stored.getOrDefault(shard, new StoredShard(null, null, List.of()));
+      replicas.add(startReplica(shard, content, firstRun, seedAddresses, random.split(), now));
+    }
+    this.configurationReplica = replicas.get(CONFIGURATION_SHARD);
+    this.register =
+        new ConfigurationRegister(configurationReplica, rules, settings, outbox);
+    this.orders = new OrderRouter(settings, outbox, random.nextLong());
+    this.heartbeatDueAt = now;
+    this.confirmDueAt = now;
+    this.joinDueAt = now + settings.join();
+    this.versionAskedAt = now - settings.confirm();
+  }
+
+  private ShardReplica startReplica(
+      int shard,
+      StoredShard content,
+      boolean firstRun,
+      List<String> seedAddresses,
+      SplittableRandom random,
+      long now) {
+    boolean founding = firstRun && content.isEmpty();
+    long promisesFrom = founding ? now : now + settings.lease();
+    ShardReplica replica =
+        new ShardReplica(shard, self, settings, content, outbox, random, promisesFrom);
+    List<Member> founders = seedAddresses.stream().map(NodeIdentity::founding).toList();
+    if (founding && founders.contains(self)) {
+      ShardVersion initial =
+          new ShardVersion(Ballots.ZERO, 0L, founders, ByteBuffer.allocate(0));
+      replica.bootstrap(initial, now);
+    }
+    return replica;
+  }
+
+  // Events
+
+  /** Takes a message that the core process at that address sent. */
+  public List<CoreAction> receive(String peerAddress, SpecificRecord message, long now) {
+    dispatch(peerAddress, message, now);
+    return finish(now);
+  }
+
+  /** Does what time makes due. */
+  public List<CoreAction> tick(long now) {
+    for (ShardReplica replica : replicas) {
+      replica.tick(now);
+    }
+    if (now >= heartbeatDueAt) {
+      heartbeatDueAt = now + settings.heartbeat();
+      sendHeartbeats(replicas, now);
+    }
+    if (now >= confirmDueAt) {
+      confirmDueAt = now + settings.confirm();
+      askForConfirmation(now);
+    }
+    if (now >= joinDueAt) {
+      joinDueAt = now + settings.join();
+      askToJoin(now);
+    }
+    orders.tick(ownerAddress(CONFIGURATION_SHARD, now), now);
+    return finish(now);
+  }
+
+  /** Takes the outcome of a storage action. */
+  public List<CoreAction> stored(long ticket, StoreOutcome outcome, long now) {
+    for (ShardReplica replica : replicas) {
+      if (replica.onStored(ticket, outcome)) {
+        break;
+      }
+    }
+    return finish(now);
+  }
+
+  /** Takes an operator's call that arrived at this process; it is answered by an {@link CoreAction.AnswerOrder}. */
+  public List<CoreAction> submit(
+      long call, String method, String ifMatch, byte[] body, long now) {
+    String owner = ownerAddress(CONFIGURATION_SHARD, now);
+    orders.submit(call, method, ifMatch, body, owner, now);
+    return finish(now);
+  }
+
+  // Views
+
+  /** True while this process holds the lease of a shard: no other process can own it before that runs out. */
+  public boolean owns(int shard, long now) {
+    return replicas.get(shard).owns(now);
+  }
+
+  /** The fencing token of a shard that this process owns, or null. */
+  public Ballot token(int shard) {
+    return replicas.get(shard).token();
+  }
+
+  /** The address of a shard's owner as far as known, else empty. */
+  public String ownerAddress(int shard, long now) {
+    String owner = replicas.get(shard).ownerAddress(now);
+    boolean ask = owner.isEmpty() && shard == CONFIGURATION_SHARD;
+    return ask ? addressBook.reportedOwner(now, settings.lease()) : owner;
+  }
+
+  /** The newest known group of the configuration shard: all core processes that have joined. */
+  public List<Member> members() {
+    ShardVersion accepted = configurationReplica.accepted();
+    long ownSequence = accepted == null ? -1 : accepted.getSequence();
+    boolean reportedNewer = addressBook.reportedSequence() > ownSequence;
+    ReplicaGroup group =
+        reportedNewer ? addressBook.reportedGroup() : configurationReplica.group();
+    return group.members();
+  }
+
+  /**
+   * The latest instant, on this process' steady clock and before the majority was asked, at which no newer configuration than the one
+   * announced here was committed; {@link ReplicaGroup#NEVER} if none is known.
+   */
+  public long confirmedAt() {
+    return confirmation.confirmedAt();
+  }
+
+  /** The sequence of the newest version of the configuration shard that is known to be committed, or -1. */
+  public long committedSequence() {
+    ShardVersion committed = configurationReplica.committed();
+    return committed == null ? -1 : committed.getSequence();
+  }
+
+  // Messages
+
+  private void dispatch(String peer, SpecificRecord message, long now) {
+    if (message instanceof OwnerHeartbeat heartbeat) {
+      onHeartbeat(peer, heartbeat, now);
+    } else if (message instanceof OwnerHeartbeatReply reply) {
+      onHeartbeatReply(reply, now);
+    } else if (message instanceof PreVote request) {
+      replicas.get(request.getShard()).onPreVote(peer, request, now);
+    } else if (message instanceof PreVoteReply reply) {
+      replicas.get(reply.getShard()).onPreVoteReply(reply);
+    } else if (message instanceof Prepare request) {
+      replicas.get(request.getShard()).onPrepare(peer, request, now);
+    } else if (message instanceof PrepareReply reply) {
+      replicas.get(reply.getShard()).onPrepareReply(reply, now);
+    } else if (message instanceof Accept request) {
+      replicas.get(request.getShard()).onAccept(peer, request, now);
+    } else if (message instanceof AcceptReply reply) {
+      replicas.get(reply.getShard()).onAcceptReply(reply, now);
+    } else if (message instanceof JoinRequest request) {
+      replicas.get(request.getShard()).onJoinRequest(request.getMember(), now);
+    } else {
+      dispatchConfiguration(peer, message, now);
+    }
+  }
+
+  private void dispatchConfiguration(String peer, SpecificRecord message, long now) {
+    if (message instanceof ConfirmQuery query) {
+      outbox.send(peer, confirmReply(query, now));
+    } else if (message instanceof ConfirmReply reply) {
+      onConfirmReply(peer, reply, now);
+    } else if (message instanceof VersionQuery query) {
+      ShardVersion committed = replicas.get(query.getShard()).committed();
+      outbox.send(peer, new VersionReply(query.getShard(), committed));
+    } else if (message instanceof VersionReply reply) {
+      onVersionReply(reply);
+    } else if (message instanceof OrderForward order) {
+      register.onOrder(peer, order, now);
+    } else if (message instanceof OrderForwardReply reply) {
+      orders.onReply(reply);
+    }
+  }
+
+  private void onHeartbeat(String peer, OwnerHeartbeat heartbeat, long now) {
+    List<ShardBeatReply> replies = new ArrayList<>();
+    for (ShardBeat beat : heartbeat.getShards()) {
+      ShardBeatReply reply = replicas.get(beat.getShard()).onBeat(beat, now);
+      if (reply != null) {
+        replies.add(reply);
+      }
+    }
+    if (!replies.isEmpty()) {
+      outbox.send(
+          peer, new OwnerHeartbeatReply(self.getId(), heartbeat.getSentAt(), replies));
+    }
+  }
+
+  private void onHeartbeatReply(OwnerHeartbeatReply reply, long now) {
+    if (!sentInThisLife(reply.getSentAt(), now)) {
+      return;
+    }
+    for (ShardBeatReply shardReply : reply.getShards()) {
+      replicas
+          .get(shardReply.getShard())
+          .onBeatReply(reply.getSender(), reply.getSentAt(), shardReply, now);
+    }
+  }
+
+  private ConfirmReply confirmReply(ConfirmQuery query, long now) {
+    ShardReplica replica = replicas.get(query.getShard());
+    ShardVersion accepted = replica.accepted();
+    ShardVersion committed = replica.committed();
+    return new ConfirmReply(
+        self.getId(),
+        query.getShard(),
+        query.getSentAt(),
+        replica.group().contains(self.getId()),
+        accepted == null ? null : accepted.getBallot(),
+        accepted == null ? -1L : accepted.getSequence(),
+        committed == null ? -1L : committed.getSequence(),
+        replica.ownerAddress(now),
+        replica.group().members());
+  }
+
+  private void onConfirmReply(String peer, ConfirmReply reply, long now) {
+    if (reply.getShard() != CONFIGURATION_SHARD || !sentInThisLife(reply.getSentAt(), now)) {
+      return;
+    }
+    addressBook.onConfirmReply(reply, now);
+    confirmation.onReply(reply);
+    ShardVersion accepted = configurationReplica.accepted();
+    if (accepted != null && confirmation.provesCommitted(accepted)) {
+      configurationReplica.learnCommitted(accepted);
+    }
+    boolean behind = reply.getCommittedSequence() > committedSequence();
+    if (behind && now - versionAskedAt >= settings.confirm()) {
+      versionAskedAt = now;
+      outbox.send(peer, new VersionQuery(CONFIGURATION_SHARD));
+    }
+  }
+
+  private void onVersionReply(VersionReply reply) {
+    if (reply.getVersion() != null) {
+      replicas.get(reply.getShard()).learnCommitted(reply.getVersion());
+    }
+  }
+
+  /** An answer to a former life of this process must not count: its clock may have been another. */
+  private boolean sentInThisLife(long sentAt, long now) {
+    return sentAt >= startedAt && sentAt <= now;
+  }
+
+  // Periodic work
+
+  private void sendHeartbeats(List<ShardReplica> owned, long now) {
+    Map<String, List<ShardBeat>> beats = new LinkedHashMap<>();
+    for (ShardReplica replica : owned) {
+      for (Member member : replica.heartbeatTargets()) {
+        beats
+            .computeIfAbsent(member.getAddress(), address -> new ArrayList<>())
+            .add(replica.beat(member));
+      }
+    }
+    beats.forEach(
+        (address, shards) ->
+            outbox.send(address, new OwnerHeartbeat(self.getId(), now, shards)));
+  }
+
+  private void askForConfirmation(long now) {
+    ConfirmQuery query = new ConfirmQuery(self.getId(), CONFIGURATION_SHARD, now);
+    ShardVersion committed = configurationReplica.committed();
+    if (committed == null) {
+      addressBook.addresses(replicas).forEach(address -> outbox.send(address, query));
+      return;
+    }
+    ReplicaGroup group = new ReplicaGroup(committed.getMembers());
+    confirmation.retain(group);
+    for (Member member : group.members()) {
+      outbox.send(member.getAddress(), query);
+    }
+  }
+
+  /** A process that is no member of a shard, or has heard no owner for long, asks to be a member; owners ignore members. */
+  private void askToJoin(long now) {
+    for (int shard = 0; shard < replicas.size(); shard++) {
+      ShardReplica replica = replicas.get(shard);
+      boolean member = replica.group().contains(self.getId());
+      boolean heard = now - replica.ownerHeardAt() <= 2 * settings.lease();
+      if (member && heard) {
+        continue;
+      }
+      JoinRequest request = new JoinRequest(shard, self);
+      for (String address : addressBook.addresses(replicas)) {
+        if (!address.equals(self.getAddress())) {
+          outbox.send(address, request);
+        }
+      }
+    }
+  }
+
+  // After each event
+
+  private List<CoreAction> finish(long now) {
+    do {
+      deliverLoopback(now);
+      register.advance(now);
+      sendRequestedHeartbeats(now);
+    } while (outbox.hasLoopback());
+    confirmation.update(configurationReplica.committed());
+    announceConfiguration();
+    return outbox.drain();
+  }
+
+  private void deliverLoopback(long now) {
+    SpecificRecord message = outbox.pollLoopback();
+    while (message != null) {
+      dispatch(self.getAddress(), message, now);
+      message = outbox.pollLoopback();
+    }
+  }
+
+  private void sendRequestedHeartbeats(long now) {
+    List<ShardReplica> requested = new ArrayList<>();
+    for (ShardReplica replica : replicas) {
+      if (replica.takeHeartbeatRequest()) {
+        requested.add(replica);
+      }
+    }
+    sendHeartbeats(requested, now);
+  }
+
+  private void announceConfiguration() {
+    ShardVersion committed = configurationReplica.committed();
+    if (committed == null || committed.getSequence() <= announcedSequence) {
+      return;
+    }
+    announcedSequence = committed.getSequence();
+    ConfigurationState state = register.state();
+    if (state.edition() > 0) {
+      outbox.add(
+          new CoreAction.CommittedConfiguration(
+              announcedSequence, state.edition(), state.documentBytes()));
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/Election.java
@@ -0,0 +1,108 @@
+package nettletrail.control.shard;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.PreVoteReply;
+import nettletrail.protocol.PrepareReply;
+import nettletrail.protocol.ShardVersion;
+
+/**
+ * One candidacy for one shard: a PreVote round, which changes nothing, then a Prepare round. It is won with promises of a majority
+ * of the group that the newest version among the answers names.
+ */
+final class Election {
+
+  /** Which round is under way. */
+  enum Phase {
+    PRE_VOTE,
+    PREPARE
+  }
+
+  private final Ballot ballot;
+  private final long deadline;
+  private final Set<String> grants = new HashSet<>();
+  private final Set<String> asked = new HashSet<>();
+  private Phase phase;
+  private ShardVersion newest;
+  private Ballot highestSeen;
+
+  /** Starts from the newest version that the candidate itself accepted. */
+  Election(Phase phase, Ballot ballot, ShardVersion ownAccepted, long deadline) {
+    this.phase = phase;
+    this.ballot = ballot;
+    this.newest = ownAccepted;
+    this.highestSeen = ballot;
+    this.deadline = deadline;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  Ballot ballot() {
+    return ballot;
+  }
+
+  long deadline() {
+    return deadline;
+  }
+
+  /** The highest ballot that any answer named. */
+  Ballot highestSeen() {
+    return highestSeen;
+  }
+
+  /** The newest accepted version among the answers and the candidate's own. */
+  ShardVersion newest() {
+    return newest;
+  }
+
+  ReplicaGroup group() {
+    return new ReplicaGroup(newest.getMembers());
+  }
+
+  /** The members that were not asked in this phase; they count as asked from now on. */
+  List<Member> takeUnasked() {
+    List<Member> unasked = new ArrayList<>();
+    for (Member member : newest.getMembers()) {
+      if (asked.add(member.getId())) {
+        unasked.add(member);
+      }
+    }
+    return unasked;
+  }
+
+  void onPreVoteReply(PreVoteReply reply) {
+    highestSeen = Ballots.max(highestSeen, reply.getPromised());
+    if (phase == Phase.PRE_VOTE && reply.getBallot().equals(ballot) && reply.getGranted()) {
+      grants.add(reply.getSender());
+    }
+  }
+
+  void onPrepareReply(PrepareReply reply) {
+    highestSeen = Ballots.max(highestSeen, reply.getPromised());
+    if (phase != Phase.PREPARE || !reply.getBallot().equals(ballot) || !reply.getGranted()) {
+      return;
+    }
+    grants.add(reply.getSender());
+    if (VersionStamp.compare(reply.getAccepted(), newest) > 0) {
+      newest = reply.getAccepted();
+    }
+  }
+
+  /** True when a majority granted the phase under way. */
+  boolean hasMajority() {
+    return group().hasMajority(grants);
+  }
+
+  /** Goes from PreVote to Prepare. */
+  void startPrepare() {
+    phase = Phase.PREPARE;
+    grants.clear();
+    asked.clear();
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/GroupChanges.java
@@ -0,0 +1,114 @@
+package nettletrail.control.shard;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+import nettletrail.protocol.Member;
+
+/**
+ * Decides how the owner of a shard changes its group, by one member at a time.
+ *
+ * <p>A group of 2k + 1 and one of 2k both need k + 1 members, so taking a dead member out of an odd group and taking a joiner into
+ * an even one cost nothing. A group that is odd takes a joiner only in place of a dead member or when all its members are alive.
+ * Dead is a member whose address a joiner has taken over with a fresh disk, or one silent for some seconds.
+ */
+final class GroupChanges {
+
+  /** A process that asks to join. */
+  private record Joiner(Member member, long askedAt) {}
+
+  private final ShardSettings settings;
+  private final Map<String, Joiner> joiners = new HashMap<>();
+
+  GroupChanges(ShardSettings settings) {
+    this.settings = settings;
+  }
+
+  void onJoinRequest(Member member, long now) {
+    joiners.put(member.getId(), new Joiner(member, now));
+  }
+
+  /** The group that should follow, or null if it should stay. */
+  ReplicaGroup next(
+      ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now) {
+    joiners.values().removeIf(joiner -> now - joiner.askedAt() > settings.joinerFresh());
+    joiners.keySet().removeIf(group::contains);
+    Member joiner = firstJoiner();
+    if (joiner == null) {
+      return withoutDead(group, self, heardAt, now);
+    }
+    boolean odd = group.size() % 2 == 1;
+    if (!odd) {
+      return group.with(joiner);
+    }
+    Member replaced = sameAddress(group, self, joiner);
+    if (replaced == null) {
+      replaced = silentFor(group, self, heardAt, now, settings.replaceAfter());
+    }
+    if (replaced != null) {
+      return group.without(replaced.getId());
+    }
+    boolean allHeard =
+        silentFor(group, self, heardAt, now, settings.joinerFresh()) == null;
+    return allHeard ? group.with(joiner) : null;
+  }
+
+  private ReplicaGroup withoutDead(
+      ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now) {
+    Member dead = supersededMember(group, self, heardAt);
+    if (dead == null && group.size() % 2 == 0) {
+      dead = silentFor(group, self, heardAt, now, settings.removeAfter());
+    }
+    return dead == null ? null : group.without(dead.getId());
+  }
+
+  private Member firstJoiner() {
+    List<String> ids = new ArrayList<>(joiners.keySet());
+    ids.sort(null);
+    return ids.isEmpty() ? null : joiners.get(ids.get(0)).member();
+  }
+
+  private static Member sameAddress(ReplicaGroup group, Member self, Member joiner) {
+    for (Member member : group.members()) {
+      boolean replaced = member.getAddress().equals(joiner.getAddress());
+      if (replaced && !member.getId().equals(self.getId())) {
+        return member;
+      }
+    }
+    return null;
+  }
+
+  /** Of two members at one address, the one that was heard of less lately. */
+  private static Member supersededMember(
+      ReplicaGroup group, Member self, ToLongFunction<String> heardAt) {
+    Map<String, Member> latest = new HashMap<>();
+    for (Member member : group.members()) {
+      Member other = latest.put(member.getAddress(), member);
+      if (other == null) {
+        continue;
+      }
+      boolean otherOlder =
+          heardAt.applyAsLong(other.getId()) < heardAt.applyAsLong(member.getId());
+      Member older = otherOlder ? other : member;
+      return older.getId().equals(self.getId()) ? null : older;
+    }
+    return null;
+  }
+
+  /** The member that has been silent longest, if it has been for that time. */
+  private static Member silentFor(
+      ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now, long silence) {
+    Member longest = null;
+    long earliest = now - silence;
+    for (Member member : group.members()) {
+      long heard = heardAt.applyAsLong(member.getId());
+      if (heard < earliest && !member.getId().equals(self.getId())) {
+        longest = member;
+        earliest = heard;
+      }
+    }
+    return longest;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/OrderReplies.java
@@ -0,0 +1,60 @@
+package nettletrail.control.shard;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import nettletrail.protocol.OrderForwardReply;
+
+/** The answers to an operator's call: statuses and JSON bodies. */
+final class OrderReplies {
+
+  static final int OK = 200;
+  static final int BAD_REQUEST = 400;
+  static final int NOT_FOUND = 404;
+  static final int METHOD_NOT_ALLOWED = 405;
+  static final int PRECONDITION_FAILED = 412;
+  static final int UNAVAILABLE = 503;
+
+  /** Between core processes only: the addressee is not the owner, and has done nothing. */
+  static final int NOT_OWNER = 421;
+
+  private OrderReplies() {}
+
+  static OrderForwardReply taken(long call, long edition) {
+    return reply(call, OK, edition, json("{\"edition\":" + edition + "}"));
+  }
+
+  static OrderForwardReply document(long call, long edition, ByteBuffer document) {
+    return reply(call, OK, edition, document.duplicate());
+  }
+
+  static OrderForwardReply refused(long call, int status, long edition, String reason) {
+    return reply(call, status, edition, error(reason));
+  }
+
+  /** The outcome is unknown, or nothing was done; the caller may send the call again. */
+  static OrderForwardReply unavailable(long call, String reason) {
+    return new OrderForwardReply(call, UNAVAILABLE, "", error(reason));
+  }
+
+  static OrderForwardReply notOwner(long call) {
+    return new OrderForwardReply(call, NOT_OWNER, "", error("not the owner"));
+  }
+
+  static ByteBuffer error(String reason) {
+    StringBuilder text = new StringBuilder("{\"error\":\"");
+    for (int index = 0; index < reason.length(); index++) {
+      char character = reason.charAt(index);
+      boolean plain = character >= ' ' && character != '"' && character != '\\';
+      text.append(plain ? character : ' ');
+    }
+    return json(text.append("\"}").toString());
+  }
+
+  private static OrderForwardReply reply(long call, int status, long edition, ByteBuffer body) {
+    return new OrderForwardReply(call, status, Long.toString(edition), body);
+  }
+
+  private static ByteBuffer json(String text) {
+    return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/OrderRouter.java
@@ -0,0 +1,105 @@
+package nettletrail.control.shard;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import nettletrail.protocol.OrderForward;
+import nettletrail.protocol.OrderForwardReply;
+
+/**
+ * Passes the operator's calls that arrived at this process to the owner of the configuration shard, which may be this process, and
+ * relays the answers. A call waits some time for an owner to be known; one without an answer in time gets 503.
+ */
+final class OrderRouter {
+
+  /** A call that was not answered yet. */
+  private static final class PendingCall {
+    final long call;
+    final OrderForward order;
+    final long receivedAt;
+    boolean forwarded;
+
+    PendingCall(long call, OrderForward order, long receivedAt) {
+      this.call = call;
+      this.order = order;
+      this.receivedAt = receivedAt;
+    }
+  }
+
+  private final ShardSettings settings;
+  private final Outbox outbox;
+  private final Map<Long, PendingCall> pending = new HashMap<>();
+  private long lastForward;
+
+  /** Numbers its messages from firstForward, which differs between lives of a process so that late answers find nobody. */
+  OrderRouter(ShardSettings settings, Outbox outbox, long firstForward) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.lastForward = firstForward;
+  }
+
+  void submit(
+      long call, String method, String ifMatch, byte[] body, String ownerAddress, long now) {
+    if (!method.equals("GET") && !method.equals("PUT") && !method.equals("PATCH")) {
+      ByteBuffer error = OrderReplies.error("only GET, PUT and PATCH");
+      answer(call, OrderReplies.METHOD_NOT_ALLOWED, "", error);
+      return;
+    }
+    lastForward++;
+    String condition = ifMatch == null ? "" : ifMatch;
+    OrderForward order =
+        new OrderForward(lastForward, method, condition, ByteBuffer.wrap(body));
+    PendingCall added = new PendingCall(call, order, now);
+    pending.put(lastForward, added);
+    forward(added, ownerAddress);
+  }
+
+  private void forward(PendingCall call, String ownerAddress) {
+    if (!ownerAddress.isEmpty()) {
+      call.forwarded = true;
+      outbox.send(ownerAddress, call.order);
+    }
+  }
+
+  void onReply(OrderForwardReply reply) {
+    PendingCall call = pending.get(reply.getCall());
+    if (call == null) {
+      return;
+    }
+    if (reply.getStatus() == OrderReplies.NOT_OWNER) {
+      call.forwarded = false;
+      return;
+    }
+    pending.remove(reply.getCall());
+    answer(call.call, reply.getStatus(), reply.getEdition(), reply.getBody());
+  }
+
+  /** Passes on what waits for an owner and gives up on what took too long. */
+  void tick(String ownerAddress, long now) {
+    List<PendingCall> calls = new ArrayList<>(pending.values());
+    for (PendingCall call : calls) {
+      long age = now - call.receivedAt;
+      if (age >= settings.orderTimeout()) {
+        giveUp(call, "the owner does not answer");
+      } else if (!call.forwarded && age >= settings.orderHold()) {
+        giveUp(call, "no owner is known");
+      } else if (!call.forwarded) {
+        forward(call, ownerAddress);
+      }
+    }
+  }
+
+  private void giveUp(PendingCall call, String reason) {
+    pending.remove(call.order.getCall());
+    answer(call.call, OrderReplies.UNAVAILABLE, "", OrderReplies.error(reason));
+  }
+
+  private void answer(long call, int status, String edition, ByteBuffer body) {
+    ByteBuffer copy = body.duplicate();
+    byte[] bytes = new byte[copy.remaining()];
+    copy.get(bytes);
+    outbox.add(new CoreAction.AnswerOrder(call, status, edition, bytes));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/Outbox.java
@@ -0,0 +1,68 @@
+package nettletrail.control.shard;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.ShardVersion;
+import org.apache.avro.specific.SpecificRecord;
+
+/** Collects the actions of one event. Messages to this process itself are kept apart and handled within the same event. */
+final class Outbox {
+
+  private final String selfAddress;
+  private final Deque<SpecificRecord> loopback = new ArrayDeque<>();
+  private List<CoreAction> actions = new ArrayList<>();
+  private long lastTicket;
+
+  Outbox(String selfAddress) {
+    this.selfAddress = selfAddress;
+  }
+
+  String selfAddress() {
+    return selfAddress;
+  }
+
+  void send(String address, SpecificRecord message) {
+    if (address.equals(selfAddress)) {
+      loopback.add(message);
+    } else {
+      actions.add(new CoreAction.Send(address, message));
+    }
+  }
+
+  /** Returns the ticket with which the outcome comes back. */
+  long storePromise(int shard, Ballot ballot) {
+    lastTicket++;
+    actions.add(new CoreAction.StorePromise(lastTicket, shard, ballot));
+    return lastTicket;
+  }
+
+  /** Returns the ticket with which the outcome comes back. */
+  long storeVersion(int shard, ShardVersion version) {
+    lastTicket++;
+    actions.add(new CoreAction.StoreVersion(lastTicket, shard, version));
+    return lastTicket;
+  }
+
+  void add(CoreAction action) {
+    actions.add(action);
+  }
+
+  /** The next message that this process sent to itself, or null. */
+  SpecificRecord pollLoopback() {
+    return loopback.poll();
+  }
+
+  boolean hasLoopback() {
+    return !loopback.isEmpty();
+  }
+
+  /** Hands over what was collected. */
+  List<CoreAction> drain() {
+    List<CoreAction> drained = actions;
+    actions = new ArrayList<>();
+    return drained;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/Ownership.java
@@ -0,0 +1,208 @@
+package nettletrail.control.shard;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+
+/**
+ * The owner's half of a replica, for as long as it writes under one ballot: first it writes again the version that its election
+ * found, then one new version at a time. A version is committed once a majority of the group that it names has it durably.
+ *
+ * <p>The lease holds until the majority-th latest grant, counted from before it was asked, plus the lease, less the margin. While a
+ * change of the group is in flight, both groups must grant.
+ */
+final class Ownership {
+
+  /** The committed sequence that is told before anything is committed under the ballot. */
+  static final long NOTHING_COMMITTED = -1;
+
+  /** What the owner knows of one member. */
+  private static final class Progress {
+    long grantAskedAt = ReplicaGroup.NEVER;
+    long heardAt;
+    VersionStamp sent;
+    long sentAt;
+  }
+
+  private final int shard;
+  private final Ballot ballot;
+  private final ShardSettings settings;
+  private final Outbox outbox;
+  private final long startedAt;
+  private final Map<String, Progress> progressOf = new HashMap<>();
+  private final Set<String> acknowledged = new HashSet<>();
+  private ShardVersion committed;
+  private ShardVersion proposal;
+
+  /** Begins by writing the version found by the election again, under the own ballot. */
+  Ownership(
+      int shard,
+      Ballot ballot,
+      ShardVersion found,
+      ShardSettings settings,
+      Outbox outbox,
+      long now) {
+    this.shard = shard;
+    this.ballot = ballot;
+    this.settings = settings;
+    this.outbox = outbox;
+    this.startedAt = now;
+    propose(found.getSequence(), found, new ReplicaGroup(found.getMembers()), now);
+  }
+
+  Ballot ballot() {
+    return ballot;
+  }
+
+  /** The newest version committed under the own ballot, or null. */
+  ShardVersion committed() {
+    return committed;
+  }
+
+  /** The version in flight, or null. */
+  ShardVersion proposal() {
+    return proposal;
+  }
+
+  /** True when something was committed under the own ballot and no write is in flight. */
+  boolean settled() {
+    return committed != null && proposal == null;
+  }
+
+  /** The newest version, committed or in flight. */
+  ShardVersion newest() {
+    return proposal != null ? proposal : committed;
+  }
+
+  /** The members of the newest group. */
+  List<Member> members() {
+    return newest().getMembers();
+  }
+
+  /** Writes a new version; only when {@link #settled}. */
+  ShardVersion write(java.nio.ByteBuffer value, ReplicaGroup group, long now) {
+    if (!settled()) {
+      throw new IllegalStateException("a write is in flight");
+    }
+    ShardVersion changed =
+        new ShardVersion(ballot, committed.getSequence(), group.members(), value);
+    propose(committed.getSequence() + 1, changed, group, now);
+    return proposal;
+  }
+
+  private void propose(long sequence, ShardVersion from, ReplicaGroup group, long now) {
+    proposal = new ShardVersion(ballot, sequence, group.members(), from.getValue());
+    acknowledged.clear();
+    for (Member member : group.members()) {
+      sendVersion(member, now);
+    }
+  }
+
+  private void sendVersion(Member member, long now) {
+    Progress progress = progress(member.getId());
+    progress.sent = VersionStamp.of(newest());
+    progress.sentAt = now;
+    outbox.send(member.getAddress(), new Accept(shard, member.getId(), ballot, newest()));
+  }
+
+  /** Returns true if this committed the version in flight. */
+  boolean onAcceptReply(AcceptReply reply, long now) {
+    progress(reply.getSender()).heardAt = now;
+    if (!reply.getAccepted()) {
+      return false;
+    }
+    return acknowledge(
+        reply.getSender(), new VersionStamp(reply.getBallot(), reply.getSequence()));
+  }
+
+  /** Returns true if this committed the version in flight. */
+  boolean onBeatReply(String sender, long askedAt, ShardBeatReply reply, long now) {
+    Progress progress = progress(sender);
+    progress.heardAt = now;
+    if (!reply.getGranted()) {
+      return false;
+    }
+    progress.grantAskedAt = Math.max(progress.grantAskedAt, askedAt);
+    VersionStamp held = new VersionStamp(reply.getAcceptedBallot(), reply.getAcceptedSequence());
+    resendIfBehind(sender, progress, held, now);
+    return acknowledge(sender, held);
+  }
+
+  private void resendIfBehind(String id, Progress progress, VersionStamp held, long now) {
+    Member member = new ReplicaGroup(members()).find(id);
+    VersionStamp target = VersionStamp.of(newest());
+    if (member == null || held.compareTo(target) >= 0) {
+      return;
+    }
+    boolean justSent = target.equals(progress.sent) && now - progress.sentAt < settings.resend();
+    if (!justSent) {
+      sendVersion(member, now);
+    }
+  }
+
+  private boolean acknowledge(String sender, VersionStamp held) {
+    if (proposal == null || !VersionStamp.of(proposal).equals(held)) {
+      return false;
+    }
+    acknowledged.add(sender);
+    if (!new ReplicaGroup(proposal.getMembers()).hasMajority(acknowledged)) {
+      return false;
+    }
+    committed = proposal;
+    proposal = null;
+    return true;
+  }
+
+  /** The instant up to which no other replica can own the shard; {@link ReplicaGroup#NEVER} if it holds no lease. */
+  long leaseUntil() {
+    long askedAt = leaseAskedAt(newest());
+    if (proposal != null && committed != null) {
+      askedAt = Math.min(askedAt, leaseAskedAt(committed));
+    }
+    if (askedAt == ReplicaGroup.NEVER) {
+      return ReplicaGroup.NEVER;
+    }
+    return askedAt + settings.lease() - settings.leaseMargin();
+  }
+
+  private long leaseAskedAt(ShardVersion version) {
+    return new ReplicaGroup(version.getMembers())
+        .majorityInstant(member -> progress(member.getId()).grantAskedAt);
+  }
+
+  /** When the owner last heard of a member; its own start if it never did. */
+  long heardAt(String id) {
+    return progress(id).heardAt;
+  }
+
+  /** This shard's part of a heartbeat, for one member. */
+  ShardBeat beat(Member member) {
+    long sequence = committed == null ? NOTHING_COMMITTED : committed.getSequence();
+    return new ShardBeat(shard, member.getId(), ballot, sequence);
+  }
+
+  /** The members that heartbeats go to. */
+  List<Member> heartbeatTargets() {
+    return new ArrayList<>(members());
+  }
+
+  private Progress progress(String id) {
+    Progress progress = progressOf.get(id);
+    if (progress == null) {
+      progress = new Progress();
+      progress.heardAt = startedAt;
+      progressOf.put(id, progress);
+    }
+    return progress;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
@@ -0,0 +1,115 @@
+package nettletrail.control.shard;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import nettletrail.protocol.Member;
+
+/** The replicas that decide about a version of a shard. Immutable. */
+public final class ReplicaGroup {
+
+  /** Returned where no majority has an instant. */
+  public static final long NEVER = Long.MIN_VALUE;
+
+  private final List<Member> members;
+
+  /** Copies the list. */
+  public ReplicaGroup(List<Member> members) {
+    this.members = List.copyOf(members);
+  }
+
+  /** The members, in the order in which they joined. */
+  public List<Member> members() {
+    return members;
+  }
+
+  /** How many members there are. */
+  public int size() {
+    return members.size();
+  }
+
+  /** The smallest count of members that is more than half. */
+  public int majority() {
+    return members.size() / 2 + 1;
+  }
+
+  /** True if a member has that identity. */
+  public boolean contains(String id) {
+    return find(id) != null;
+  }
+
+  /** The member with that identity, or null. */
+  public Member find(String id) {
+    for (Member member : members) {
+      if (member.getId().equals(id)) {
+        return member;
+      }
+    }
+    return null;
+  }
+
+  /** True if the identities given hold more than half of the group; strangers don't count. */
+  public boolean hasMajority(Set<String> ids) {
+    int count = 0;
+    for (Member member : members) {
+      if (ids.contains(member.getId())) {
+        count++;
+      }
+    }
+    return !members.isEmpty() && count >= majority();
+  }
+
+  /** The latest instant that a majority has reached, or {@link #NEVER}; members without an instant give {@link #NEVER}. */
+  public long majorityInstant(ToLongFunction<Member> instantOf) {
+    if (members.isEmpty()) {
+      return NEVER;
+    }
+    List<Long> instants = new ArrayList<>();
+    for (Member member : members) {
+      instants.add(instantOf.applyAsLong(member));
+    }
+    instants.sort(Collections.reverseOrder());
+    return instants.get(majority() - 1);
+  }
+
+  /** The group with one member more. */
+  ReplicaGroup with(Member joiner) {
+    List<Member> changed = new ArrayList<>(members);
+    changed.add(joiner);
+    return new ReplicaGroup(changed);
+  }
+
+  /** The group without that identity. */
+  ReplicaGroup without(String id) {
+    List<Member> changed = new ArrayList<>(members);
+    changed.removeIf(member -> member.getId().equals(id));
+    return new ReplicaGroup(changed);
+  }
+
+  /**
+   * The rank of an address among the group's for a shard, by rendezvous hashing: 0 for the member that should stand first for its
+   * election. Each shard orders the members differently.
+   */
+  int rendezvousRank(int shard, String address) {
+    long own = rendezvousHash(shard, address);
+    int rank = 0;
+    for (Member member : members) {
+      if (rendezvousHash(shard, member.getAddress()) > own) {
+        rank++;
+      }
+    }
+    return rank;
+  }
+
+  private static long rendezvousHash(int shard, String address) {
+    long hash = 0xcbf29ce484222325L ^ shard;
+    for (int index = 0; index < address.length(); index++) {
+      hash = (hash ^ address.charAt(index)) * 0x100000001b3L;
+    }
+    hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
+    hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
+    return hash ^ (hash >>> 31);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -0,0 +1,347 @@
+package nettletrail.control.shard;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.SplittableRandom;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.PreVote;
+import nettletrail.protocol.PreVoteReply;
+import nettletrail.protocol.Prepare;
+import nettletrail.protocol.PrepareReply;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.store.StoredShard;
+
+/**
+ * One process' part in one shard: voter, candidate and owner.
+ *
+ * <p>States: follower (neither election nor ownership), candidate, owner. A follower that has heard no owner for a lease, plus a
+ * stagger by its rank for the shard, becomes a candidate; a candidate that finds a majority becomes owner; an owner that meets a
+ * higher ballot prepares anew if its lease still runs, else it becomes a follower.
+ */
+final class ShardReplica {
+
+  private final int shard;
+  private final Member self;
+  private final ShardSettings settings;
+  private final Outbox outbox;
+  private final SplittableRandom random;
+  private final Acceptor acceptor;
+  private final GroupChanges groupChanges;
+
+  private Election election;
+  private Ownership ownership;
+  private ShardVersion knownCommitted;
+  private Ballot highestSeen = Ballots.ZERO;
+  private String ownerId = "";
+  private long ownerHeardAt;
+  private long electionDueAt;
+  private boolean heartbeatRequested;
+
+  /** Starts as a follower; promisesFrom is the instant before which it promises nothing. */
+  ShardReplica(
+      int shard,
+      Member self,
+      ShardSettings settings,
+      StoredShard stored,
+      Outbox outbox,
+      SplittableRandom random,
+      long promisesFrom) {
+    this.shard = shard;
+    this.self = self;
+    this.settings = settings;
+    this.outbox = outbox;
+    this.random = random;
+    this.acceptor = new Acceptor(shard, self, settings, stored, outbox, promisesFrom);
+    this.groupChanges = new GroupChanges(settings);
+    this.ownerHeardAt = promisesFrom - settings.lease();
+    postponeElection(promisesFrom);
+  }
+
+  /** Gives the replica the version that the whole system starts from. */
+  void bootstrap(ShardVersion initial, long now) {
+    acceptor.bootstrap(initial);
+    postponeElection(now);
+  }
+
+  // Views
+
+  /** True while this process holds the owner's lease and has committed under its ballot. */
+  boolean owns(long now) {
+    return ownership != null && ownership.committed() != null && now < ownership.leaseUntil();
+  }
+
+  /** The fencing token: the own ballot, or null when this process is not the owner. */
+  Ballot token() {
+    return ownership == null ? null : ownership.ballot();
+  }
+
+  /** The owner's address as far as known, else empty. */
+  String ownerAddress(long now) {
+    if (owns(now)) {
+      return self.getAddress();
+    }
+    boolean fresh = now - ownerHeardAt <= settings.lease();
+    Member owner = fresh ? group().find(ownerId) : null;
+    return owner == null || ownerId.equals(self.getId()) ? "" : owner.getAddress();
+  }
+
+  /** When an owner's heartbeat was last granted. */
+  long ownerHeardAt() {
+    return ownerHeardAt;
+  }
+
+  /** The group that the newest accepted version names; empty where there is none. */
+  ReplicaGroup group() {
+    ShardVersion accepted = acceptor.accepted();
+    return new ReplicaGroup(accepted == null ? List.of() : accepted.getMembers());
+  }
+
+  /** The newest durable version here, or null. */
+  ShardVersion accepted() {
+    return acceptor.accepted();
+  }
+
+  /** The newest version that is known to be committed, or null. */
+  ShardVersion committed() {
+    return knownCommitted;
+  }
+
+  /** True when the owner may write: its lease holds and no write is in flight. */
+  boolean writable(long now) {
+    return owns(now) && ownership.settled();
+  }
+
+  // The owner's writes
+
+  /** Writes a value as the next version; only while {@link #writable}. */
+  ShardVersion write(byte[] value, long now) {
+    ReplicaGroup group = new ReplicaGroup(ownership.committed().getMembers());
+    return ownership.write(ByteBuffer.wrap(value), group, now);
+  }
+
+  void onJoinRequest(Member joiner, long now) {
+    if (ownership != null) {
+      groupChanges.onJoinRequest(joiner, now);
+    }
+  }
+
+  // Voting
+
+  void onPreVote(String address, PreVote request, long now) {
+    if (isForSelf(request.getRecipient())) {
+      acceptor.onPreVote(address, request, now);
+    }
+  }
+
+  void onPrepare(String address, Prepare request, long now) {
+    if (isForSelf(request.getRecipient()) && acceptor.onPrepare(address, request, now)) {
+      electionDueAt = Math.max(electionDueAt, now + settings.electionTimeout() + stagger());
+      deposeBy(request.getBallot(), now);
+    }
+  }
+
+  void onAccept(String address, Accept request, long now) {
+    if (isForSelf(request.getRecipient())) {
+      acceptor.onAccept(address, request);
+      deposeBy(request.getBallot(), now);
+    }
+  }
+
+  /** Answers a heartbeat, or null if it is meant for another identity. */
+  ShardBeatReply onBeat(ShardBeat beat, long now) {
+    if (!isForSelf(beat.getRecipient())) {
+      return null;
+    }
+    ShardBeatReply reply = acceptor.onBeat(beat, now);
+    if (reply.getGranted()) {
+      followOwner(beat, now);
+    }
+    return reply;
+  }
+
+  private void followOwner(ShardBeat beat, long now) {
+    ownerId = beat.getBallot().getNode();
+    ownerHeardAt = now;
+    postponeElection(now + settings.lease());
+    deposeBy(beat.getBallot(), now);
+    ShardVersion accepted = acceptor.accepted();
+    if (accepted != null
+        && accepted.getBallot().equals(beat.getBallot())
+        && accepted.getSequence() <= beat.getCommittedSequence()) {
+      learnCommitted(accepted);
+    }
+  }
+
+  boolean onStored(long ticket, StoreOutcome outcome) {
+    return acceptor.onStored(ticket, outcome);
+  }
+
+  /** Takes a version that is committed, as learnt from any process. */
+  void learnCommitted(ShardVersion version) {
+    if (knownCommitted == null || version.getSequence() > knownCommitted.getSequence()) {
+      knownCommitted = version;
+    }
+  }
+
+  private boolean isForSelf(String recipient) {
+    return recipient.equals(self.getId());
+  }
+
+  // Candidacy
+
+  /** Starts, ends and advances whatever is due. */
+  void tick(long now) {
+    if (election != null && now >= election.deadline()) {
+      highestSeen = Ballots.max(highestSeen, election.highestSeen());
+      election = null;
+      postponeElection(now + random.nextLong(2 * settings.electionStagger()));
+    }
+    if (ownership != null) {
+      changeGroup(now);
+    } else if (election == null && now >= electionDueAt) {
+      standForElection(now);
+    }
+  }
+
+  private void standForElection(long now) {
+    boolean eligible =
+        group().contains(self.getId()) && !acceptor.boundToOther(self.getId(), now);
+    if (!eligible) {
+      postponeElection(now);
+      return;
+    }
+    startElection(Election.Phase.PRE_VOTE, now);
+  }
+
+  private void startElection(Election.Phase phase, long now) {
+    Ballot above = Ballots.max(highestSeen, acceptor.promised());
+    Ballot ballot = Ballots.next(above, self.getId());
+    election =
+        new Election(phase, ballot, acceptor.accepted(), now + settings.electionTimeout());
+    askMembers();
+  }
+
+  private void askMembers() {
+    for (Member member : election.takeUnasked()) {
+      if (election.phase() == Election.Phase.PRE_VOTE) {
+        outbox.send(
+            member.getAddress(), new PreVote(shard, member.getId(), election.ballot()));
+      } else {
+        outbox.send(
+            member.getAddress(), new Prepare(shard, member.getId(), election.ballot()));
+      }
+    }
+  }
+
+  void onPreVoteReply(PreVoteReply reply) {
+    if (election == null) {
+      return;
+    }
+    election.onPreVoteReply(reply);
+    if (election.phase() == Election.Phase.PRE_VOTE && election.hasMajority()) {
+      election.startPrepare();
+      askMembers();
+    }
+  }
+
+  void onPrepareReply(PrepareReply reply, long now) {
+    if (election == null) {
+      return;
+    }
+    election.onPrepareReply(reply);
+    if (election.phase() != Election.Phase.PREPARE) {
+      return;
+    }
+    askMembers();
+    if (election.hasMajority() && election.group().contains(self.getId())) {
+      ownership =
+          new Ownership(
+              shard, election.ballot(), election.newest(), settings, outbox, now);
+      election = null;
+      heartbeatRequested = true;
+    }
+  }
+
+  private void postponeElection(long from) {
+    electionDueAt = from + stagger() + random.nextLong(settings.electionStagger() / 2);
+  }
+
+  private long stagger() {
+    return group().rendezvousRank(shard, self.getAddress()) * settings.electionStagger();
+  }
+
+  // Ownership
+
+  void onAcceptReply(AcceptReply reply, long now) {
+    if (ownership == null) {
+      return;
+    }
+    if (ownership.onAcceptReply(reply, now)) {
+      onCommit();
+    }
+    deposeBy(reply.getPromised(), now);
+  }
+
+  void onBeatReply(String sender, long askedAt, ShardBeatReply reply, long now) {
+    if (ownership == null) {
+      return;
+    }
+    if (ownership.onBeatReply(sender, askedAt, reply, now)) {
+      onCommit();
+    }
+    deposeBy(reply.getPromised(), now);
+  }
+
+  private void onCommit() {
+    learnCommitted(ownership.committed());
+    heartbeatRequested = true;
+  }
+
+  /** Ends the ownership if a higher ballot is known; takes a new ballot at once while the lease still runs. */
+  private void deposeBy(Ballot ballot, long now) {
+    highestSeen = Ballots.max(highestSeen, ballot);
+    if (ownership == null || !Ballots.above(ballot, ownership.ballot())) {
+      return;
+    }
+    boolean leaseRuns = now < ownership.leaseUntil();
+    ownership = null;
+    heartbeatRequested = false;
+    if (leaseRuns) {
+      startElection(Election.Phase.PREPARE, now);
+    } else {
+      postponeElection(now + settings.electionStagger());
+    }
+  }
+
+  private void changeGroup(long now) {
+    if (!writable(now)) {
+      return;
+    }
+    ReplicaGroup current = new ReplicaGroup(ownership.committed().getMembers());
+    ReplicaGroup changed = groupChanges.next(current, self, ownership::heardAt, now);
+    if (changed != null) {
+      ownership.write(ownership.committed().getValue(), changed, now);
+    }
+  }
+
+  /** The members that heartbeats go to; empty unless this process writes as owner. */
+  List<Member> heartbeatTargets() {
+    return ownership == null ? List.of() : ownership.heartbeatTargets();
+  }
+
+  ShardBeat beat(Member member) {
+    return ownership.beat(member);
+  }
+
+  /** True once after something that the members should hear at once. */
+  boolean takeHeartbeatRequest() {
+    boolean requested = heartbeatRequested;
+    heartbeatRequested = false;
+    return requested;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/VersionStamp.java
@@ -0,0 +1,31 @@
+package nettletrail.control.shard;
+
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.ShardVersion;
+
+/**
+ * What orders the versions of one shard: the ballot under which a version was written, then its sequence number.
+ *
+ * @param ballot the owner's ballot
+ * @param sequence counts the values of the register, from 0
+ */
+record VersionStamp(Ballot ballot, long sequence) implements Comparable<VersionStamp> {
+
+  static VersionStamp of(ShardVersion version) {
+    return new VersionStamp(version.getBallot(), version.getSequence());
+  }
+
+  /** Compares two versions; null is below all. */
+  static int compare(ShardVersion left, ShardVersion right) {
+    if (left == null || right == null) {
+      return Boolean.compare(left != null, right != null);
+    }
+    return of(left).compareTo(of(right));
+  }
+
+  @Override
+  public int compareTo(VersionStamp other) {
+    int byBallot = Ballots.compare(ballot, other.ballot);
+    return byBallot != 0 ? byBallot : Long.compare(sequence, other.sequence);
+  }
+}
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
@@ -0,0 +1,122 @@
+package nettletrail.control.shard;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What must hold at all times in a {@link SimulatedCluster}; a violation is an AssertionError. */
+final class ClusterInvariants {
+
+  /** An order as an operator saw it end. */
+  private record Acknowledged(long ifMatch, long edition, String document, long time) {}
+
+  private final SimulatedCluster cluster;
+  private final Map<Long, String> documentBySequence = new HashMap<>();
+  private final Map<Long, String> documentByEdition = new HashMap<>();
+  private final Map<Long, Acknowledged> acknowledgedByIfMatch = new HashMap<>();
+  private final List<Acknowledged> acknowledged = new ArrayList<>();
+  private final Set<String> refused = new HashSet<>();
+
+  ClusterInvariants(SimulatedCluster cluster) {
+    this.cluster = cluster;
+  }
+
+  int acknowledgedCount() {
+    return acknowledged.size();
+  }
+
+  /** Checks leases and confirmations of all processes that run. */
+  void check() {
+    for (int shard = 0; shard < SimulatedCore.SHARDS; shard++) {
+      long owners = 0;
+      for (SimulatedCore core : cluster.cores()) {
+        owners += core.owns(shard) ? 1 : 0;
+      }
+      if (owners > 1) {
+        throw new AssertionError("shard " + shard + " has " + owners + " owners");
+      }
+    }
+    cluster.runningCores().forEach(this::checkConfirmation);
+  }
+
+  private void checkConfirmation(SimulatedCore core) {
+    long confirmedAt = core.shards.confirmedAt();
+    if (core.frozen() || confirmedAt == ReplicaGroup.NEVER || acknowledged.isEmpty()) {
+      return;
+    }
+    long trueInstant = core.clock.trueTime(confirmedAt);
+    long known = core.announced == null ? 0 : core.announced.edition();
+    for (int index = acknowledged.size() - 1; index >= 0; index--) {
+      Acknowledged order = acknowledged.get(index);
+      boolean before = order.time() < trueInstant - 1000;
+      if (before && order.edition() > known) {
+        throw new AssertionError(
+            core.address + " confirmed edition " + known + " after the acknowledgement of " + order);
+      }
+      if (before) {
+        return;
+      }
+    }
+  }
+
+  void onAnnounced(CoreAction.CommittedConfiguration configuration) {
+    String document = text(configuration.document());
+    requireSame(documentBySequence, configuration.sequence(), document);
+    requireSame(documentByEdition, configuration.edition(), document);
+    if (refused.contains(document)) {
+      throw new AssertionError("refused, yet in force: " + document);
+    }
+  }
+
+  private static void requireSame(Map<Long, String> documents, long key, String document) {
+    String before = documents.putIfAbsent(key, document);
+    if (before != null && !before.equals(document)) {
+      throw new AssertionError("two documents under " + key + ": " + before + " / " + document);
+    }
+  }
+
+  /** An operator heard 200 to a PUT. */
+  void onAcknowledged(long ifMatch, long edition, String document) {
+    if (refused.contains(document)) {
+      throw new AssertionError("refused before, now taken: " + document);
+    }
+    Acknowledged order = new Acknowledged(ifMatch, edition, document, cluster.now());
+    Acknowledged before = acknowledgedByIfMatch.putIfAbsent(ifMatch, order);
+    if (before != null && !before.document().equals(document)) {
+      throw new AssertionError("two winners on top of " + ifMatch + ": " + before + ", " + order);
+    }
+    requireSame(documentByEdition, edition, document);
+    if (before == null) {
+      acknowledged.add(order);
+    }
+  }
+
+  /** An operator heard a 4xx to a PUT. */
+  void onRefused(String document) {
+    refused.add(document);
+    boolean taken = acknowledged.stream().anyMatch(order -> order.document().equals(document));
+    if (taken || documentByEdition.containsValue(document)) {
+      throw new AssertionError("taken, yet refused: " + document);
+    }
+  }
+
+  /** The configuration that was read back must hold every acknowledged change. */
+  void checkReadBack(long edition, String document) {
+    for (Acknowledged order : acknowledged) {
+      if (order.edition() > edition) {
+        throw new AssertionError("lost: " + order + ", read back " + edition);
+      }
+      if (order.edition() == edition && !order.document().equals(document)) {
+        throw new AssertionError("differs: " + order + ", read back " + document);
+      }
+    }
+  }
+
+  static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
@@ -0,0 +1,273 @@
+package nettletrail.control.shard;
+
+import static nettletrail.control.shard.SimulatedCluster.millis;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+
+/** The basic flows of a core of three machines. */
+class CoreShardsTest {
+
+  private static CoreAction.AnswerOrder callAndWait(
+      SimulatedCluster cluster, SimulatedCore core, String method, String ifMatch, String body) {
+    AtomicReference<CoreAction.AnswerOrder> answer = new AtomicReference<>();
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    cluster.call(core, method, ifMatch, bytes, answer::set);
+    cluster.runUntil(() -> answer.get() != null, millis(1500));
+    return answer.get();
+  }
+
+  private static int put(SimulatedCluster cluster, int core, String ifMatch, String body) {
+    return callAndWait(cluster, cluster.core(core), "PUT", ifMatch, body).status();
+  }
+
+  private static String read(SimulatedCluster cluster, int core) {
+    CoreAction.AnswerOrder answer =
+        callAndWait(cluster, cluster.core(core), "GET", "", "");
+    return answer.status() == 200 ? ClusterInvariants.text(answer.body()) : "" + answer.status();
+  }
+
+  private static SimulatedCluster settled(long seed) {
+    SimulatedCluster cluster = SimulatedCluster.started(seed, 3);
+    assertTrue(cluster.runUntil(cluster::groupIsWhole, millis(5000)));
+    cluster.runFor(millis(300));
+    return cluster;
+  }
+
+  private static int indexOf(SimulatedCluster cluster, SimulatedCore core) {
+    return cluster.cores().indexOf(core);
+  }
+
+  private static int otherThan(int index) {
+    return (index + 1) % 3;
+  }
+
+  @Test
+  void givenFirstStart_whenAllRun_thenEveryShardIsOwnedWithinASecond() {
+    for (long seed = 1; seed <= 50; seed++) {
+      SimulatedCluster cluster = SimulatedCluster.started(seed, 3);
+      assertTrue(cluster.runUntil(cluster::allShardsOwned, millis(1500)), "seed " + seed);
+    }
+  }
+
+  @Test
+  void givenFirstStart_whenSettled_thenShardsAreSpread() {
+    SimulatedCluster cluster = settled(7);
+    Set<String> owners = new HashSet<>();
+    for (int shard = 0; shard < SimulatedCore.SHARDS; shard++) {
+      owners.add(cluster.owner(shard).address);
+    }
+    assertTrue(owners.size() >= 2, owners.toString());
+  }
+
+  @Test
+  void givenOwner_whenOrdersAtEachMachine_thenTakenAndReadEverywhere() {
+    SimulatedCluster cluster = settled(1);
+    assertEquals("404", read(cluster, 0));
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    assertEquals(200, put(cluster, 1, "3", "5 second"));
+    assertEquals(200, put(cluster, 2, "\"5\"", "6 third"));
+    for (int core = 0; core < 3; core++) {
+      assertEquals("6 third", read(cluster, core));
+    }
+    cluster.runFor(millis(600));
+    for (SimulatedCore core : cluster.cores()) {
+      assertEquals(6, core.announced.edition());
+    }
+  }
+
+  @Test
+  void givenTakenOrder_whenSentAgain_thenAcknowledgedAgainEvenAfterLaterOnes() {
+    SimulatedCluster cluster = settled(2);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    assertEquals(200, put(cluster, 1, "0", "3 first"));
+    assertEquals(200, put(cluster, 1, "3", "5 second"));
+    assertEquals(200, put(cluster, 2, "0", "3 first"));
+    assertEquals("5 second", read(cluster, 0));
+  }
+
+  @Test
+  void givenConfiguration_whenOrderIsStaleOrInvalid_thenRefused() {
+    SimulatedCluster cluster = settled(3);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    assertEquals(412, put(cluster, 0, "0", "4 other"));
+    assertEquals(400, put(cluster, 0, "3", "3 not above"));
+    assertEquals(400, put(cluster, 0, "3", "nonsense"));
+    assertEquals(400, put(cluster, 0, "", "4 no condition"));
+    assertEquals(405, callAndWait(cluster, cluster.core(0), "POST", "3", "4 x").status());
+    assertEquals("3 first", read(cluster, 0));
+  }
+
+  @Test
+  void givenConfiguration_whenPatched_thenMerged() {
+    SimulatedCluster cluster = settled(4);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    assertEquals(
+        200, callAndWait(cluster, cluster.core(1), "PATCH", "3", "4 more").status());
+    assertEquals("4 first more", read(cluster, 2));
+  }
+
+  @Test
+  void givenTwoOrdersOnTheSameEdition_whenSentAtOnce_thenOneWins() {
+    for (long seed = 1; seed <= 30; seed++) {
+      SimulatedCluster cluster = settled(seed);
+      AtomicReference<CoreAction.AnswerOrder> one = new AtomicReference<>();
+      AtomicReference<CoreAction.AnswerOrder> other = new AtomicReference<>();
+      cluster.call(cluster.core(0), "PUT", "0", "1 one".getBytes(StandardCharsets.UTF_8), one::set);
+      cluster.call(
+          cluster.core(1), "PUT", "0", "1 other".getBytes(StandardCharsets.UTF_8), other::set);
+      cluster.runFor(millis(1000));
+      assertEquals(612, one.get().status() + other.get().status(), "seed " + seed);
+    }
+  }
+
+  @Test
+  void givenOwnerCrashes_whenOrderIsSent_thenTakenByAnotherOwner() {
+    SimulatedCluster cluster = settled(5);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    SimulatedCore owner = cluster.owner(0);
+    owner.crash();
+    int other = otherThan(indexOf(cluster, owner));
+    assertTrue(cluster.runUntil(() -> cluster.owner(0) != null, millis(2500)));
+    assertEquals(200, put(cluster, other, "3", "4 next"));
+    assertEquals("4 next", read(cluster, other));
+  }
+
+  @Test
+  void givenNoOwner_whenOrderIsSent_thenUnavailableWithinASecond() {
+    SimulatedCluster cluster = settled(6);
+    SimulatedCore survivor = cluster.core(0);
+    cluster.core(1).crash();
+    cluster.core(2).crash();
+    cluster.runFor(millis(2000));
+    long before = cluster.now();
+    assertEquals(503, put(cluster, indexOf(cluster, survivor), "0", "1 x"));
+    assertTrue(cluster.now() - before <= millis(950));
+  }
+
+  @Test
+  void givenAllCrash_whenRestarted_thenConfigurationIsThere() {
+    SimulatedCluster cluster = settled(8);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    cluster.cores().forEach(SimulatedCore::crash);
+    cluster.runFor(millis(500));
+    cluster.cores().forEach(core -> core.start(cluster.seeds(), false));
+    assertTrue(cluster.runUntil(cluster::allShardsOwned, millis(4000)));
+    assertEquals("3 first", read(cluster, 1));
+  }
+
+  @Test
+  void givenStalledDiskOfTheOwner_whenOrderIsSent_thenTheOthersCommit() {
+    SimulatedCluster cluster = settled(9);
+    SimulatedCore owner = cluster.owner(0);
+    owner.stalledUntil = cluster.now() + millis(5000);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    assertEquals(200, put(cluster, 1, "3", "4 second"));
+    assertTrue(owner.owns(0));
+  }
+
+  @Test
+  void givenFullDiskOfAReplica_whenOrderIsSent_thenTheOthersCommitAndItCatchesUp() {
+    SimulatedCluster cluster = settled(10);
+    SimulatedCore replica = cluster.core(otherThan(indexOf(cluster, cluster.owner(0))));
+    replica.storageFails = true;
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    replica.storageFails = false;
+    cluster.runFor(millis(1500));
+    assertEquals(3, replica.announced.edition());
+    assertEquals(1, replica.disk.shards().get(0).version().getSequence());
+  }
+
+  @Test
+  void givenLostDisk_whenMachineReturns_thenItReplacesItsFormerIdentity() {
+    SimulatedCluster cluster = settled(11);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    SimulatedCore lost = cluster.core(otherThan(indexOf(cluster, cluster.owner(0))));
+    String formerId = lost.disk.identity.getId();
+    lost.crash();
+    lost.loseDisk();
+    cluster.runFor(millis(500));
+    lost.start(cluster.seeds(), false);
+    assertTrue(cluster.runUntil(cluster::groupIsWhole, millis(4000)));
+    assertNotEquals(formerId, lost.disk.identity.getId());
+    cluster.runFor(millis(1000));
+    assertEquals(3, lost.announced.edition());
+  }
+
+  @Test
+  void givenOwnerLosesItsDisk_whenItReturns_thenTheConfigurationIsKept() {
+    SimulatedCluster cluster = settled(12);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    SimulatedCore owner = cluster.owner(0);
+    cluster.cores().forEach(SimulatedCore::crash);
+    owner.loseDisk();
+    cluster.runFor(millis(500));
+    cluster.cores().forEach(core -> core.start(cluster.seeds(), false));
+    assertTrue(cluster.runUntil(cluster::groupIsWhole, millis(6000)));
+    assertEquals("3 first", read(cluster, indexOf(cluster, owner)));
+  }
+
+  @Test
+  void givenRemovedMachine_whenAnotherIsAdded_thenItTakesItsPlace() {
+    SimulatedCluster cluster = settled(13);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    SimulatedCore removed = cluster.core(0);
+    removed.crash();
+    SimulatedCore added = cluster.addCore();
+    added.start(cluster.seeds(), false);
+    assertTrue(cluster.runUntil(cluster::groupIsWhole, millis(4000)));
+    cluster.runFor(millis(1000));
+    assertEquals(3, added.announced.edition());
+    assertEquals(3, added.shards.members().size());
+  }
+
+  @Test
+  void givenAdditionalMachine_whenAllLive_thenItJoinsAndASilentOneLeavesTheEvenGroup() {
+    SimulatedCluster cluster = settled(14);
+    SimulatedCore added = cluster.addCore();
+    added.start(cluster.seeds(), false);
+    assertTrue(cluster.runUntil(cluster::groupIsWhole, millis(4000)));
+    assertEquals(4, added.shards.members().size());
+    cluster.core(1).crash();
+    assertTrue(cluster.runUntil(cluster::groupIsWhole, millis(6000)));
+    assertEquals(3, added.shards.members().size());
+  }
+
+  @Test
+  void givenIsolatedOwner_whenItReturns_thenItFollowsTheNewOne() {
+    SimulatedCluster cluster = settled(15);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    SimulatedCore former = cluster.owner(0);
+    int other = otherThan(indexOf(cluster, former));
+    cluster.isolate(former);
+    cluster.runFor(millis(2500));
+    assertFalse(former.owns(0));
+    assertEquals(503, put(cluster, indexOf(cluster, former), "3", "4 isolated"));
+    assertEquals(200, put(cluster, other, "3", "5 other side"));
+    long confirmedWhileCut = former.shards.confirmedAt();
+    cluster.heal();
+    cluster.runFor(millis(1500));
+    assertEquals(5, former.announced.edition());
+    assertTrue(former.shards.confirmedAt() > confirmedWhileCut);
+    assertNotNull(cluster.owner(0));
+  }
+
+  @Test
+  void givenQuietCore_whenTimePasses_thenEveryProcessConfirmsOften() {
+    SimulatedCluster cluster = settled(16);
+    assertEquals(200, put(cluster, 0, "0", "3 first"));
+    cluster.runFor(millis(1000));
+    for (SimulatedCore core : cluster.cores()) {
+      long age = core.localNow() - core.shards.confirmedAt();
+      assertTrue(age < millis(400), "age " + age);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
@@ -0,0 +1,192 @@
+package nettletrail.control.shard;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Function;
+import nettletrail.protocol.Member;
+import nettletrail.store.NodeIdentity;
+import org.apache.avro.specific.SpecificRecord;
+
+/** One machine of a {@link SimulatedCluster}: a process with its storage thread, and a disk that outlives it. */
+final class SimulatedCore {
+
+  static final int SHARDS = 5;
+  private static final long TICK = SimulatedCluster.millis(50);
+
+  final String address;
+  final SimulatedClock clock;
+  SimulatedDisk disk = new SimulatedDisk();
+  CoreShards shards;
+
+  /** The committed configuration that the process announced last. */
+  CoreAction.CommittedConfiguration announced;
+
+  long frozenUntil;
+  long stalledUntil;
+  boolean storageFails;
+
+  private final SimulatedCluster cluster;
+  private final Deque<CoreAction> storageQueue = new ArrayDeque<>();
+  private int life;
+  private boolean storing;
+
+  SimulatedCore(SimulatedCluster cluster, String address, SimulatedClock clock) {
+    this.cluster = cluster;
+    this.address = address;
+    this.clock = clock;
+  }
+
+  boolean running() {
+    return shards != null;
+  }
+
+  boolean frozen() {
+    return cluster.now() < frozenUntil;
+  }
+
+  long localNow() {
+    return clock.localTime(cluster.now());
+  }
+
+  boolean owns(int shard) {
+    return running() && !frozen() && shards.owns(shard, localNow());
+  }
+
+  void start(List<String> seeds, boolean firstRun) {
+    if (disk.identity == null) {
+      String suffix = "#r" + cluster.random().nextInt(1 << 30);
+      disk.identity =
+          firstRun ? NodeIdentity.founding(address) : new Member(address + suffix, address);
+    }
+    life++;
+    storing = false;
+    storageQueue.clear();
+    announced = null;
+    long seed = cluster.random().nextLong();
+    shards =
+        new CoreShards(
+            cluster.settings(),
+            disk.identity,
+            seeds,
+            firstRun,
+            SHARDS,
+            disk.shards(),
+            seed,
+            localNow(),
+            new TextRules());
+    scheduleTick();
+  }
+
+  /** Ends the process; a storage operation under way may have come through. */
+  void crash() {
+    if (storing && cluster.random().nextBoolean()) {
+      disk.apply(storageQueue.peek());
+    }
+    shards = null;
+    life++;
+  }
+
+  void loseDisk() {
+    disk = new SimulatedDisk();
+  }
+
+  void receive(String from, SpecificRecord message) {
+    whenAwake(now -> shards.receive(from, message, now));
+  }
+
+  void submit(long call, String method, String ifMatch, byte[] body) {
+    whenAwake(now -> shards.submit(call, method, ifMatch, body, now));
+  }
+
+  private void scheduleTick() {
+    int scheduledIn = life;
+    cluster.after(
+        TICK,
+        () -> {
+          if (life == scheduledIn) {
+            whenAwake(now -> shards.tick(now));
+            scheduleTick();
+          }
+        });
+  }
+
+  /** Runs an event now, or when the process thaws; not at all in another life. */
+  private void whenAwake(Function<Long, List<CoreAction>> event) {
+    int scheduledIn = life;
+    if (!running()) {
+      return;
+    }
+    if (frozen()) {
+      cluster.at(
+          frozenUntil,
+          () -> {
+            if (life == scheduledIn) {
+              whenAwake(event);
+            }
+          });
+      return;
+    }
+    perform(event.apply(localNow()));
+    cluster.checkInvariants();
+  }
+
+  private void perform(List<CoreAction> actions) {
+    for (CoreAction action : actions) {
+      if (action instanceof CoreAction.Send send) {
+        cluster.send(this, send.address(), send.message());
+      } else if (action instanceof CoreAction.AnswerOrder answer) {
+        cluster.answer(this, answer);
+      } else if (action instanceof CoreAction.CommittedConfiguration configuration) {
+        announced = configuration;
+        cluster.onAnnounced(configuration);
+      } else {
+        storageQueue.add(action);
+        storeNext();
+      }
+    }
+  }
+
+  private void storeNext() {
+    if (storing || storageQueue.isEmpty()) {
+      return;
+    }
+    storing = true;
+    int scheduledIn = life;
+    long duration = SimulatedCluster.millis(1) + cluster.random().nextInt(8_000_000);
+    cluster.after(
+        duration,
+        () -> {
+          if (life == scheduledIn) {
+            finishStoring();
+          }
+        });
+  }
+
+  private void finishStoring() {
+    if (cluster.now() < stalledUntil) {
+      int scheduledIn = life;
+      cluster.at(
+          stalledUntil,
+          () -> {
+            if (life == scheduledIn) {
+              finishStoring();
+            }
+          });
+      return;
+    }
+    CoreAction action = storageQueue.poll();
+    storing = false;
+    boolean applied = !storageFails || cluster.random().nextBoolean();
+    if (applied) {
+      disk.apply(action);
+    }
+    StoreOutcome outcome = storageFails ? StoreOutcome.failed("disk full") : StoreOutcome.STORED;
+    long ticket =
+        action instanceof CoreAction.StorePromise promise
+            ? promise.ticket()
+            : ((CoreAction.StoreVersion) action).ticket();
+    whenAwake(now -> shards.stored(ticket, outcome, now));
+    storeNext();
+  }
+}
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedDisk.java
@@ -0,0 +1,35 @@
+package nettletrail.control.shard;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import nettletrail.protocol.Member;
+import nettletrail.store.StoredShard;
+
+/** What is durable on one machine. */
+final class SimulatedDisk {
+
+  Member identity;
+  private final Map<Integer, StoredShard> shards = new HashMap<>();
+
+  Map<Integer, StoredShard> shards() {
+    return Map.copyOf(shards);
+  }
+
+  /** Applies a storage action in whole. */
+  void apply(CoreAction action) {
+    if (action instanceof CoreAction.StorePromise promise) {
+      StoredShard before = before(promise.shard());
+      shards.put(
+          promise.shard(), new StoredShard(promise.ballot(), before.version(), List.of()));
+    } else if (action instanceof CoreAction.StoreVersion version) {
+      StoredShard before = before(version.shard());
+      shards.put(
+          version.shard(), new StoredShard(before.promised(), version.version(), List.of()));
+    }
+  }
+
+  private StoredShard before(int shard) {
+    return shards.getOrDefault(shard, new StoredShard(null, null, List.of()));
+  }
+}
--- /dev/null
+++ b/store/src/main/java/nettletrail/store/VersionStore.java
@@ -0,0 +1,147 @@
+package nettletrail.store;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.TreeMap;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.ShardVersion;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+import org.apache.avro.specific.SpecificDatumReader;
+import org.apache.avro.specific.SpecificDatumWriter;
+import org.apache.avro.specific.SpecificRecord;
+
+/**
+ * The durable promise and versions of one shard, in a folder of its own. Blocking; one thread at a time.
+ *
+ * <p>Each version is a new file, numbered in the order of writing; once it is durable, all but the newest {@value #KEPT_VERSIONS}
+ * are removed. A write that throws may or may not be there after a restart.
+ */
+public final class VersionStore {
+
+  /** How many versions stay on disk. */
+  public static final int KEPT_VERSIONS = 4;
+
+  private static final String PROMISE_FILE = "promise";
+  private static final String VERSION_PREFIX = "version-";
+
+  private final Directory directory;
+  private final TreeMap<Long, String> versionFiles = new TreeMap<>();
+  private long lastNumber;
+
+  /** Uses the folder; {@link #load} comes first. */
+  public VersionStore(Directory directory) {
+    this.directory = directory;
+  }
+
+  /** Reads what is there, removes unfinished files, and continues the numbering. */
+  public StoredShard load() throws StorageException {
+    List<String> damaged = new ArrayList<>();
+    versionFiles.clear();
+    lastNumber = 0;
+    Ballot promised = null;
+    for (String name : directory.list()) {
+      if (name.endsWith(RecordFile.TEMPORARY_SUFFIX)) {
+        directory.remove(name);
+      } else if (name.equals(PROMISE_FILE)) {
+        promised = readPromise(damaged);
+      } else if (name.startsWith(VERSION_PREFIX)) {
+        addVersionFile(name, damaged);
+      }
+    }
+    ShardVersion newest = readNewest(damaged);
+    Collections.sort(damaged);
+    return new StoredShard(promised, newest, damaged);
+  }
+
+  /** Makes a promise durable. */
+  public void storePromise(Ballot ballot) throws StorageException {
+    byte[] payload = encode(PROMISE_FILE, ballot, new SpecificDatumWriter<>(Ballot.class));
+    RecordFile.write(directory, PROMISE_FILE, RecordFile.Kind.PROMISE, payload);
+  }
+
+  /** Makes a version durable, then removes the oldest files beyond those kept. */
+  public void storeVersion(ShardVersion version) throws StorageException {
+    lastNumber++;
+    String name = VERSION_PREFIX + String.format("%016x", lastNumber);
+    byte[] payload = encode(name, version, new SpecificDatumWriter<>(ShardVersion.class));
+    RecordFile.write(directory, name, RecordFile.Kind.VERSION, payload);
+    versionFiles.put(lastNumber, name);
+    removeOldest();
+  }
+
+  private void removeOldest() throws StorageException {
+    while (versionFiles.size() > KEPT_VERSIONS) {
+      directory.remove(versionFiles.firstEntry().getValue());
+      versionFiles.pollFirstEntry();
+    }
+  }
+
+  private Ballot readPromise(List<String> damaged) throws StorageException {
+    return decode(
+        PROMISE_FILE,
+        RecordFile.Kind.PROMISE,
+        new SpecificDatumReader<>(Ballot.class),
+        damaged);
+  }
+
+  private void addVersionFile(String name, List<String> damaged) {
+    try {
+      long number = Long.parseUnsignedLong(name.substring(VERSION_PREFIX.length()), 16);
+      versionFiles.put(number, name);
+      lastNumber = Math.max(lastNumber, number);
+    } catch (NumberFormatException notOurs) {
+      damaged.add(name);
+    }
+  }
+
+  private ShardVersion readNewest(List<String> damaged) throws StorageException {
+    for (String name : versionFiles.descendingMap().values()) {
+      ShardVersion version =
+          decode(
+              name,
+              RecordFile.Kind.VERSION,
+              new SpecificDatumReader<>(ShardVersion.class),
+              damaged);
+      if (version != null) {
+        return version;
+      }
+    }
+    return null;
+  }
+
+  private <T> T decode(
+      String name, RecordFile.Kind kind, SpecificDatumReader<T> reader, List<String> damaged)
+      throws StorageException {
+    try {
+      byte[] payload = RecordFile.read(directory, name, kind);
+      return reader.read(null, DecoderFactory.get().binaryDecoder(payload, null));
+    } catch (StorageException failure) {
+      if (failure.step() != StorageException.Step.DECODE) {
+        throw failure;
+      }
+      damaged.add(name);
+      return null;
+    } catch (IOException | RuntimeException malformed) {
+      damaged.add(name);
+      return null;
+    }
+  }
+
+  private static <T extends SpecificRecord> byte[] encode(
+      String name, T record, SpecificDatumWriter<T> writer) throws StorageException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    BinaryEncoder encoder = EncoderFactory.get().binaryEncoder(bytes, null);
+    try {
+      writer.write(record, encoder);
+      encoder.flush();
+    } catch (IOException failure) {
+      throw new StorageException(StorageException.Step.WRITE, name, failure.toString(), failure);
+    }
+    return bytes.toByteArray();
+  }
+}
