Front door: parts of its HTTP front and pool are usable by the router

Cause: the fleet's router needs the same strict framing, aggregation and socket look as the front door, and code is shared, not copied. The decoder of answers is a class of its own, the aggregator takes its bound and its listener, HeadRules takes the headers that may be there once. Ruled out: copies in the router module; they would drift apart in what they refuse.

--- a/front-door/src/main/java/nettletrail/http/ClientHandler.java
+++ b/front-door/src/main/java/nettletrail/http/ClientHandler.java
@@ -25,6 +25,7 @@
 import nettletrail.core.Fields;
 import nettletrail.core.Intake;
 import nettletrail.core.Unread;
+import nettletrail.upstream.BackendPool;
 import nettletrail.upstream.HeadBytes;
 
 /**
@@ -108,7 +109,7 @@
     public static void add(ChannelPipeline to, Door door, Intake intake, Dispatcher dispatcher, Carrier carrier) {
         ClientHandler handler = new ClientHandler(door, intake, dispatcher, carrier);
         // The encoder is the aggregator's, for its 100 Continue; answers are written from before it.
-        to.addLast(handler.decoder, new HttpResponseEncoder(), new RequestAggregator(handler), handler);
+        to.addLast(handler.decoder, new HttpResponseEncoder(), new RequestAggregator(BackendPool.MOST_BODY, handler::tooLarge), handler);
         handler.wire = to.context(RequestDecoder.class);
     }
 
--- a/front-door/src/main/java/nettletrail/http/HeadRules.java
+++ b/front-door/src/main/java/nettletrail/http/HeadRules.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
+import java.util.Arrays;
 import java.util.Iterator;
 import java.util.Map;
 import nettletrail.core.Intake;
@@ -23,7 +24,6 @@
     private static final AsciiString HOST = AsciiString.cached("Host");
     private static final AsciiString[] ONCE = {Intake.TXN, Intake.LANE, Intake.PLAN, Intake.CUSTOMER, Intake.REMAINING,
         Intake.QUOTA, Intake.AUTHORIZATION, HOST};
-    private static final int HOST_BIT = 1 << ONCE.length - 1;
     private static final String CUT_OFF = "http://";
     /** Beside letters and digits, what a host and its port are made of (RFC 3986 section 3.2.2), without the comma. */
     private static final String HOST_MARKS = "-._~!$&'()*+;=%:[]";
@@ -49,8 +49,24 @@
         return new Fault(HttpResponseStatus.BAD_REQUEST, text, framed);
     }
 
-    /** The first fault of the head, or null. */
+    /** The first fault of the head, or null; for the headers of the front door in service. */
     public static Fault fault(HttpRequest request) {
+        return fault(request, ONCE);
+    }
+
+    /** The headers that may be there once: these and Host. For {@link #fault(HttpRequest, AsciiString[])}. */
+    public static AsciiString[] once(AsciiString... names) {
+        AsciiString[] all = Arrays.copyOf(names, names.length + 1);
+        all[names.length] = HOST;
+        return all;
+    }
+
+    /**
+     * The first fault of the head, or null.
+     *
+     * @param once the headers that may be there once, made by {@link #once}; at most 32
+     */
+    public static Fault fault(HttpRequest request, AsciiString[] once) {
         if (request.decoderResult().isFailure()) {
             return request.decoderResult().cause() instanceof StrictFraming.Refused refused ? bad(refused.getMessage(), false)
                     : UNREADABLE;
@@ -62,13 +78,13 @@
         int seen = 0;
         Iterator<Map.Entry<CharSequence, CharSequence>> all = request.headers().iteratorCharSequence();
         while (all.hasNext()) {
-            int bit = bit(all.next().getKey());
+            int bit = bit(all.next().getKey(), once);
             if ((seen & bit) != 0) {
-                return bad(ONCE[Integer.numberOfTrailingZeros(bit)] + " is there twice: it must be there once", true);
+                return bad(once[Integer.numberOfTrailingZeros(bit)] + " is there twice: it must be there once", true);
             }
             seen |= bit;
         }
-        if ((seen & HOST_BIT) == 0) {
+        if ((seen & 1 << once.length - 1) == 0) {
             if (version.minorVersion() > 0) {
                 return NO_HOST;
             }
@@ -79,9 +95,9 @@
     }
 
     /** A bit of its own for each name that may be there once, or 0. By the length first: most names are none of them. */
-    private static int bit(CharSequence name) {
-        for (int i = 0; i < ONCE.length; i++) {
-            if (ONCE[i].length() == name.length() && ONCE[i].contentEqualsIgnoreCase(name)) {
+    private static int bit(CharSequence name, AsciiString[] once) {
+        for (int i = 0; i < once.length; i++) {
+            if (once[i].length() == name.length() && once[i].contentEqualsIgnoreCase(name)) {
                 return 1 << i;
             }
         }
@@ -105,7 +121,7 @@
      * The target as path and query: what follows scheme and host if it has them (RFC 9112 section 3.2.2). {@code *} is one for
      * OPTIONS only. Null if it is no target for a front door.
      */
-    static String target(HttpMethod method, String uri) {
+    public static String target(HttpMethod method, String uri) {
         if (uri.startsWith("/")) {
             return uri;
         }
--- a/front-door/src/main/java/nettletrail/http/RequestAggregator.java
+++ b/front-door/src/main/java/nettletrail/http/RequestAggregator.java
@@ -11,20 +11,23 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
-import nettletrail.upstream.BackendPool;
 
 /**
  * Netty's aggregator would read a body of any size to its end before it closes; here its connection ends at once. A
  * request without a body, as most are, goes past it: there is nothing to gather.
  */
-final class RequestAggregator extends HttpObjectAggregator {
-    private final ClientHandler client;
+public final class RequestAggregator extends HttpObjectAggregator {
+    private final Runnable tooLarge;
     /** A head with no body to come, until its end is there. */
     private HttpRequest bare;
 
-    RequestAggregator(ClientHandler client) {
-        super(BackendPool.MOST_BODY, true);
-        this.client = client;
+    /**
+     * @param mostBody bytes of a body, at most
+     * @param tooLarge told of a body that is larger, on the event loop; nothing of it is kept
+     */
+    public RequestAggregator(int mostBody, Runnable tooLarge) {
+        super(mostBody, true);
+        this.tooLarge = tooLarge;
     }
 
     @Override
@@ -57,6 +60,6 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-        client.tooLarge();
+        tooLarge.run();
     }
 }
--- a/front-door/src/main/java/nettletrail/http/RequestDecoder.java
+++ b/front-door/src/main/java/nettletrail/http/RequestDecoder.java
@@ -45,7 +45,7 @@
     }
 
     /** Whether any bytes have come since this was last asked. */
-    boolean tookBytes() {
+    public boolean tookBytes() {
         boolean since = took;
         took = false;
         return since;
--- a/front-door/src/main/java/nettletrail/upstream/BackendPool.java
+++ b/front-door/src/main/java/nettletrail/upstream/BackendPool.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,11 +13,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
@@ -26,7 +23,6 @@
 import io.netty.util.collection.LongObjectHashMap;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -161,17 +157,12 @@
 
     /** The same to servers that want other heads. */
     public BackendPool(EventLoop loop, Report.Reader reports, Heads heads, long connectTimeoutNs, long idleNs, int most) {
-        this(loop, reports, heads, new Bootstrap().group(loop).channelFactory(peeking())
+        this(loop, reports, heads, new Bootstrap().group(loop).channelFactory(PeekingChannel.factory())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutNs / 1_000_000)), idleNs, most);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    private static ChannelFactory<PeekingChannel> peeking() {
-        ByteBuffer one = ByteBuffer.allocateDirect(1);
-        return () -> new PeekingChannel(one);
-    }
-
     /** One whose connections are no sockets, and which nobody sweeps: it lives for a moment. */
     public BackendPool(EventLoop loop, Report.Reader reports, Bootstrap bootstrap, long idleNs, int most) {
         this(loop, reports, BackendPool::head, bootstrap, idleNs, most);
@@ -444,33 +435,6 @@
         }
     }
 
-    /** Tells whether bytes were left over behind an answer, and how many came in all. */
-    private static final class AnswerDecoder extends HttpResponseDecoder {
-        /** Bytes so far. */
-        private long received;
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-            received += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
-            super.channelRead(context, message);
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw StrictFraming.twoLengths();
-        }
-
-        @Override
-        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-            StrictFraming.requireColon(line, start + length);
-            return super.splitHeaderName(line, start, length);
-        }
-
-        boolean hasMore() {
-            return internalBuffer().isReadable();
-        }
-    }
-
     private final class Connection extends ChannelInboundHandlerAdapter implements ChannelFutureListener {
         final Backend backend;
         final SocketAddress address;
@@ -633,10 +597,10 @@
         }
 
         private Future<?> nextPart() {
-            long before = decoder.received;
+            long before = decoder.received();
             return loop.schedule(() -> {
                 partClock = null;
-                if (ride != null && decoder.received - before >= LEAST_PART) {
+                if (ride != null && decoder.received() - before >= LEAST_PART) {
                     partClock = nextPart();
                 } else if (ride != null) {
                     spoilt();
