Router: requests and event streams pass from clients to backends

Cause: the doors of the fleet need a data plane: routes, keys, quotas, choice of a backend, safe retries and streams. Requests are looked up again directly before each send; 429 and 503 are answered only if no backend can have run the request. Streams are passed on by whole events and taken up at another backend where the route allows it. Ruled out: front-door's Dispatcher, whose rules (one retry policy, answers kept whole) are those of another protocol.

--- /dev/null
+++ b/router/src/main/java/nettletrail/router/BufferedAnswer.java
@@ -0,0 +1,71 @@
+package nettletrail.router;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** An answer that is passed on when it is whole. */
+final class BufferedAnswer implements AnswerRelay {
+  /** A larger one is taken for spoilt. */
+  static final int MOST_BYTES = 4 << 20;
+
+  private final HttpResponse head;
+  private final ByteBufAllocator allocator;
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private boolean tooLarge;
+
+  BufferedAnswer(HttpResponse head, ByteBufAllocator allocator) {
+    this.head = head;
+    this.allocator = allocator;
+  }
+
+  HttpResponse head() {
+    return head;
+  }
+
+  ByteBuf body() {
+    return body;
+  }
+
+  boolean isTooLarge() {
+    return tooLarge;
+  }
+
+  @Override
+  public void content(ByteBuf content) {
+    int size = content.readableBytes();
+    if (tooLarge || body.readableBytes() + size > MOST_BYTES) {
+      tooLarge = true;
+      return;
+    }
+    if (body == Unpooled.EMPTY_BUFFER) {
+      body = allocator.buffer(size);
+    }
+    body.writeBytes(content, content.readerIndex(), size);
+  }
+
+  @Override
+  public void flush() {}
+
+  @Override
+  public long resumeAfter() {
+    return -1;
+  }
+
+  @Override
+  public boolean hasBegun() {
+    return false;
+  }
+
+  @Override
+  public long events() {
+    return 0;
+  }
+
+  @Override
+  public void drop() {
+    body.release();
+    body = Unpooled.EMPTY_BUFFER;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -0,0 +1,407 @@
+package nettletrail.router;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import nettletrail.configuration.Limits;
+import nettletrail.core.Unread;
+import nettletrail.http.Farewell;
+import nettletrail.http.HeadRules;
+import nettletrail.http.RequestAggregator;
+import nettletrail.http.RequestDecoder;
+import nettletrail.upstream.HeadBytes;
+
+/**
+ * One connection of a client. Its requests are answered one at a time, in the order in which they came; what comes meanwhile
+ * waits, up to a bound, beyond which nothing more is read until it is answered.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+  private static final int MOST_WAITING = 16;
+  private static final int MOST_WAITING_BYTES = 512 << 10;
+  private static final AsciiString[] ONCE =
+      HeadRules.once(
+          RequestHeaders.ATTEMPT_ID,
+          RequestHeaders.KEY,
+          RequestHeaders.TIME_LEFT,
+          RequestHeaders.TOKEN_COUNT,
+          RequestHeaders.PROMPT_PREFIX,
+          RequestHeaders.LAST_EVENT_ID);
+  private static final long MOST_DEAF_AT_END_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
+
+  /** What a connection needs of the router. */
+  interface Owner {
+    /** Takes a request that is to be answered by {@link ClientConnection}'s methods, once. */
+    Exchange arrived(ClientConnection connection, ClientRequest request);
+
+    /** Begins with it; it may be answered before this returns. */
+    void start(Exchange exchange);
+
+    boolean isDraining();
+
+    void opened(ClientConnection connection);
+
+    void closed(ClientConnection connection);
+  }
+
+  private record Waiting(FullHttpRequest request, long readAt) {}
+
+  private final Owner owner;
+  private final RequestDecoder decoder;
+  private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+  private final ChunkWriter chunks = new ChunkWriter();
+  private Channel channel;
+  /** From where on there are only bytes. */
+  private ChannelHandlerContext wire;
+
+  private Exchange open;
+  /** The client asked for the end of the connection, or sent what can't be read. */
+  private boolean leaving;
+  /** The last answer is on its way: nothing more is handled. */
+  private boolean ended;
+
+  private boolean handling;
+  /** The answer to the request in hand is chunked and its head is written. */
+  private boolean streaming;
+
+  private boolean closesAfterStream;
+  private boolean readSomething;
+  private int waitingBytes;
+  private long idleSince;
+  /** Bytes of answers that the client had not taken at the last sweep, and since when it has taken none of them. */
+  private long unwrittenBefore;
+
+  private long unwrittenSince;
+  /** Since when a part of a request lies here; 0 if none does. */
+  private long partSince;
+
+  private ClientConnection(Owner owner, Limits limits) {
+    this.owner = owner;
+    decoder = new RequestDecoder(limits.headerBytes(), limits.headerBytes());
+  }
+
+  /** Puts all that a client's connection is made of into its pipeline. */
+  static void add(ChannelPipeline pipeline, Owner owner, Limits limits) {
+    ClientConnection connection = new ClientConnection(owner, limits);
+    RequestAggregator aggregator =
+        new RequestAggregator(limits.bodyBytes(), connection::bodyTooLarge);
+    // The encoder is the aggregator's, for its 100 Continue; answers are written from before it.
+    pipeline.addLast(connection.decoder, new HttpResponseEncoder(), aggregator, connection);
+    connection.wire = pipeline.context(RequestDecoder.class);
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    channel = context.channel();
+    idleSince = System.nanoTime();
+    owner.opened(this);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    gone();
+  }
+
+  private void gone() {
+    owner.closed(this);
+    for (Waiting next = waiting.pollFirst(); next != null; next = waiting.pollFirst()) {
+      next.request().release();
+    }
+    chunks.drop();
+    Exchange left = open;
+    open = null;
+    if (left != null) {
+      left.clientGone();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (ended || leaving || !(message instanceof FullHttpRequest request)) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    readSomething = true;
+    partSince = 0;
+    waitingBytes += request.content().readableBytes();
+    waiting.addLast(new Waiting(request, System.nanoTime()));
+    leaving = !HttpUtil.isKeepAlive(request);
+    if (waiting.size() >= MOST_WAITING || waitingBytes >= MOST_WAITING_BYTES && open != null) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  /** Requests are taken up here: not while bytes are being decoded, so that the socket may be looked at. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    boolean came = decoder.tookBytes();
+    if (came && !readSomething && open == null && waiting.isEmpty() && partSince == 0) {
+      partSince = System.nanoTime();
+    }
+    readSomething = false;
+    handleNext();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (open != null) {
+      open.clientWritable(channel.isWritable());
+    } else {
+      handleNext();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    channel.close();
+  }
+
+  /** In a loop: what is answered at once would otherwise bring up the next ever deeper on the stack. */
+  private void handleNext() {
+    if (handling) {
+      return;
+    }
+    handling = true;
+    try {
+      while (open == null && !ended && channel.isActive() && channel.isWritable()) {
+        Waiting next = waiting.pollFirst();
+        if (next == null) {
+          break;
+        }
+        waitingBytes -= next.request().content().readableBytes();
+        if (!channel.config().isAutoRead()) {
+          channel.config().setAutoRead(true);
+        }
+        handle(next.request(), next.readAt());
+      }
+    } finally {
+      handling = false;
+    }
+  }
+
+  private void handle(FullHttpRequest request, long readAt) {
+    HeadRules.Fault fault = HeadRules.fault(request, ONCE);
+    boolean odd = isOdd(request);
+    if (odd || fault != null) {
+      leaving |= odd || !fault.framed();
+      request.release();
+      answer(new Refusal(odd ? HttpResponseStatus.BAD_REQUEST : fault.status(), 0));
+      return;
+    }
+    String target = HeadRules.target(request.method(), request.uri());
+    ClientRequest taken = new ClientRequest(request, target, readAt);
+    Exchange exchange = owner.arrived(this, taken);
+    open = exchange;
+    owner.start(exchange);
+  }
+
+  /** What is left of Transfer-Encoding here is no chunks, so the body's end was guessed; nor has a GET a body. */
+  private static boolean isOdd(FullHttpRequest request) {
+    return request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+        || request.method().equals(HttpMethod.GET) && request.content().isReadable();
+  }
+
+  private void bodyTooLarge() {
+    if (!ended && open == null && waiting.isEmpty()) {
+      leaving = true;
+      answer(new Refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0));
+    } else if (!ended) {
+      leaving = true; // behind others: those are answered, then the connection ends
+      Farewell.stopReading(channel.pipeline());
+    }
+  }
+
+  /**
+   * Looks whether the client is still there: reads all that has come. Not while its bytes are being decoded.
+   *
+   * @return whether it is
+   */
+  boolean look() {
+    if (channel.isActive()) {
+      Unread.take(channel);
+      if (!channel.isActive()) {
+        gone(); // the channel itself tells it only in a turn of its own
+      }
+    }
+    return channel.isActive();
+  }
+
+  // ---- Answers: each request gets one, by answer, forward, or the stream's methods ----
+
+  /** The router's own answer. */
+  void answer(Refusal refusal) {
+    boolean last = isLast();
+    finish(ResponseHead.of(refusal, last), Unpooled.EMPTY_BUFFER, last);
+  }
+
+  /**
+   * A backend's whole answer.
+   *
+   * @param body not released here
+   * @param bodiless whether the answer has no body by its nature
+   */
+  void forward(HttpResponse answer, ByteBuf body, boolean bodiless) {
+    boolean last = isLast();
+    long length = bodiless ? ResponseHead.LENGTH_AS_ANSWERED : body.readableBytes();
+    finish(ResponseHead.of(answer, length, last), body, last);
+  }
+
+  private void finish(HeadBytes head, ByteBuf body, boolean last) {
+    if (!channel.isActive()) {
+      open = null;
+      return;
+    }
+    if (last) {
+      ended = true;
+      Farewell.stopReading(channel.pipeline());
+      head.writeTo(wire, body, channel.newPromise())
+          .addListener(written -> Farewell.end((SocketChannel) channel));
+      answered();
+    } else {
+      head.writeTo(wire, body, channel.voidPromise());
+      answered();
+    }
+  }
+
+  private void answered() {
+    open = null;
+    streaming = false;
+    partSince = 0;
+    idleSince = System.nanoTime();
+    handleNext();
+  }
+
+  /** Whether the connection ends with the answer to the request in hand. */
+  private boolean isLast() {
+    return waiting.isEmpty() && (leaving || owner.isDraining());
+  }
+
+  /** Whether the head of a streamed answer is written. */
+  boolean isStreaming() {
+    return streaming;
+  }
+
+  /** Begins an answer whose body comes in parts. */
+  void beginStream(HttpResponse answer) {
+    streaming = true;
+    closesAfterStream = isLast();
+    ResponseHead.of(answer, ResponseHead.LENGTH_CHUNKED, closesAfterStream)
+        .writeTo(wire, Unpooled.EMPTY_BUFFER, channel.voidPromise());
+  }
+
+  /** Adds bytes to the body; they go out with {@link #flushStream}. */
+  void streamBytes(ByteBuf source, int from, int length) {
+    if (channel.isActive()) {
+      chunks.add(channel.alloc(), source, from, length);
+    }
+  }
+
+  /** Sends what was added. */
+  void flushStream() {
+    ByteBuf chunk = chunks.take();
+    if (chunk != null) {
+      wire.writeAndFlush(chunk, channel.voidPromise());
+    }
+  }
+
+  /** The streamed answer is whole. */
+  void endStream() {
+    flushStream();
+    ByteBuf end = Unpooled.wrappedBuffer(LAST_CHUNK);
+    if (closesAfterStream) {
+      ended = true;
+      Farewell.stopReading(channel.pipeline());
+      wire.writeAndFlush(end, channel.newPromise())
+          .addListener(written -> Farewell.end((SocketChannel) channel));
+    } else {
+      wire.writeAndFlush(end, channel.voidPromise());
+    }
+    answered();
+  }
+
+  /** The streamed answer will not be whole: the connection ends without its last chunk. */
+  void breakStream() {
+    flushStream();
+    ended = true;
+    open = null;
+    streaming = false;
+    wire.writeAndFlush(Unpooled.EMPTY_BUFFER, channel.newPromise())
+        .addListener(written -> channel.close());
+  }
+
+  ByteBufAllocator allocator() {
+    return channel.alloc();
+  }
+
+  // ---- Time limits ----
+
+  /** Whether no request is in hand, waits or is in part here. */
+  private boolean isIdle() {
+    return !ended && open == null && waiting.isEmpty() && partSince == 0 && unwritten() == 0;
+  }
+
+  /** Whether a part of a request lies here and none is in hand. */
+  private boolean isHalf() {
+    return !ended && open == null && waiting.isEmpty() && partSince != 0;
+  }
+
+  private long unwritten() {
+    ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+    return out == null ? 0 : out.totalPendingWriteBytes();
+  }
+
+  /** Whether it has taken nothing of its answers for so long. */
+  private boolean isDeaf(long now, long mostNanos) {
+    long left = unwritten();
+    if (left == 0 || left != unwrittenBefore) {
+      unwrittenBefore = left;
+      unwrittenSince = now;
+    }
+    return left > 0 && now - unwrittenSince > mostNanos;
+  }
+
+  /** Ends what has stood too long; what lies unread is read first. */
+  void sweep(long now, Limits limits) {
+    long idleNanos = TimeUnit.MILLISECONDS.toNanos(limits.idleMs());
+    long partNanos = Math.max(idleNanos, TimeUnit.MILLISECONDS.toNanos(limits.headerMs()));
+    if (isDeaf(now, ended ? MOST_DEAF_AT_END_NANOS : idleNanos)) {
+      channel.close();
+    } else if (isHalf() && now - partSince > partNanos) {
+      if (look() && isHalf()) {
+        leaving = true;
+        answer(new Refusal(HttpResponseStatus.REQUEST_TIMEOUT, 0));
+      }
+    } else if (now - idleSince > idleNanos) {
+      closeIfIdle();
+    }
+  }
+
+  /** Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a request. */
+  void closeIfIdle() {
+    if (isIdle() && look() && isIdle()) {
+      channel.close();
+    }
+  }
+
+  /** Closes it whatever it is at. */
+  void close() {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/ClientRequest.java
@@ -0,0 +1,117 @@
+package nettletrail.router;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import nettletrail.router.balance.PromptPrefix;
+
+/** One try of a client, whole, as its headers tell. It holds the request's buffers until {@link #release}. */
+final class ClientRequest {
+  private static final int MOST_DIGITS = 12;
+  private static final String MODEL = "X-Model";
+
+  private final FullHttpRequest request;
+  private final String target;
+  private final String path;
+  private final long arrivedAt;
+
+  /**
+   * @param target path and query
+   * @param arrivedAt when it was read, ns
+   */
+  ClientRequest(FullHttpRequest request, String target, long arrivedAt) {
+    this.request = request;
+    this.target = target;
+    this.arrivedAt = arrivedAt;
+    int query = target.indexOf('?');
+    path = query < 0 ? target : target.substring(0, query);
+  }
+
+  HttpMethod method() {
+    return request.method();
+  }
+
+  /** Whether the client knows no chunks (RFC 9112 section 7). */
+  boolean isHttp10() {
+    return request.protocolVersion().minorVersion() == 0;
+  }
+
+  HttpHeaders headers() {
+    return request.headers();
+  }
+
+  ByteBuf body() {
+    return request.content();
+  }
+
+  String target() {
+    return target;
+  }
+
+  String path() {
+    return path;
+  }
+
+  long arrivedAt() {
+    return arrivedAt;
+  }
+
+  /** The Host header; "" if there is none, as HTTP/1.0 allows. */
+  String host() {
+    String host = request.headers().get(HttpHeaderNames.HOST);
+    return host == null ? "" : host;
+  }
+
+  /** The id of the try, or null. */
+  String attemptId() {
+    return request.headers().get(RequestHeaders.ATTEMPT_ID);
+  }
+
+  /** The key that it carries, or null. */
+  String key() {
+    return request.headers().get(RequestHeaders.KEY);
+  }
+
+  /** How long the client waits, ms; -1 if it does not say. */
+  long timeLeftMs() {
+    return number(request.headers().get(RequestHeaders.TIME_LEFT));
+  }
+
+  /** The id of the last event that the client has; -1 if it names none. */
+  long lastEventId() {
+    return number(request.headers().get(RequestHeaders.LAST_EVENT_ID));
+  }
+
+  /** Tokens of its prompt, and the most that are to be generated; null if it does not say. */
+  TokenCount tokenCount() {
+    return TokenCount.parse(request.headers().get(RequestHeaders.TOKEN_COUNT));
+  }
+
+  /** What its prompt shares with others. */
+  PromptPrefix promptPrefix() {
+    return PromptPrefix.parse(
+        request.headers().get(RequestHeaders.PROMPT_PREFIX), request.headers().get(MODEL));
+  }
+
+  void release() {
+    request.release();
+  }
+
+  /** The whole number that the text is; -1 if it is absent or is none. */
+  static long number(String text) {
+    if (text == null || text.isEmpty() || text.length() > MOST_DIGITS) {
+      return -1;
+    }
+    long value = 0;
+    for (int i = 0; i < text.length(); i++) {
+      int digit = text.charAt(i) - '0';
+      if (digit < 0 || digit > 9) {
+        return -1;
+      }
+      value = value * 10 + digit;
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -0,0 +1,251 @@
+package nettletrail.router;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import nettletrail.configuration.Engine;
+import nettletrail.configuration.Route;
+import nettletrail.configuration.RouteKind;
+import nettletrail.router.admission.AdmissionQueue;
+import nettletrail.router.balance.BackendChoice;
+import nettletrail.router.balance.BackendLoad;
+import nettletrail.router.balance.PromptPrefix;
+import nettletrail.router.upstream.Attempt;
+import nettletrail.router.upstream.AttemptFailure;
+import nettletrail.router.upstream.UpstreamPool;
+import nettletrail.upstream.HeadBytes;
+
+/**
+ * One try of a client from its arrival to its answer: what it waits for, where it was sent, and what that proves. The
+ * decisions are {@link RequestDispatcher}'s.
+ */
+final class Exchange implements Attempt, AdmissionQueue.Entry {
+  /** How far it is. */
+  enum State {
+    /** In the queue of its service. */
+    WAITING,
+    /** At a backend, or on its way to one. */
+    SENDING,
+    /** Answered, or its client has left. */
+    OVER
+  }
+
+  private static final long NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
+
+  final ClientConnection client;
+  final ClientRequest request;
+  final TokenCount tokens;
+  final PromptPrefix prefix;
+  /** Which of a route's services it goes to; the same however often it is looked up. */
+  final double draw;
+
+  private final RequestDispatcher dispatcher;
+  State state = State.WAITING;
+  Resolution resolution;
+  ServiceState service;
+  String tenantName = "";
+  int rank;
+  Future<?> timer;
+
+  /** Tokens of the quota that are taken; 0 if none are. */
+  long quotaTaken;
+
+  String quotaTenant;
+  boolean quotaShort;
+
+  BackendLoad backend;
+  UpstreamPool.Ticket ticket;
+  /** Grows with each send that is begun, so that a late return knows that it is late. */
+  int attemptNumber;
+
+  /** The send in hand has been written, as far as is known. */
+  boolean currentSent;
+
+  private boolean prefilled;
+  /** An earlier send may have run. */
+  boolean mayHaveRunBefore;
+
+  /** Sends that reached a backend, or may have. */
+  int sends;
+
+  boolean firstSendCounted;
+  int connectFailures;
+  final List<String> tried = new ArrayList<>(2);
+  boolean confirming;
+  boolean charged;
+  AnswerRelay relay;
+  /** What a further backend answers in the middle of a stream, if it can't go on with it. */
+  BufferedAnswer rejected;
+
+  /** Of the service that it was sent to, or null. */
+  Engine engine;
+
+  Exchange(RequestDispatcher dispatcher, ClientConnection client, ClientRequest request, double draw) {
+    this.dispatcher = dispatcher;
+    this.client = client;
+    this.request = request;
+    this.draw = draw;
+    tokens = request.tokenCount();
+    prefix = request.promptPrefix();
+  }
+
+  // ---- What it is ----
+
+  @Override
+  public String tenantName() {
+    return tenantName;
+  }
+
+  @Override
+  public int rank() {
+    return rank;
+  }
+
+  Route route() {
+    return resolution.route();
+  }
+
+  boolean isOver() {
+    return state == State.OVER;
+  }
+
+  /** Whether it may run more than once. */
+  boolean isIdempotent() {
+    RouteKind kind = route().kind();
+    return kind == RouteKind.REPEATABLE || kind == RouteKind.STREAM && route().resume();
+  }
+
+  /** Whether any backend may have run it. */
+  boolean mayHaveRun() {
+    return mayHaveRunBefore || currentSent;
+  }
+
+  /** When it must be answered, ns. */
+  long deadline() {
+    long most = route().timeoutMs();
+    long told = request.timeLeftMs();
+    return request.arrivedAt() + (told < 0 ? most : Math.min(most, told)) * NANOS_PER_MS;
+  }
+
+  long timeLeftMs(long now) {
+    return (deadline() - now) / NANOS_PER_MS;
+  }
+
+  long inputTokens() {
+    return tokens == null ? 0 : tokens.input();
+  }
+
+  BackendChoice choice() {
+    return new BackendChoice(prefix, inputTokens(), tokens == null ? 0 : tokens.sum(), tried);
+  }
+
+  /** Tokens that it adds to what a backend has to read. */
+  long prefillTokens() {
+    return Math.max(0, inputTokens() - prefix.tokens());
+  }
+
+  // ---- What its client does ----
+
+  void clientGone() {
+    dispatcher.abandon(this);
+  }
+
+  void clientWritable(boolean writable) {
+    if (ticket != null) {
+      ticket.setReading(writable);
+    }
+  }
+
+  // ---- The send in hand ----
+
+  @Override
+  public boolean confirmSend() {
+    return dispatcher.confirmSend(this);
+  }
+
+  @Override
+  public HeadBytes head() {
+    long left = Math.max(1, timeLeftMs(System.nanoTime()));
+    long resumeAfter = relay == null ? -1 : relay.resumeAfter();
+    return RequestHead.write(request, resolution, backend.endpoint().id(), left, resumeAfter);
+  }
+
+  @Override
+  public ByteBuf body() {
+    return request.body();
+  }
+
+  @Override
+  public boolean isHeadRequest() {
+    return request.method().equals(HttpMethod.HEAD);
+  }
+
+  @Override
+  public String attemptId() {
+    return request.attemptId();
+  }
+
+  /** The send in hand is written from now on. */
+  void sent(long now) {
+    currentSent = true;
+    prefilled = false;
+    backend.sent(prefillTokens(), tokens == null ? 0 : tokens.sum(), now);
+  }
+
+  /** The prompt is read, or never will be. */
+  void notePrefilled() {
+    if (!prefilled) {
+      prefilled = true;
+      backend.prefilled(prefillTokens());
+    }
+  }
+
+  /**
+   * The send in hand is over.
+   *
+   * @param ran whether it may have run
+   */
+  void sendOver(boolean ran) {
+    if (currentSent) {
+      notePrefilled();
+      backend.over(tokens == null ? 0 : tokens.sum());
+      currentSent = false;
+      mayHaveRunBefore |= ran;
+    }
+    ticket = null;
+  }
+
+  @Override
+  public void answerBegan(HttpResponse head) {
+    backend.heard(System.nanoTime());
+    dispatcher.answerBegan(this, head);
+  }
+
+  @Override
+  public void answerContent(ByteBuf content) {
+    notePrefilled();
+    dispatcher.answerContent(this, content);
+  }
+
+  @Override
+  public void answerFlush() {
+    backend.heard(System.nanoTime());
+    if (relay != null) {
+      relay.flush();
+    }
+  }
+
+  @Override
+  public void answerEnded() {
+    dispatcher.answerEnded(this);
+  }
+
+  @Override
+  public void failed(AttemptFailure failure) {
+    dispatcher.attemptFailed(this, failure);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/ReadyServer.java
@@ -0,0 +1,77 @@
+package nettletrail.router;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.BooleanSupplier;
+
+/** Answers the platform's question whether this door takes clients. */
+final class ReadyServer extends SimpleChannelInboundHandler<FullHttpRequest> {
+  static final String PATH = "/nettletrail/ready";
+  private static final int MOST_BODY = 4_096;
+
+  private final BooleanSupplier ready;
+
+  private ReadyServer(BooleanSupplier ready) {
+    this.ready = ready;
+  }
+
+  /** Listens; the future is done when it does. */
+  static ChannelFuture listen(EventLoop loop, String host, int port, BooleanSupplier ready) {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel probe) {
+                probe
+                    .pipeline()
+                    .addLast(
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(MOST_BODY),
+                        new ReadyServer(ready));
+              }
+            })
+        .bind(host, port);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
+    if (request.uri().equals(PATH)) {
+      status = ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    }
+    boolean keepAlive = HttpUtil.isKeepAlive(request);
+    DefaultFullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    HttpUtil.setKeepAlive(answer, keepAlive);
+    ChannelFuture written = context.writeAndFlush(answer);
+    if (!keepAlive) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/RouterSettings.java
@@ -0,0 +1,34 @@
+package nettletrail.router;
+
+/**
+ * What the router is told at its start.
+ *
+ * @param zone where this door stands
+ * @param retryRatio further sends that all doors may make for each request to a service, from 0 to 1
+ * @param retrySlack further sends that all doors may make beside, in a window
+ * @param mostConnections sockets to clients and backends together, at most
+ * @param mostBufferedBytes bytes of requests that are held at once, at most
+ * @param connectTimeoutMs after which a connection to a backend that is not up has failed
+ * @param seed of all random choices
+ */
+public record RouterSettings(
+    String zone,
+    double retryRatio,
+    double retrySlack,
+    int mostConnections,
+    long mostBufferedBytes,
+    int connectTimeoutMs,
+    long seed) {
+  /** Long enough for one lost packet within a region. */
+  public static final int DEFAULT_CONNECT_TIMEOUT_MS = 400;
+
+  /** Checks the ranges. */
+  public RouterSettings {
+    if (retryRatio < 0 || retryRatio > 1 || retrySlack < 0) {
+      throw new IllegalArgumentException("retries: the ratio is from 0 to 1, the slack not negative");
+    }
+    if (mostConnections < 2 || mostBufferedBytes < 1 || connectTimeoutMs < 1) {
+      throw new IllegalArgumentException("bounds of the router must be positive");
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -0,0 +1,213 @@
+package nettletrail.router.balance;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import nettletrail.configuration.Engine;
+import nettletrail.router.BackendEndpoint;
+
+/**
+ * Chooses a backend for each request to one service.
+ *
+ * <p>Services with an engine: the cost of a backend is what a prompt would wait for there, in tokens to be read: the prompts
+ * that this door sent there and that are not read yet, the part of this prompt that the backend does not hold, and a share
+ * for each running request, which slows every step. Whether it holds the shared prefix is told by what this door sent
+ * there, else guessed: all doors prefer the same few backends for a prefix, those that rendezvous hashing puts first.
+ * Weighed are all backends that may hold it and two others by chance, so that doors with the same old knowledge do
+ * not all choose the same.
+ *
+ * <p>Other services: the less loaded of two by chance, of those in this door's zone unless they are fuller.
+ */
+public final class ServiceBackends {
+  /** Backends that all doors prefer for a prefix, in this order. */
+  static final int PREFERRED = 2;
+  /** Chance that a preferred backend lacks a prefix that this door has not sent there. */
+  private static final double[] PREFERRED_MISS = {0.25, 0.6};
+  /** A shared part that is read again is priced beside the time that it takes. */
+  static final double READ_AGAIN_WEIGHT = 1.5;
+  /** What a running request costs the next one, in tokens of prompt. */
+  static final double RUNNING_TOKENS = 40;
+  /** What a backend in another zone costs more, in tokens of prompt: two ways of some ms. */
+  static final double OTHER_ZONE_TOKENS = 150;
+  /** Full of that share of its memory a backend begins to preempt requests. */
+  static final double MEMORY_SHARE = 0.85;
+
+  private static final double FULL_TOKENS = 1e7;
+  /** A plain backend in another zone must be less loaded by that, in requests for each slot. */
+  static final double OTHER_ZONE_LOAD = 0.34;
+
+  private final String zone;
+  private final SplittableRandom random;
+  private final Map<String, BackendLoad> loads = new HashMap<>();
+  private final PrefixIndex prefixes = new PrefixIndex();
+  private List<BackendLoad> ready = List.of();
+
+  /** @param zone where this door stands */
+  public ServiceBackends(String zone, long seed) {
+    this.zone = zone;
+    random = new SplittableRandom(seed);
+  }
+
+  /**
+   * The backends that are ready from now on.
+   *
+   * @return the ids of those that are not any more
+   */
+  public List<String> update(List<BackendEndpoint> endpoints) {
+    Map<String, BackendLoad> before = new HashMap<>(loads);
+    loads.clear();
+    List<BackendLoad> now = new ArrayList<>(endpoints.size());
+    for (BackendEndpoint endpoint : endpoints) {
+      BackendLoad load = before.remove(endpoint.id());
+      load = load == null ? new BackendLoad(endpoint) : load;
+      loads.put(endpoint.id(), load);
+      now.add(load);
+    }
+    ready = now;
+    return new ArrayList<>(before.keySet());
+  }
+
+  /** Whether the incarnation is ready. */
+  public boolean isReady(String backendId) {
+    return loads.containsKey(backendId);
+  }
+
+  /** Backends that are ready. */
+  public int size() {
+    return ready.size();
+  }
+
+  /** The slots of all backends that are ready. */
+  public int slots() {
+    int slots = 0;
+    for (BackendLoad load : ready) {
+      slots += load.endpoint().slots();
+    }
+    return slots;
+  }
+
+  /**
+   * Chooses a backend that was not tried yet.
+   *
+   * @param engine of the service, or null
+   * @param doors that send to the same backends
+   * @return null if there is none
+   */
+  public BackendLoad choose(BackendChoice request, Engine engine, int doors, long now) {
+    List<BackendLoad> candidates = candidates(request, now);
+    if (candidates.isEmpty()) {
+      return null;
+    }
+    BackendLoad chosen =
+        engine == null
+            ? lessLoadedOfTwo(candidates)
+            : cheapest(candidates, request, engine, Math.max(1, doors));
+    if (request.prefix().key() != 0) {
+      prefixes.sent(request.prefix().key(), chosen.endpoint().id());
+    }
+    return chosen;
+  }
+
+  /** Those that are healthy; if that leaves out more than half of the service, all. */
+  private List<BackendLoad> candidates(BackendChoice request, long now) {
+    List<BackendLoad> healthy = new ArrayList<>(ready.size());
+    List<BackendLoad> untried = new ArrayList<>(ready.size());
+    for (BackendLoad load : ready) {
+      if (request.tried().contains(load.endpoint().id())) {
+        continue;
+      }
+      untried.add(load);
+      if (load.isHealthy(now) && !load.isSuspect(now)) {
+        healthy.add(load);
+      }
+    }
+    return healthy.isEmpty() || 2 * healthy.size() < untried.size() ? untried : healthy;
+  }
+
+  private BackendLoad lessLoadedOfTwo(List<BackendLoad> candidates) {
+    BackendLoad first = candidates.get(random.nextInt(candidates.size()));
+    BackendLoad second = candidates.get(random.nextInt(candidates.size()));
+    BackendLoad best = plainCost(second) < plainCost(first) ? second : first;
+    for (BackendLoad near : candidates) {
+      if (isNear(near) && plainCost(near) < plainCost(best)) {
+        best = near;
+      }
+    }
+    return best;
+  }
+
+  private double plainCost(BackendLoad load) {
+    double load1 = (double) load.outstanding() / load.endpoint().slots();
+    return load1 + (isNear(load) ? 0 : OTHER_ZONE_LOAD) + (load.endpoint().coldLeftMs() > 0 ? 0.5 : 0);
+  }
+
+  private boolean isNear(BackendLoad load) {
+    return load.endpoint().zone().equals(zone);
+  }
+
+  private BackendLoad cheapest(
+      List<BackendLoad> candidates, BackendChoice request, Engine engine, int doors) {
+    long prefix = request.prefix().key();
+    BackendLoad[] preferred = preferred(candidates, prefix);
+    int firstChance = random.nextInt(candidates.size());
+    int secondChance = random.nextInt(candidates.size());
+    BackendLoad best = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < candidates.size(); i++) {
+      BackendLoad each = candidates.get(i);
+      int rank = each == preferred[0] ? 0 : each == preferred[1] ? 1 : PREFERRED;
+      boolean held = prefix != 0 && prefixes.wasSent(prefix, each.endpoint().id());
+      if (!held && rank == PREFERRED && i != firstChance && i != secondChance) {
+        continue;
+      }
+      double miss = held ? 0 : rank < PREFERRED && prefix != 0 ? PREFERRED_MISS[rank] : 1;
+      double cost = engineCost(each, request, engine, doors, miss);
+      if (cost < least) {
+        least = cost;
+        best = each;
+      }
+    }
+    return best;
+  }
+
+  private double engineCost(
+      BackendLoad load, BackendChoice request, Engine engine, int doors, double miss) {
+    double readAgain = miss * request.prefix().tokens() * READ_AGAIN_WEIGHT;
+    double cost =
+        readAgain
+            + load.prefillTokens()
+            + RUNNING_TOKENS * load.outstanding()
+            + (isNear(load) ? 0 : OTHER_ZONE_TOKENS);
+    double memory = (double) load.memoryTokens() * doors + request.memoryTokens();
+    boolean overMemory = engine.kvTokens() > 0 && memory > MEMORY_SHARE * engine.kvTokens();
+    return overMemory ? cost + FULL_TOKENS * memory / engine.kvTokens() : cost;
+  }
+
+  /** The candidates that rendezvous hashing puts first and second; the second may be null. */
+  private static BackendLoad[] preferred(List<BackendLoad> candidates, long prefix) {
+    BackendLoad[] first = new BackendLoad[PREFERRED];
+    long highest = 0;
+    long second = 0;
+    for (BackendLoad each : candidates) {
+      long score = score(prefix, each.endpoint().id());
+      if (first[0] == null || score > highest) {
+        first[1] = first[0];
+        second = highest;
+        first[0] = each;
+        highest = score;
+      } else if (first[1] == null || score > second) {
+        first[1] = each;
+        second = score;
+      }
+    }
+    return first;
+  }
+
+  private static long score(long prefix, String backendId) {
+    long mixed = (prefix ^ backendId.hashCode() * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ mixed >>> 31) * 0x94D049BB133111EBL;
+    return mixed ^ mixed >>> 29;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/retry/package-info.java
@@ -0,0 +1,2 @@
+/** The budget of further sends. */
+package nettletrail.router.retry;
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
@@ -0,0 +1,318 @@
+package nettletrail.router.upstream;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import nettletrail.router.upstream.BackendChannels.Ride;
+import nettletrail.upstream.AnswerDecoder;
+import nettletrail.upstream.PeekingChannel;
+
+/** One connection to a backend; it carries one request at a time. */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter
+    implements ChannelFutureListener {
+  private static final String ATTEMPT_ID = "X-Attempt-Id";
+  private static final String KEEP_ALIVE = "Keep-Alive";
+  private static final String TIMEOUT = "timeout=";
+  /** For how long a connection is used whose backend does not say when it closes idle ones. */
+  private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+  /** Sooner than the backend by that: a request that crosses its close is lost, and may have run. */
+  private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private final BackendChannels backend;
+  private final UpstreamPool pool;
+  private final AnswerDecoder decoder = new AnswerDecoder();
+  private Channel channel;
+  /** From where on there are only bytes. */
+  private ChannelHandlerContext wire;
+
+  private Ride ride;
+  private boolean written;
+  private boolean used;
+  private HttpResponse head;
+  /** What is read belongs to an answer of an earlier request. */
+  private boolean skipping;
+
+  private boolean skipped;
+  private long idleSince;
+  private long idleLimit = DEFAULT_IDLE_NANOS;
+  private boolean resting;
+  private long restEnd;
+
+  UpstreamConnection(BackendChannels backend, UpstreamPool pool) {
+    this.backend = backend;
+    this.pool = pool;
+  }
+
+  void addTo(Channel opened) {
+    channel = opened;
+    opened.pipeline().addLast(decoder, this);
+    wire = opened.pipeline().context(decoder);
+  }
+
+  BackendChannels backend() {
+    return backend;
+  }
+
+  /**
+   * Sends a request if it still wants to be sent.
+   *
+   * @return whether the connection is taken
+   */
+  boolean carry(Ride next) {
+    next.boarded(this);
+    ride = next;
+    written = false;
+    head = null;
+    if (!next.attempt.confirmSend()) {
+      boolean still = ride == next;
+      ride = null;
+      next.left();
+      if (!still || !channel.isActive()) {
+        return true; // cancelled meanwhile, and closed by that
+      }
+      return false;
+    }
+    decoder.expectAnswerTo(next.attempt.isHeadRequest());
+    next.attempt
+        .head()
+        .writeTo(wire, next.attempt.body(), channel.newPromise())
+        .addListener(this);
+    return true;
+  }
+
+  /** The whole request is in the kernel's hands, or it never will be. */
+  @Override
+  public void operationComplete(ChannelFuture write) {
+    if (write.isSuccess()) {
+      written = true;
+    } else {
+      channel.close();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (ride == null) {
+        channel.close(); // nobody asked: the next request would get another's answer
+        return;
+      }
+      if (((HttpObject) message).decoderResult().isFailure()) {
+        garbled();
+        return;
+      }
+      if (message instanceof HttpResponse start) {
+        began(start);
+      }
+      if (message instanceof HttpContent content && head != null) {
+        take(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void began(HttpResponse start) {
+    head = start;
+    if (isInformational(start)) {
+      return;
+    }
+    if (!hasEnd(start) || !written && !isNotRun(start)) {
+      garbled(); // a backend begins a request when its last byte has come
+      return;
+    }
+    String expected = ride.attempt.attemptId();
+    String echoed = start.headers().get(ATTEMPT_ID);
+    if (expected != null && echoed != null && !echoed.equals(expected)) {
+      if (!used || skipped) {
+        garbled();
+        return;
+      }
+      skipping = true; // of an earlier request on this connection; ours comes behind it
+      skipped = true;
+      return;
+    }
+    ride.attempt.answerBegan(start);
+  }
+
+  private void take(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (isInformational(head)) {
+      head = last ? null : head;
+    } else if (skipping) {
+      skipping = !last;
+      head = last ? null : head;
+    } else {
+      if (content.content().isReadable()) {
+        ride.attempt.answerContent(content.content());
+      }
+      if (last && ride != null) {
+        answered();
+      }
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (ride != null) {
+      ride.attempt.answerFlush();
+    }
+  }
+
+  private void answered() {
+    Ride ended = ride;
+    HttpResponse answer = head;
+    ride = null;
+    head = null;
+    ended.left();
+    used = true;
+    long now = System.nanoTime();
+    idleLimit = idleLimitOf(answer);
+    channel.config().setAutoRead(true);
+    boolean reusable =
+        written && HttpUtil.isKeepAlive(answer) && !decoder.hasMore() && !skipped && idleLimit > 0;
+    if (reusable && channel.isActive()) {
+      idleSince = now;
+      backend.answered(this, now);
+    } else {
+      channel.close();
+    }
+    ended.attempt.answerEnded();
+  }
+
+  private void garbled() {
+    Ride ended = ride;
+    boolean sent = written;
+    ride = null;
+    ended.left();
+    channel.close();
+    ended.attempt.failed(sent ? AttemptFailure.GARBLED : AttemptFailure.NOT_WRITTEN);
+  }
+
+  private static boolean isInformational(HttpResponse answer) {
+    return answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+  }
+
+  /** To be turned away needs no whole request. */
+  private static boolean isNotRun(HttpResponse answer) {
+    return answer.headers().contains("X-Not-Run")
+        || answer.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+  }
+
+  /** An answer ends with its length or its last chunk; the end of the connection could as well be a break. */
+  private boolean hasEnd(HttpResponse answer) {
+    int status = answer.status().code();
+    return HttpUtil.isTransferEncodingChunked(answer)
+        || HttpUtil.isContentLengthSet(answer)
+        || status == HttpResponseStatus.NO_CONTENT.code()
+        || status == HttpResponseStatus.NOT_MODIFIED.code()
+        || ride.attempt.isHeadRequest();
+  }
+
+  /** For how long it may stand idle: what the backend tells of, less a margin. */
+  private static long idleLimitOf(HttpResponse answer) {
+    String told = answer.headers().get(KEEP_ALIVE);
+    if (told == null) {
+      return DEFAULT_IDLE_NANOS;
+    }
+    int at = told.indexOf(TIMEOUT);
+    if (at < 0) {
+      return DEFAULT_IDLE_NANOS;
+    }
+    long seconds = 0;
+    int from = at + TIMEOUT.length();
+    for (int i = from; i < told.length() && i < from + 6; i++) {
+      int digit = told.charAt(i) - '0';
+      if (digit < 0 || digit > 9) {
+        break;
+      }
+      seconds = seconds * 10 + digit;
+    }
+    return TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN_NANOS;
+  }
+
+  /** Comes before the decoder hears of the end. */
+  void closed() {
+    Ride broken = ride;
+    boolean sent = written;
+    ride = null;
+    backend.closed(this);
+    if (broken != null) {
+      broken.left();
+      broken.attempt.failed(sent ? AttemptFailure.BROKEN : AttemptFailure.NOT_WRITTEN);
+    }
+  }
+
+  void setReading(boolean on) {
+    channel.config().setAutoRead(on);
+  }
+
+  /** Closes it under its request; whether that may have run. */
+  boolean abort() {
+    ride = null;
+    channel.close();
+    return written;
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    channel.close();
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  boolean isOpen() {
+    return channel != null && channel.isActive();
+  }
+
+  /** Whether nothing has come on it that is not read yet, its end included; to be closed if not. */
+  boolean isQuiet() {
+    return channel.isActive()
+        && (!(channel instanceof PeekingChannel socket) || socket.quiet());
+  }
+
+  boolean isFresh(long now) {
+    return now - idleSince < idleLimit;
+  }
+
+  void idleFrom(long now) {
+    if (!used) {
+      idleSince = now;
+    }
+  }
+
+  long idleSince() {
+    return idleSince;
+  }
+
+  void restUntil(long end) {
+    resting = true;
+    restEnd = end;
+  }
+
+  void endRest() {
+    resting = false;
+  }
+
+  boolean isResting() {
+    return resting;
+  }
+
+  long restEnd() {
+    return restEnd;
+  }
+}
