--- a/fleet/src/main/java/nettletrail/fleet/http/BackendParser.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/BackendParser.java
@@ -12,8 +12,8 @@
 /**
  * Reads what a backend says about itself.
  *
- * <p>Needed are {@code carrier}, {@code address}, {@code state} and {@code call_seq}; other fields have defaults, and fields
- * that are not known are left alone.
+ * <p>Needed are {@code carrier}, {@code address}, {@code state} and {@code call_seq}; other fields
+ * have defaults, and fields that are not known are left alone.
  */
 final class BackendParser {
   private static final String STATE_READY = "open_for_mail";
@@ -40,8 +40,7 @@
 
   /** What a DELETE says: only that this backend, up to this call, is gone. */
   static Backend gone(String id, long callSequence) {
-    return new Backend(
-        id, "", "", "", "", 0, BackendState.GONE, 0L, "", List.of(), callSequence);
+    return new Backend(id, "", "", "", "", 0, BackendState.GONE, 0L, "", List.of(), callSequence);
   }
 
   private static Backend backend(String id, Any document) throws BadRequestException {
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
@@ -19,7 +19,9 @@
  * @param allow the field Allow; empty for none
  */
 record ControlAnswer(int status, byte[] json, String allow) {
-  /** Keeps answers below 4 KiB however their text is escaped; longer ones don't count for a backend. */
+  /**
+   * Keeps answers below 4 KiB however their text is escaped; longer ones don't count for a backend.
+   */
   private static final int MAX_ERROR_LENGTH = 512;
 
   private static final byte[] EMPTY_OBJECT = "{}".getBytes(StandardCharsets.US_ASCII);
@@ -39,8 +41,7 @@
 
   /** An answer to a method that the path doesn't have. */
   static ControlAnswer wrongMethod(String allow) {
-    ControlAnswer error =
-        error(HttpResponseStatus.METHOD_NOT_ALLOWED, "this path allows " + allow);
+    ControlAnswer error = error(HttpResponseStatus.METHOD_NOT_ALLOWED, "this path allows " + allow);
     return new ControlAnswer(error.status(), error.json(), allow);
   }
 
@@ -48,9 +49,7 @@
   FullHttpResponse toResponse() {
     FullHttpResponse response =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            Unpooled.wrappedBuffer(json));
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
     response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
     if (!allow.isEmpty()) {
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlCalls.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlCalls.java
@@ -3,8 +3,8 @@
 import nettletrail.protocol.Backend;
 
 /**
- * Takes the calls that a {@link ControlServer} has parsed; all come on its event loop. Each is answered later, or never, by
- * {@link ControlServer#answer}.
+ * Takes the calls that a {@link ControlServer} has parsed; all come on its event loop. Each is
+ * answered later, or never, by {@link ControlServer#answer}.
  */
 public interface ControlCalls {
   /** The call sequence of a DELETE that names none: above all that a backend sends. */
@@ -15,7 +15,8 @@
    *
    * @param call number to answer with
    * @param method PUT or DELETE
-   * @param backend what it says; for DELETE only the id, the state GONE and the call sequence are set
+   * @param backend what it says; for DELETE only the id, the state GONE and the call sequence are
+   *     set
    */
   void backend(long call, String method, Backend backend);
 
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
@@ -14,7 +14,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One caller's connection: hands its calls on as they come and writes their answers in the same order. */
+/**
+ * One caller's connection: hands its calls on as they come and writes their answers in the same
+ * order.
+ */
 final class ControlConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final Logger LOG = LoggerFactory.getLogger(ControlConnection.class);
 
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
@@ -24,10 +24,12 @@
 /**
  * The HTTP/1.1 server of the core.
  *
- * <p>It parses calls, hands them to a {@link ControlCalls} and answers when told. Calls of one connection may be pipelined; their
- * answers keep the order. A call whose caller has left is forgotten, and an answer to it is dropped.
+ * <p>It parses calls, hands them to a {@link ControlCalls} and answers when told. Calls of one
+ * connection may be pipelined; their answers keep the order. A call whose caller has left is
+ * forgotten, and an answer to it is dropped.
  *
- * <p>Everything happens on one event loop; {@link #listen} and {@link #close} may be called on any thread.
+ * <p>Everything happens on one event loop; {@link #listen} and {@link #close} may be called on any
+ * thread.
  */
 public final class ControlServer {
   private static final Logger LOG = LoggerFactory.getLogger(ControlServer.class);
@@ -78,14 +80,18 @@
     return bound;
   }
 
-  /** Sets what {@code GET /nettletrail/ready} answers: 200 if ready, 503 if not, as at first. Event loop only. */
+  /**
+   * Sets what {@code GET /nettletrail/ready} answers: 200 if ready, 503 if not, as at first. Event
+   * loop only.
+   */
   public void setReady(boolean ready) {
     requireLoop();
     this.ready = ready;
   }
 
   /**
-   * Answers a call. Event loop only. A call that was answered, or whose caller has left, is left alone.
+   * Answers a call. Event loop only. A call that was answered, or whose caller has left, is left
+   * alone.
    *
    * @param call the number under which it was handed over
    * @param json the body; null or empty for an empty object
@@ -174,7 +180,8 @@
     @Override
     protected void initChannel(Channel channel) {
       if (connections.size() >= settings.maxConnections()) {
-        LOG.warn("Connection of {} refused: {} are open", channel.remoteAddress(), connections.size());
+        LOG.warn(
+            "Connection of {} refused: {} are open", channel.remoteAddress(), connections.size());
         channel.close();
         return;
       }
--- a/fleet/src/main/java/nettletrail/fleet/http/RequestClock.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/RequestClock.java
@@ -4,8 +4,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
- * Notes when a connection's current request began, so that callers who dawdle or rest too long can be found. Stands before the
- * HTTP decoder.
+ * Notes when a connection's current request began, so that callers who dawdle or rest too long can
+ * be found. Stands before the HTTP decoder.
  */
 final class RequestClock extends ChannelInboundHandlerAdapter {
   private final ControlSettings settings;
--- a/fleet/src/main/java/nettletrail/fleet/settings/Bounds.java
+++ b/fleet/src/main/java/nettletrail/fleet/settings/Bounds.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 
 /**
- * The figures of the rules. Each has a default for files that leave it out; fractions are kept to the nanosecond.
+ * The figures of the rules. Each has a default for files that leave it out; fractions are kept to
+ * the nanosecond.
  *
  * @param rosterLag how far the callers' list of machines runs behind
  * @param reuseAfter how soon the address of a backend that ended may go to another
--- a/fleet/src/main/java/nettletrail/fleet/settings/FleetSettings.java
+++ b/fleet/src/main/java/nettletrail/fleet/settings/FleetSettings.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 
 /**
- * All that the platform tells a process about itself and its surroundings. Made by {@link SettingsReader} only, which checks it.
+ * All that the platform tells a process about itself and its surroundings. Made by {@link
+ * SettingsReader} only, which checks it.
  *
  * @param node the machine's name
  * @param role the role's name in the deploy file
  * @param machineClass the class of the machine
- * @param serves which callers from outside reach this role; see {@link #SERVES_CLIENTS} and {@link #SERVES_CONTROL}
+ * @param serves which callers from outside reach this role; see {@link #SERVES_CLIENTS} and {@link
+ *     #SERVES_CONTROL}
  * @param ip the machine's address
  * @param zone the machine's zone
  * @param region the zone's region
@@ -23,7 +25,8 @@
  * @param readyGate where readiness is told, as {@code ip:port}
  * @param controlGate where the operator and the backends are served, as {@code ip:port}
  * @param sparePorts ports for the fleet's own links
- * @param seeds control addresses of some machines of the core, as {@code ip:port}; may be empty, down or cut off
+ * @param seeds control addresses of some machines of the core, as {@code ip:port}; may be empty,
+ *     down or cut off
  * @param firstRun true at the first start of the whole system only
  * @param countsForQuorum whether the machine counts among those that may be lost
  * @param limits what the machine gives this process
@@ -80,7 +83,10 @@
     return seeds.stream().map(this::internalAddressOf).distinct().toList();
   }
 
-  /** Where an address of these settings is bound or dialled; it holds an IP number, so nothing is looked up. */
+  /**
+   * Where an address of these settings is bound or dialled; it holds an IP number, so nothing is
+   * looked up.
+   */
   public static InetSocketAddress socketAddress(String address) {
     int colon = address.lastIndexOf(':');
     int port = Integer.parseInt(address.substring(colon + 1));
--- a/fleet/src/main/java/nettletrail/fleet/settings/SettingsValues.java
+++ b/fleet/src/main/java/nettletrail/fleet/settings/SettingsValues.java
@@ -15,7 +15,8 @@
 /**
  * The lines of a settings file, read value by value; collects the faults met on the way.
  *
- * <p>A key with an empty value counts as absent. Where a value is at fault, a stand-in is returned so that the reading goes on.
+ * <p>A key with an empty value counts as absent. Where a value is at fault, a stand-in is returned
+ * so that the reading goes on.
  */
 final class SettingsValues {
   private static final int HIGHEST_PORT = 65_535;
--- a/fleet/src/main/java/nettletrail/fleet/settings/SettingsWatcher.java
+++ b/fleet/src/main/java/nettletrail/fleet/settings/SettingsWatcher.java
@@ -11,10 +11,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Looks at the settings file about every second, and on demand, and tells a listener of settings that changed and can be used.
+ * Looks at the settings file about every second, and on demand, and tells a listener of settings
+ * that changed and can be used.
  *
- * <p>A file that can't be read or has faults is logged once, and the settings before it stay in force. Looking and telling
- * happen on the given executor only.
+ * <p>A file that can't be read or has faults is logged once, and the settings before it stay in
+ * force. Looking and telling happen on the given executor only.
  */
 public final class SettingsWatcher implements AutoCloseable {
   /** Told of new settings, on the watcher's executor. */
@@ -79,7 +80,8 @@
 
   private void logUnreadable(IOException failure) {
     if (!unreadable) {
-      LOG.warn("Settings file {} can't be read; the settings before stay: {}", file, failure.toString());
+      LOG.warn(
+          "Settings file {} can't be read; the settings before stay: {}", file, failure.toString());
     }
     unreadable = true;
   }
--- a/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
@@ -30,14 +30,13 @@
   private static final String CONFIGURATION = "/nettletrail/config";
   private static final String HEARTBEAT =
       """
-      {"carrier":"huvo","address":"10.128.0.9:8080","zone":"hall-a","edition":"v1","berths":32,
-       "state":"open_for_mail","cold_left_ms":12.5,"stage":"either_way",
-       "models":[{"name":"m","edition":1,"adapters":[]},{"name":"n"}],"later":{"a":[1]},"call_seq":4}
-      """;
+{"carrier":"huvo","address":"10.128.0.9:8080","zone":"hall-a","edition":"v1","berths":32,
+ "state":"open_for_mail","cold_left_ms":12.5,"stage":"either_way",
+ "models":[{"name":"m","edition":1,"adapters":[]},{"name":"n"}],"later":{"a":[1]},"call_seq":4}
+""";
 
   /** A call as it was handed over. */
-  private record Taken(
-      long call, String method, Backend backend, String ifMatch, String body) {}
+  private record Taken(long call, String method, Backend backend, String ifMatch, String body) {}
 
   private final EventLoopGroup group = new NioEventLoopGroup(1);
   private final BlockingQueue<Taken> taken = new LinkedBlockingQueue<>();
--- a/protocol/src/main/java/nettletrail/protocol/link/Dialler.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Dialler.java
@@ -11,10 +11,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps one address dialled: whenever its connection ends or can't be made, it dials again after a pause.
+ * Keeps one address dialled: whenever its connection ends or can't be made, it dials again after a
+ * pause.
  *
- * <p>The pause is drawn evenly between the shortest backoff and a bound that doubles with each failure up to the longest; it
- * starts over once a peer has said hello.
+ * <p>The pause is drawn evenly between the shortest backoff and a bound that doubles with each
+ * failure up to the longest; it starts over once a peer has said hello.
  */
 final class Dialler {
   private static final Logger LOG = LoggerFactory.getLogger(Dialler.class);
@@ -36,7 +37,10 @@
    * @param bootstrap makes the connections; its handler adds the link
    */
   Dialler(
-      InetSocketAddress address, Bootstrap bootstrap, LinkSettings settings, RandomGenerator random) {
+      InetSocketAddress address,
+      Bootstrap bootstrap,
+      LinkSettings settings,
+      RandomGenerator random) {
     this.address = address;
     this.bootstrap = bootstrap;
     this.settings = settings;
--- a/protocol/src/main/java/nettletrail/protocol/link/Link.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Link.java
@@ -15,9 +15,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One connection: says hello, waits for the peer's hello, then passes messages both ways until it closes.
+ * One connection: says hello, waits for the peer's hello, then passes messages both ways until it
+ * closes.
  *
- * <p>Writes are flushed once at the end of the event loop's turn, so that what is sent in one turn leaves in few packets.
+ * <p>Writes are flushed once at the end of the event loop's turn, so that what is sent in one turn
+ * leaves in few packets.
  */
 final class Link extends ChannelInboundHandlerAdapter {
   private static final Logger LOG = LoggerFactory.getLogger(Link.class);
@@ -36,6 +38,7 @@
   private final EnvelopeCodec codec;
   private final LinkSettings settings;
   private final Hello me;
+
   /** The dialled address, or null for an accepted connection. */
   private final String dialledAddress;
 
@@ -71,7 +74,8 @@
   /**
    * Sends a message.
    *
-   * @return false if the message could not be encoded or the link is closed, by this message or before
+   * @return false if the message could not be encoded or the link is closed, by this message or
+   *     before
    */
   boolean send(SpecificRecord body) {
     if (!isOpen()) {
@@ -89,8 +93,11 @@
     int length = frame.readableBytes() - LENGTH_BYTES;
     if (length > settings.maxFrameBytes()) {
       frame.release();
-      LOG.error("Message dropped: {} with {}: {} bytes, more than a frame may hold",
-          LinkStep.ENCODE, name(), length);
+      LOG.error(
+          "Message dropped: {} with {}: {} bytes, more than a frame may hold",
+          LinkStep.ENCODE,
+          name(),
+          length);
       return false;
     }
     frame.setInt(0, length);
@@ -124,7 +131,10 @@
     channel.flush();
   }
 
-  /** Sends a ping if nothing was sent for a while; closes the link if the peer was silent for too long. */
+  /**
+   * Sends a ping if nothing was sent for a while; closes the link if the peer was silent for too
+   * long.
+   */
   void checkLiveness(long now) {
     if (!isOpen()) {
       return;
@@ -203,7 +213,8 @@
       return;
     }
     if (hello.getVersion() != me.getVersion()) {
-      close(LinkStep.HELLO,
+      close(
+          LinkStep.HELLO,
           "protocol version " + hello.getVersion() + ", this process speaks " + me.getVersion());
       return;
     }
--- a/protocol/src/main/java/nettletrail/protocol/link/LinkSettings.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/LinkSettings.java
@@ -4,8 +4,8 @@
  * Sizes and times of the links.
  *
  * @param maxFrameBytes the longest frame that is read or written
- * @param maxOutboundBytes bytes that may wait for a peer; a link with more is closed. A frame that finds the buffer empty is
- *     always taken
+ * @param maxOutboundBytes bytes that may wait for a peer; a link with more is closed. A frame that
+ *     finds the buffer empty is always taken
  * @param maxAcceptedLinks connections from others at one time; more are closed at once
  * @param pingMillis a ping is sent when nothing was sent for this long
  * @param silenceMillis a link is closed when nothing was received for this long
@@ -35,7 +35,9 @@
     require(silenceMillis > pingMillis, "silenceMillis must be above pingMillis");
     require(connectTimeoutMillis > 0, "connectTimeoutMillis must be above 0");
     require(minBackoffMillis >= SHORTEST_TIMER_MILLIS, "minBackoffMillis must be 20 or more");
-    require(maxBackoffMillis >= minBackoffMillis, "maxBackoffMillis must not be below minBackoffMillis");
+    require(
+        maxBackoffMillis >= minBackoffMillis,
+        "maxBackoffMillis must not be below minBackoffMillis");
   }
 
   /** The fleet's figures: frames to 16 MB, 8 MB outbound, pings at 400 ms, silence to 1.6 s. */
--- a/protocol/src/main/java/nettletrail/protocol/link/Links.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Links.java
@@ -28,9 +28,10 @@
 /**
  * All links of one process: those that it keeps dialled and those that others opened.
  *
- * <p>A peer is known by a key. For a dialled link that is the dialled address; for an accepted link it is the node name of a
- * door, or the internal address of a core process, as its hello says. Of two links with the same key and direction the newer
- * one stays. Messages are dropped while no link is up; nothing is queued for later.
+ * <p>A peer is known by a key. For a dialled link that is the dialled address; for an accepted link
+ * it is the node name of a door, or the internal address of a core process, as its hello says. Of
+ * two links with the same key and direction the newer one stays. Messages are dropped while no link
+ * is up; nothing is queued for later.
  *
  * <p>Every method is called on the event loop, {@link #listen} and {@link #close} excepted.
  */
@@ -99,7 +100,10 @@
     return bound;
   }
 
-  /** Keeps an address dialled. This process's own address, and one that is dialled already, are left alone. */
+  /**
+   * Keeps an address dialled. This process's own address, and one that is dialled already, are left
+   * alone.
+   */
   public void dial(String address) {
     requireLoop();
     if (closed || address.equals(me.getAddress()) || diallers.containsKey(address)) {
@@ -148,7 +152,8 @@
   /**
    * Sends a message on the dialled link to a peer, or else on the one accepted from it.
    *
-   * @return false if no link is up, so that the message is dropped; true doesn't mean that it arrives
+   * @return false if no link is up, so that the message is dropped; true doesn't mean that it
+   *     arrives
    */
   public boolean send(String peer, SpecificRecord body) {
     requireLoop();
@@ -165,7 +170,9 @@
     return link != null && link.isOpen() ? link : null;
   }
 
-  /** Closes everything for good. May be called on any thread; done at the event loop's next turn. */
+  /**
+   * Closes everything for good. May be called on any thread; done at the event loop's next turn.
+   */
   public void close() {
     loop.execute(this::closeOnLoop);
   }
@@ -207,7 +214,8 @@
       takeDown(older);
     }
     linksLike(peer).put(peer.key(), link);
-    LOG.info("Link up: {} ({}), {}", peer.key(), peer.role(), peer.dialled() ? "dialled" : "accepted");
+    LOG.info(
+        "Link up: {} ({}), {}", peer.key(), peer.role(), peer.dialled() ? "dialled" : "accepted");
     listener.up(peer);
   }
 
@@ -266,7 +274,10 @@
     @Override
     protected void initChannel(Channel channel) {
       if (closed || acceptedConnections >= settings.maxAcceptedLinks()) {
-        LOG.warn("{} with {}: refused, {} links are open", LinkStep.ACCEPT, channel.remoteAddress(),
+        LOG.warn(
+            "{} with {}: refused, {} links are open",
+            LinkStep.ACCEPT,
+            channel.remoteAddress(),
             acceptedConnections);
         channel.close();
         return;
--- a/protocol/src/main/java/nettletrail/protocol/link/SocketAddresses.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/SocketAddresses.java
@@ -19,7 +19,8 @@
    */
   static InetSocketAddress parse(String text, LinkStep step) throws ProtocolException {
     int colon = text.lastIndexOf(':');
-    byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    byte[] ip =
+        colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
     if (ip == null) {
       throw new ProtocolException(step, text, "the address isn't ip:port");
     }
--- a/protocol/src/test/java/nettletrail/protocol/link/EnvelopeCodecTest.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/EnvelopeCodecTest.java
@@ -1,21 +1,36 @@
 package nettletrail.protocol.link;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import nettletrail.protocol.Accept;
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.Envelope;
+import nettletrail.protocol.FeedAck;
 import nettletrail.protocol.Member;
 import nettletrail.protocol.Ping;
+import nettletrail.protocol.RegistryDigest;
 import nettletrail.protocol.ShardVersion;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.EncoderFactory;
 import org.apache.avro.specific.SpecificRecord;
+import org.apache.avro.util.RandomData;
 import org.junit.jupiter.api.Test;
 
 class EnvelopeCodecTest {
@@ -88,6 +103,57 @@
     }
   }
 
+  @Test
+  void lengthsThatTheFrameDoesNotHoldAreRefusedBeforeAnythingIsAllocated() throws Exception {
+    int configurationPush = unionIndexOf(new ConfigurationPush(0L, 0L, ByteBuffer.allocate(0)));
+    int feedAck = unionIndexOf(new FeedAck("", 0L, 0L));
+    int registryDigest = unionIndexOf(new RegistryDigest("", List.of()));
+    assertTooLong(configurationPush, 0, 0, Integer.MAX_VALUE - 100);
+    assertTooLong(feedAck, Integer.MAX_VALUE - 100);
+    assertTooLong(feedAck, -1);
+    assertTooLong(registryDigest, 0, Integer.MAX_VALUE - 100);
+    assertTooLong(registryDigest, 0, Long.MIN_VALUE, 1);
+  }
+
+  @Test
+  void randomMessagesOfEveryTypeComeBackToTheSameBytes() throws Exception {
+    int messages = 2_000;
+    GenericDatumWriter<Object> writer = new GenericDatumWriter<>(Envelope.getClassSchema());
+    Set<Schema> typesSeen = new HashSet<>();
+    for (Object random : new RandomData(Envelope.getClassSchema(), messages, 7L)) {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      BinaryEncoder encoder = EncoderFactory.get().binaryEncoder(bytes, null);
+      writer.write(random, encoder);
+      encoder.flush();
+      SpecificRecord read = codec.decode(Unpooled.wrappedBuffer(bytes.toByteArray()), PEER);
+      ByteBuf written = Unpooled.buffer();
+      codec.encode(read, written, PEER);
+      assertArrayEquals(bytes.toByteArray(), ByteBufUtil.getBytes(written));
+      typesSeen.add(read.getSchema());
+    }
+    int types = Envelope.getClassSchema().getField("body").schema().getTypes().size();
+    assertEquals(types, typesSeen.size());
+  }
+
+  private int unionIndexOf(SpecificRecord body) throws Exception {
+    ByteBuf buffer = Unpooled.buffer();
+    codec.encode(body, buffer, PEER);
+    return buffer.getByte(0) / 2;
+  }
+
+  private void assertTooLong(long... numbers) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    BinaryEncoder encoder = EncoderFactory.get().binaryEncoder(bytes, null);
+    for (long number : numbers) {
+      encoder.writeLong(number);
+    }
+    encoder.flush();
+    ByteBuf frame = Unpooled.wrappedBuffer(bytes.toByteArray());
+    ProtocolException failure =
+        assertThrows(ProtocolException.class, () -> codec.decode(frame, PEER));
+    assertTrue(failure.reason().contains("a length of"), failure.reason());
+  }
+
   private void decodeOrRefuse(ByteBuf frame) {
     try {
       codec.decode(frame, PEER);
--- a/protocol/src/test/java/nettletrail/protocol/link/LinkProcess.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/LinkProcess.java
@@ -10,7 +10,10 @@
 import nettletrail.protocol.Hello;
 import org.apache.avro.specific.SpecificRecord;
 
-/** One process of a test: links on an event loop of their own, and what their listener was told, in order. */
+/**
+ * One process of a test: links on an event loop of their own, and what their listener was told, in
+ * order.
+ */
 final class LinkProcess implements AutoCloseable {
   static final long PATIENCE_SECONDS = 20;
 
