--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -0,0 +1,338 @@
+package nettletrail.fleet;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import nettletrail.configuration.ConfigurationDocument;
+import nettletrail.configuration.ConfigurationException;
+import nettletrail.configuration.RoutingTable;
+import nettletrail.configuration.Tenant;
+import nettletrail.control.CoreRegistry;
+import nettletrail.control.CoreRegistrySettings;
+import nettletrail.control.ShardMap;
+import nettletrail.control.ShardOwnership;
+import nettletrail.control.grant.GrantTerms;
+import nettletrail.control.grant.QuotaLimit;
+import nettletrail.control.registry.RegistryAction;
+import nettletrail.control.shard.CoreAction;
+import nettletrail.control.shard.CoreShards;
+import nettletrail.control.shard.ReplicaGroup;
+import nettletrail.control.shard.ShardSettings;
+import nettletrail.control.shard.StoreOutcome;
+import nettletrail.fleet.http.ControlCalls;
+import nettletrail.fleet.http.ControlServer;
+import nettletrail.fleet.http.ControlSettings;
+import nettletrail.fleet.settings.Bounds;
+import nettletrail.fleet.settings.FleetSettings;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Hello;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.link.LinkListener;
+import nettletrail.protocol.link.LinkSettings;
+import nettletrail.protocol.link.Links;
+import nettletrail.protocol.link.Peer;
+import nettletrail.protocol.link.ProtocolException;
+import nettletrail.store.CoreStore;
+import nettletrail.store.DiskDirectory;
+import nettletrail.store.StorageException;
+import org.apache.avro.specific.SpecificRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The role {@code core}: joins the deciders of the control plane with links, disk and the HTTP interface for the operator and the
+ * backends. Decides nothing itself. Everything runs on one event loop, but for writes to the disk.
+ */
+final class CoreProcess implements LinkListener, ControlCalls, ShardOwnership, AutoCloseable {
+  /** The configuration's shard and four for tenants and services. */
+  static final int SHARD_COUNT = ShardMap.SHARD_COUNT;
+
+  private static final Logger LOG = LoggerFactory.getLogger(CoreProcess.class);
+  private static final String ROLE = "core";
+  private static final int PROTOCOL_VERSION = 1;
+  private static final long TICK_MS = 50;
+  private static final double MILLIS_A_SECOND = 1_000;
+  private static final byte[] NO_JSON = "{}".getBytes(StandardCharsets.UTF_8);
+
+  private final FleetSettings settings;
+  private final EventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final StorageThread storage;
+  private final CoreShards shards;
+  private final CoreRegistry registry;
+  private final Links links;
+  private final ControlServer server;
+  private ScheduledFuture<?> ticks;
+
+  /** Opens the disk; blocks until it has been read. */
+  CoreProcess(FleetSettings settings) throws StartException {
+    this.settings = settings;
+    SplittableRandom random = ProcessSeed.random(settings.node());
+    CoreStore store = openStore(settings, random.nextLong());
+    long now = System.nanoTime();
+    long life = random.nextLong() & Long.MAX_VALUE;
+    Member self = store.self();
+    this.storage = new StorageThread(store);
+    this.shards =
+        new CoreShards(
+            ShardSettings.defaults(),
+            self,
+            settings.seedInternalAddresses(),
+            settings.firstRun(),
+            SHARD_COUNT,
+            store.stored(),
+            random.nextLong(),
+            now);
+    this.registry = new CoreRegistry(registrySettings(settings, life), this, now);
+    Hello hello = new Hello(settings.node(), self.getAddress(), ROLE, life, PROTOCOL_VERSION);
+    this.links = new Links(loop, LinkSettings.defaults(), hello, this);
+    this.server = new ControlServer(loop, ControlSettings.defaults(), this);
+    LOG.info("core {} starts as {}", settings.node(), self.getId());
+  }
+
+  /** Listens for links and calls, and begins to work. */
+  void start() throws StartException {
+    String control = settings.controlGate().orElse("");
+    try {
+      links.listen(settings.internalAddress()).sync();
+      server.listen(socketAddress(control)).sync();
+    } catch (ProtocolException | InterruptedException | RuntimeException failure) {
+      throw new StartException("listen", settings.internalAddress() + " " + control, failure);
+    }
+    loop.execute(this::dialSeeds);
+    ticks = loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.execute(() -> server.setReady(true));
+  }
+
+  /** Takes the seeds of changed settings; on any thread. */
+  void settingsChanged(FleetSettings changed) {
+    loop.execute(() -> changed.seedInternalAddresses().forEach(this::dialOther));
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  @Override
+  public void close() {
+    if (ticks != null) {
+      ticks.cancel(false);
+    }
+    loop.execute(
+        () -> {
+          server.close();
+          links.close();
+        });
+    storage.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  // Links
+
+  @Override
+  public void up(Peer peer) {
+    long now = System.nanoTime();
+    if (isDoor(peer)) {
+      perform(registry.doorUp(peer.key(), now));
+      return;
+    }
+    if (!peer.dialled()) {
+      dialOther(peer.key());
+    }
+    perform(registry.coreUp(peer.key(), now));
+  }
+
+  @Override
+  public void down(Peer peer) {
+    long now = System.nanoTime();
+    if (links.isUp(peer.key())) {
+      return;
+    }
+    perform(isDoor(peer) ? registry.doorDown(peer.key(), now) : registry.coreDown(peer.key(), now));
+  }
+
+  @Override
+  public void received(Peer peer, SpecificRecord body) {
+    long now = System.nanoTime();
+    if (isDoor(peer)) {
+      perform(registry.receiveFromDoor(peer.key(), body, now));
+      return;
+    }
+    run(shards.receive(peer.key(), body, now));
+    perform(registry.receiveFromCore(peer.key(), body, now));
+  }
+
+  private static boolean isDoor(Peer peer) {
+    return peer.role().equals(Links.DOOR_ROLE);
+  }
+
+  private void dialSeeds() {
+    settings.seedInternalAddresses().forEach(this::dialOther);
+  }
+
+  private void dialOther(String address) {
+    if (!address.equals(settings.internalAddress())) {
+      links.dial(address);
+    }
+  }
+
+  // Calls
+
+  @Override
+  public void backend(long call, String method, Backend backend) {
+    perform(registry.backendCall(call, method, backend, System.nanoTime()));
+  }
+
+  @Override
+  public void configuration(long call, String method, String ifMatch, byte[] body) {
+    run(shards.submit(call, method, ifMatch, body, System.nanoTime()));
+  }
+
+  // Work
+
+  private void tick() {
+    long now = System.nanoTime();
+    run(shards.tick(now));
+    perform(registry.tick(now));
+    for (Member member : shards.members()) {
+      dialOther(member.getAddress());
+    }
+  }
+
+  private void run(List<CoreAction> actions) {
+    for (CoreAction action : actions) {
+      if (action instanceof CoreAction.Send send) {
+        links.send(send.address(), send.message());
+      } else if (action instanceof CoreAction.StorePromise promise) {
+        storage.store(promise, outcome -> stored(promise.ticket(), outcome));
+      } else if (action instanceof CoreAction.StoreVersion version) {
+        storage.store(version, outcome -> stored(version.ticket(), outcome));
+      } else if (action instanceof CoreAction.AnswerOrder answer) {
+        server.answer(answer.call(), answer.status(), answer.body());
+      } else if (action instanceof CoreAction.CommittedConfiguration committed) {
+        committed(committed);
+      }
+    }
+  }
+
+  private void stored(long ticket, StoreOutcome outcome) {
+    loop.execute(() -> run(shards.stored(ticket, outcome, System.nanoTime())));
+  }
+
+  private void committed(CoreAction.CommittedConfiguration committed) {
+    try {
+      RoutingTable table =
+          RoutingTable.compile(ConfigurationDocument.parse(committed.document()));
+      Map<String, QuotaLimit> limits = new HashMap<>();
+      for (Tenant tenant : table.tenants()) {
+        limits.put(tenant.name(), new QuotaLimit(tenant.ratePerSecond(), tenant.burst()));
+      }
+      LOG.info("configuration {} is committed", committed.edition());
+      perform(
+          registry.configuration(
+              committed.sequence(),
+              committed.edition(),
+              committed.document(),
+              limits,
+              System.nanoTime()));
+    } catch (ConfigurationException fault) {
+      LOG.error("committed configuration {} can't be used: {}", committed.edition(), fault.getMessage());
+    }
+  }
+
+  private void perform(List<RegistryAction> actions) {
+    for (RegistryAction action : actions) {
+      if (action instanceof RegistryAction.SendToCore send) {
+        links.send(send.address(), send.message());
+      } else if (action instanceof RegistryAction.SendToDoor send) {
+        links.send(send.door(), send.message());
+      } else if (action instanceof RegistryAction.AnswerBackend answer) {
+        server.answer(answer.call(), answer.status(), NO_JSON);
+      }
+    }
+  }
+
+  // What the registry asks of the shards
+
+  @Override
+  public boolean owns(int shard, long now) {
+    return shards.owns(shard, now);
+  }
+
+  @Override
+  public Ballot token(int shard) {
+    return shards.token(shard);
+  }
+
+  @Override
+  public String ownerAddress(int shard) {
+    return shards.ownerAddress(shard, System.nanoTime());
+  }
+
+  @Override
+  public List<Member> members() {
+    return shards.members();
+  }
+
+  @Override
+  public int shardCount() {
+    return SHARD_COUNT;
+  }
+
+  @Override
+  public OptionalLong confirmedAt() {
+    long confirmedAt = shards.confirmedAt();
+    return confirmedAt == ReplicaGroup.NEVER ? OptionalLong.empty() : OptionalLong.of(confirmedAt);
+  }
+
+  @Override
+  public long configurationSequence() {
+    return shards.committedSequence();
+  }
+
+  private static CoreStore openStore(FleetSettings settings, long random) throws StartException {
+    Path path = settings.dataDirectory().orElse(null);
+    if (path == null) {
+      throw new StartException("open the disk", "data_dir is missing: the role core keeps state", null);
+    }
+    try {
+      return CoreStore.open(
+          DiskDirectory.open(path),
+          settings.internalAddress(),
+          settings.firstRun(),
+          SHARD_COUNT,
+          random);
+    } catch (StorageException failure) {
+      throw new StartException("open the disk", failure.getMessage(), failure);
+    }
+  }
+
+  private static CoreRegistrySettings registrySettings(FleetSettings settings, long life) {
+    Bounds bounds = settings.bounds();
+    GrantTerms terms =
+        new GrantTerms(
+            bounds.quotaWindow().toMillis() / MILLIS_A_SECOND,
+            bounds.quotaOver(),
+            bounds.quotaSlack(),
+            GrantTerms.USUAL_VALID_MS);
+    return new CoreRegistrySettings(
+        settings.internalAddress(), Math.max(1, life), settings.heartbeatInterval().toMillis(), terms);
+  }
+
+  private static InetSocketAddress socketAddress(String hostAndPort) {
+    int colon = hostAndPort.lastIndexOf(':');
+    return new InetSocketAddress(
+        hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
@@ -0,0 +1,145 @@
+package nettletrail.fleet;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import nettletrail.configuration.ConfigurationDocument;
+import nettletrail.configuration.ConfigurationException;
+import nettletrail.configuration.RoutingTable;
+import nettletrail.configuration.Tenant;
+import nettletrail.control.door.DoorControl;
+import nettletrail.control.grant.QuotaLimit;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
+import nettletrail.router.BackendEndpoint;
+import nettletrail.router.ControlView;
+import nettletrail.router.QuotaSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The router's view of the control plane: {@link DoorControl}, with the configuration compiled and backends as endpoints. */
+final class DoorControlView implements ControlView, QuotaSource {
+  private static final Logger LOG = LoggerFactory.getLogger(DoorControlView.class);
+
+  private final DoorControl control;
+  private final boolean keysNeedConfirmation;
+  private final Runnable quotaShort;
+  private final Map<String, List<BackendEndpoint>> endpoints = new HashMap<>();
+  private RoutingTable routing;
+
+  /**
+   * Begins without a configuration.
+   *
+   * @param keysNeedConfirmation whether a door that can't confirm its configuration must stop taking keys
+   * @param quotaShort run after a request found too few tokens
+   */
+  DoorControlView(DoorControl control, boolean keysNeedConfirmation, Runnable quotaShort) {
+    this.control = control;
+    this.keysNeedConfirmation = keysNeedConfirmation;
+    this.quotaShort = quotaShort;
+  }
+
+  /** Puts a configuration in force; false if it can't be used, which leaves the one before. */
+  boolean configurationChanged(ByteBuffer document) {
+    byte[] json = new byte[document.remaining()];
+    document.duplicate().get(json);
+    try {
+      RoutingTable table = RoutingTable.compile(ConfigurationDocument.parse(json));
+      Map<String, QuotaLimit> limits = new HashMap<>();
+      for (Tenant tenant : table.tenants()) {
+        limits.put(tenant.name(), new QuotaLimit(tenant.ratePerSecond(), tenant.burst()));
+      }
+      control.grants().limits(limits);
+      routing = table;
+      return true;
+    } catch (ConfigurationException fault) {
+      LOG.error("the configuration can't be used: {}", fault.getMessage());
+      return false;
+    }
+  }
+
+  /** The backends of a service are others. */
+  void backendsChanged(String service) {
+    endpoints.remove(service);
+  }
+
+  @Override
+  public RoutingTable routing() {
+    return routing;
+  }
+
+  @Override
+  public boolean keysConfirmed(long nowNanos) {
+    return keysNeedConfirmation ? control.keysHeld(nowNanos) : routing != null;
+  }
+
+  @Override
+  public List<BackendEndpoint> backends(String service) {
+    return endpoints.computeIfAbsent(service, this::readyEndpoints);
+  }
+
+  @Override
+  public int doorCount() {
+    return Math.max(1, control.doorCount());
+  }
+
+  @Override
+  public QuotaSource quota() {
+    return this;
+  }
+
+  @Override
+  public boolean take(String tenant, long tokens, long now) {
+    boolean taken = control.grants().take(tenant, tokens, now);
+    if (!taken) {
+      quotaShort.run();
+    }
+    return taken;
+  }
+
+  @Override
+  public void giveBack(String tenant, long tokens, long now) {
+    control.grants().giveBack(tenant, tokens);
+  }
+
+  @Override
+  public double pressurePercent(String tenant) {
+    return control.grants().pressure(tenant);
+  }
+
+  @Override
+  public int doorsServing(String tenant) {
+    return control.grants().doorsServing(tenant);
+  }
+
+  private List<BackendEndpoint> readyEndpoints(String service) {
+    List<BackendEndpoint> ready = new ArrayList<>();
+    for (Backend backend : control.backends(service)) {
+      InetSocketAddress address = parse(backend.getAddress());
+      if (backend.getState() == BackendState.READY && address != null) {
+        ready.add(
+            new BackendEndpoint(
+                backend.getId(),
+                address,
+                backend.getZone(),
+                Math.max(1, backend.getSlots()),
+                backend.getColdLeftMs()));
+      }
+    }
+    return List.copyOf(ready);
+  }
+
+  private static InetSocketAddress parse(String hostAndPort) {
+    int colon = hostAndPort.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(hostAndPort.substring(colon + 1));
+      return new InetSocketAddress(hostAndPort.substring(0, Math.max(0, colon)), port);
+    } catch (IllegalArgumentException malformed) {
+      LOG.warn("a backend's address can't be used: {}", hostAndPort);
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -0,0 +1,220 @@
+package nettletrail.fleet;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import nettletrail.control.door.DoorAction;
+import nettletrail.control.door.DoorControl;
+import nettletrail.control.door.DoorControlSettings;
+import nettletrail.fleet.settings.Bounds;
+import nettletrail.fleet.settings.FleetSettings;
+import nettletrail.protocol.Hello;
+import nettletrail.protocol.link.LinkListener;
+import nettletrail.protocol.link.LinkSettings;
+import nettletrail.protocol.link.Links;
+import nettletrail.protocol.link.Peer;
+import nettletrail.router.Router;
+import nettletrail.router.RouterSettings;
+import org.apache.avro.specific.SpecificRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The role {@code door}: joins the data plane with the door's view of the control plane and the links to the core. Decides nothing
+ * itself; everything runs on one event loop.
+ */
+final class DoorProcess implements LinkListener, AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(DoorProcess.class);
+  private static final int PROTOCOL_VERSION = 1;
+  private static final long TICK_MS = 50;
+  /** Descriptors that are kept for links, listeners and files. */
+  private static final int RESERVED_DESCRIPTORS = 400;
+
+  /** Part of the machine's memory that bodies of requests may take. */
+  private static final int BODY_MEMORY_DIVISOR = 8;
+
+  private static final long BYTES_A_MEGABYTE = 1 << 20;
+  private static final long DRAIN_MARGIN_MS = 500;
+
+  private final FleetSettings settings;
+  private final EventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final DoorControl control;
+  private final DoorControlView view;
+  private final Links links;
+  private final Router router;
+  private ScheduledFuture<?> ticks;
+  private boolean listening;
+
+  DoorProcess(FleetSettings settings) {
+    this.settings = settings;
+    SplittableRandom random = ProcessSeed.random(settings.node());
+    Bounds bounds = settings.bounds();
+    long life = Math.max(1, random.nextLong() & Long.MAX_VALUE);
+    long now = System.nanoTime();
+    this.control =
+        new DoorControl(
+            new DoorControlSettings(
+                settings.node(),
+                settings.zone(),
+                life,
+                bounds.revoke().toMillis(),
+                settings.seedInternalAddresses()),
+            now);
+    this.view = new DoorControlView(control, bounds.revokedClosed(), this::quotaShort);
+    this.router = new Router(loop, routerSettings(settings, random.nextLong()), view);
+    Hello hello =
+        new Hello(
+            settings.node(), settings.internalAddress(), Links.DOOR_ROLE, life, PROTOCOL_VERSION);
+    this.links = new Links(loop, LinkSettings.defaults(), hello, this);
+  }
+
+  /** Begins to find the core; clients are listened for once a configuration is known. */
+  void start() throws StartException {
+    String ready = settings.readyGate().orElse("");
+    try {
+      router.listenForProbes(settings.ip(), port(ready)).sync();
+    } catch (InterruptedException | RuntimeException failure) {
+      throw new StartException("listen", ready, failure);
+    }
+    ticks = loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    LOG.info("door {} starts", settings.node());
+  }
+
+  /** Takes the seeds of changed settings; on any thread. */
+  void settingsChanged(FleetSettings changed) {
+    loop.execute(
+        () ->
+            perform(
+                control.settingsChanged(changed.seedInternalAddresses(), System.nanoTime())));
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  Router router() {
+    return router;
+  }
+
+  /** Answers what is open and ends; blocks until then. */
+  void drain() throws InterruptedException {
+    long graceMs = settings.bounds().grace().toMillis();
+    CountDownLatch done = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          control.drain();
+          router.drain(graceMs - DRAIN_MARGIN_MS, done::countDown);
+        });
+    boolean finished = done.await(graceMs, TimeUnit.MILLISECONDS);
+    LOG.info("door {} ends, drained {}", settings.node(), finished);
+    close();
+  }
+
+  @Override
+  public void close() {
+    if (ticks != null) {
+      ticks.cancel(false);
+    }
+    loop.execute(links::close);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Override
+  public void up(Peer peer) {
+    perform(control.linkUp(peer.key(), System.nanoTime()));
+  }
+
+  @Override
+  public void down(Peer peer) {
+    if (!links.isUp(peer.key())) {
+      perform(control.linkDown(peer.key(), System.nanoTime()));
+    }
+  }
+
+  @Override
+  public void received(Peer peer, SpecificRecord body) {
+    perform(control.received(peer.key(), body, System.nanoTime()));
+    tellGrownQuotas();
+  }
+
+  private void tick() {
+    perform(control.tick(System.nanoTime()));
+    tellGrownQuotas();
+  }
+
+  /** Asked after a request found too few tokens; the owner is asked at once. */
+  private void quotaShort() {
+    perform(control.poll(System.nanoTime()));
+  }
+
+  private void tellGrownQuotas() {
+    List<String> tenants = control.grants().takeGrownTenants();
+    if (!tenants.isEmpty()) {
+      router.quotaGranted(tenants);
+    }
+  }
+
+  private void perform(List<DoorAction> actions) {
+    for (DoorAction action : actions) {
+      if (action instanceof DoorAction.Dial dial) {
+        links.dial(dial.address());
+      } else if (action instanceof DoorAction.Undial undial) {
+        links.undial(undial.address());
+      } else if (action instanceof DoorAction.SendToCore send) {
+        links.send(send.address(), send.message());
+      } else if (action instanceof DoorAction.ConfigurationChanged changed) {
+        configurationChanged(changed);
+      } else if (action instanceof DoorAction.BackendsChanged changed) {
+        view.backendsChanged(changed.service());
+        router.backendsChanged(changed.service());
+      }
+    }
+  }
+
+  private void configurationChanged(DoorAction.ConfigurationChanged changed) {
+    if (view.configurationChanged(changed.document())) {
+      LOG.info("configuration {} is in force", changed.edition());
+      router.routingChanged();
+      listen();
+    }
+  }
+
+  /** Clients are listened for from the first configuration on: before it every request would have to be refused. */
+  private void listen() {
+    if (listening) {
+      return;
+    }
+    listening = true;
+    String gate = settings.publicGate().orElse("");
+    router
+        .listen(settings.ip(), port(gate))
+        .addListener(
+            bound -> {
+              if (!bound.isSuccess()) {
+                LOG.error("listen {}: {}", gate, bound.cause().toString());
+              }
+            });
+  }
+
+  private static RouterSettings routerSettings(FleetSettings settings, long seed) {
+    Bounds bounds = settings.bounds();
+    return new RouterSettings(
+        settings.zone(),
+        bounds.retryRatio(),
+        bounds.retrySlack(),
+        Math.max(64, settings.limits().fileLimit() - RESERVED_DESCRIPTORS),
+        settings.limits().memoryMegabytes() * BYTES_A_MEGABYTE / BODY_MEMORY_DIVISOR,
+        RouterSettings.DEFAULT_CONNECT_TIMEOUT_MS,
+        seed);
+  }
+
+  private static int port(String hostAndPort) {
+    return Integer.parseInt(hostAndPort.substring(hostAndPort.lastIndexOf(':') + 1));
+  }
+}
