The operators' client

Operators need to read, write, compare and check the configuration and to check settings before a daemon meets them.

Ruled out: asking the core's ready path first, which says nothing about the next call.

--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ConfigPut.java
@@ -0,0 +1,29 @@
+package nettletrail.fleet.cli;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/** Replaces the configuration. */
+@Command(name = "put", description = "Replaces the whole configuration by a file's.")
+public final class ConfigPut implements OperatorCommand {
+  @AirlineModule CoreOptions core = new CoreOptions();
+  @AirlineModule OutputOptions output = new OutputOptions();
+  @AirlineModule ChangeOptions change = new ChangeOptions();
+
+  @Arguments(title = "FILE", description = "The configuration, as JSON.")
+  @Required
+  String file = "";
+
+  @Override
+  public ExitCode run(Console console) throws ClientException {
+    byte[] document = InputFile.readConfiguration(file).json();
+    return change.send(core.client(), "PUT", document, output.json, console);
+  }
+
+  @Override
+  public boolean isJson() {
+    return output.json;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/cli/CoreOptions.java
@@ -0,0 +1,24 @@
+package nettletrail.fleet.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.Arrays;
+import java.util.List;
+
+/** Options about which cores are called. */
+public final class CoreOptions {
+  /** Addresses, joined by commas. */
+  @Option(
+      name = "--core",
+      title = "HOST:PORT[,..]",
+      description = "Control addresses of the core. They are tried in turn until one answers.")
+  @Required
+  String addresses = "";
+
+  /** A client of these cores. */
+  CoreClient client() throws ClientException {
+    List<String> list =
+        Arrays.stream(addresses.split(",")).map(String::strip).filter(a -> !a.isEmpty()).toList();
+    return new CoreClient(list, CoreClient.Pauses.standard());
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ItemChange.java
@@ -0,0 +1,36 @@
+package nettletrail.fleet.cli;
+
+import java.util.List;
+
+/**
+ * One difference between two configurations.
+ *
+ * @param kind what became of the item
+ * @param section the part of the configuration, such as {@code routes}
+ * @param name the item's name; empty for a section that holds no named items
+ * @param details for a change: each field with its old and its new value
+ */
+record ItemChange(Kind kind, String section, String name, List<String> details) {
+  /** What became of an item. */
+  enum Kind {
+    /** Only in the newer configuration. */
+    ADDED("+"),
+    /** Only in the older configuration. */
+    REMOVED("-"),
+    /** In both, but not the same. */
+    CHANGED("~");
+
+    private final String sign;
+
+    Kind(String sign) {
+      this.sign = sign;
+    }
+  }
+
+  @Override
+  public String toString() {
+    String item = name.isEmpty() ? section : section + " " + name;
+    String suffix = details.isEmpty() ? "" : ": " + String.join(", ", details);
+    return kind.sign + " " + item + suffix;
+  }
+}
