Fleet emulator: virtual time, machines, disks, network and links

Change: a seeded discrete-event world. Connections keep their order, hang in a cut and are lost at a reset. Ruled out: real threads in lock step for the storage thread (slow, and a kill inside a call can't be placed).

--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/link/SimulatedLinks.java
@@ -0,0 +1,209 @@
+package nettletrail.emulator.link;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import nettletrail.emulator.world.Connection;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.VirtualTime;
+import nettletrail.emulator.world.World;
+import nettletrail.protocol.Hello;
+import nettletrail.protocol.link.LinkListener;
+import nettletrail.protocol.link.LinkSettings;
+import nettletrail.protocol.link.Peer;
+import org.apache.avro.specific.SpecificRecord;
+
+/**
+ * All links of one simulated process, with the behaviour of {@code
+ * nettletrail.protocol.link.Links}: peers known by a key, the newer of two like links stays,
+ * messages are dropped while none is up, a silent peer's link is closed, and what is kept dialled
+ * is dialled again.
+ */
+public final class SimulatedLinks {
+  /** The role that doors name in their hello. */
+  public static final String DOOR_ROLE = "door";
+
+  private static final int CHECKS_PER_PING = 4;
+
+  private final World world;
+  private final Machine.Life life;
+  private final LinkSettings settings;
+  private final Hello me;
+  private final LinkListener listener;
+  private final SplittableRandom random;
+
+  private final Set<String> dialled = new HashSet<>();
+  private final Map<String, Long> backoff = new HashMap<>();
+  private final Map<String, SimulatedLink> dialledLinks = new HashMap<>();
+  private final Map<String, SimulatedLink> acceptedLinks = new HashMap<>();
+  private final Set<SimulatedLink> openLinks = new LinkedHashSet<>();
+  private long lastCheck;
+
+  /**
+   * Links of a process; nothing is dialled yet.
+   *
+   * @param me the hello that this process sends first on each link; a core process listens at its
+   *     address
+   */
+  public SimulatedLinks(
+      World world,
+      Machine.Life life,
+      LinkSettings settings,
+      Hello me,
+      LinkListener listener,
+      SplittableRandom random) {
+    this.world = world;
+    this.life = life;
+    this.settings = settings;
+    this.me = me;
+    this.listener = listener;
+    this.random = random;
+    this.lastCheck = now();
+    if (!me.getRole().equals(DOOR_ROLE)) {
+      world.network().listen(life, me.getAddress(), connection -> add(connection, null));
+    }
+    checkLater();
+  }
+
+  /** Keeps an address dialled; this process's own address is left alone. */
+  public void dial(String address) {
+    if (!address.equals(me.getAddress()) && dialled.add(address)) {
+      connect(address);
+    }
+  }
+
+  /** Dials an address no more and closes its dialled link. */
+  public void undial(String address) {
+    dialled.remove(address);
+    SimulatedLink link = dialledLinks.get(address);
+    if (link != null) {
+      link.close();
+    }
+  }
+
+  /** The addresses that are kept dialled. */
+  public Set<String> dialled() {
+    return Set.copyOf(dialled);
+  }
+
+  /** Whether a message to this peer would be sent now. */
+  public boolean isUp(String peer) {
+    return linkTo(peer) != null;
+  }
+
+  /**
+   * Sends a message on the dialled link to a peer, or else on the one accepted from it; drops it if
+   * there is none.
+   */
+  public void send(String peer, SpecificRecord message) {
+    SimulatedLink link = linkTo(peer);
+    if (link == null) {
+      return;
+    }
+    if (world.log().isRead()) {
+      world.log().add("%s -> %s %s %s", me.getNode(), peer, nameOf(message), message);
+    }
+    link.send(message, now());
+  }
+
+  long now() {
+    return life.machine().clock().steady();
+  }
+
+  void up(SimulatedLink link) {
+    Peer peer = link.peer();
+    backoff.remove(peer.key());
+    SimulatedLink older = linksLike(peer).get(peer.key());
+    if (older != null) {
+      older.close();
+    }
+    linksLike(peer).put(peer.key(), link);
+    listener.up(peer);
+  }
+
+  void received(SimulatedLink link, SpecificRecord message) {
+    listener.received(link.peer(), message);
+  }
+
+  void closed(SimulatedLink link) {
+    openLinks.remove(link);
+    Peer peer = link.peer();
+    if (peer != null && linksLike(peer).remove(peer.key(), link)) {
+      listener.down(peer);
+    }
+    if (link.dialledAddress() != null) {
+      redial(link.dialledAddress());
+    }
+  }
+
+  private SimulatedLink linkTo(String peer) {
+    SimulatedLink link = dialledLinks.get(peer);
+    return link != null && link.isOpen() ? link : acceptedLinks.get(peer);
+  }
+
+  private static String nameOf(SpecificRecord message) {
+    return message.getSchema().getName();
+  }
+
+  private Map<String, SimulatedLink> linksLike(Peer peer) {
+    return peer.dialled() ? dialledLinks : acceptedLinks;
+  }
+
+  private void connect(String address) {
+    long timeout = settings.connectTimeoutMillis() * VirtualTime.MILLISECOND;
+    world.network().connect(life, address, timeout, connection -> connected(address, connection));
+  }
+
+  private void connected(String address, Connection connection) {
+    if (connection == null) {
+      redial(address);
+    } else {
+      add(connection, address);
+    }
+  }
+
+  private void add(Connection connection, String dialledAddress) {
+    SimulatedLink link = new SimulatedLink(this, connection, dialledAddress, now());
+    openLinks.add(link);
+    link.open(me, now());
+  }
+
+  private void redial(String address) {
+    if (!dialled.contains(address)) {
+      return;
+    }
+    long bound = backoff.getOrDefault(address, (long) settings.minBackoffMillis());
+    long pause = random.nextLong(settings.minBackoffMillis(), bound + 1);
+    backoff.put(address, Math.min(settings.maxBackoffMillis(), 2 * bound));
+    life.after(
+        pause * VirtualTime.MILLISECOND,
+        () -> {
+          if (dialled.contains(address)) {
+            connect(address);
+          }
+        });
+  }
+
+  private void checkLater() {
+    long period = settings.pingMillis() * VirtualTime.MILLISECOND / CHECKS_PER_PING;
+    life.after(period, this::checkLiveness);
+  }
+
+  private void checkLiveness() {
+    long now = now();
+    long silence = settings.silenceMillis() * VirtualTime.MILLISECOND;
+    boolean wasPaused = now - lastCheck > silence / 2;
+    lastCheck = now;
+    for (SimulatedLink link : List.copyOf(openLinks)) {
+      if (wasPaused) {
+        link.restartSilence(now);
+      }
+      link.checkLiveness(now, silence, settings.pingMillis() * VirtualTime.MILLISECOND);
+    }
+    checkLater();
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/world/Machine.java
@@ -0,0 +1,203 @@
+package nettletrail.emulator.world;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * One machine with at most one process. Every step of the process goes through {@link Life#run}, so
+ * that it can be killed or frozen between any two steps: a frozen process runs its steps after it
+ * was thawed, a dead one never does.
+ */
+public final class Machine {
+  /** How a process ends. */
+  public enum End {
+    /** The process dies; the kernel closes its connections and keeps its files. */
+    KILL,
+    /** The machine stops: peers hear nothing, and the disk loses what was not synced. */
+    POWER_LOSS
+  }
+
+  private final String name;
+  private final VirtualTime time;
+  private final MachineClock clock;
+  private final SimulatedDisk disk;
+  private final String host;
+  private Life life;
+  private int lives;
+  private boolean powered = true;
+
+  /**
+   * @param host the machine's IP number
+   * @param disk the machine's disk, or null if it has none
+   */
+  public Machine(
+      String name, String host, VirtualTime time, MachineClock clock, SimulatedDisk disk) {
+    this.name = name;
+    this.host = host;
+    this.time = time;
+    this.clock = clock;
+    this.disk = disk;
+  }
+
+  /** The machine's name in logs. */
+  public String name() {
+    return name;
+  }
+
+  /** The machine's IP number, as others dial it. */
+  public String host() {
+    return host;
+  }
+
+  /** The machine's clocks. */
+  public MachineClock clock() {
+    return clock;
+  }
+
+  /** The machine's disk; null if it has none. */
+  public SimulatedDisk disk() {
+    return disk;
+  }
+
+  /** The life of the present process; null while there is none. */
+  public Life life() {
+    return life;
+  }
+
+  /** True while a process is there, frozen or not. */
+  public boolean isUp() {
+    return life != null;
+  }
+
+  /** True while a process is there and not frozen. */
+  public boolean isRunning() {
+    return life != null && !life.frozen;
+  }
+
+  /** True unless the machine is without power. */
+  public boolean isPowered() {
+    return powered;
+  }
+
+  /** Starts a process. The machine must have none. */
+  public Life start() {
+    if (life != null) {
+      throw new IllegalStateException(name + " runs already");
+    }
+    powered = true;
+    lives++;
+    life = new Life(lives);
+    return life;
+  }
+
+  /** Ends the process, if there is one. */
+  public void end(End end) {
+    if (disk != null) {
+      disk.stopWriting();
+    }
+    Life ended = life;
+    life = null;
+    if (end == End.POWER_LOSS) {
+      powered = false;
+      if (disk != null) {
+        disk.losePower();
+      }
+    }
+    if (ended != null) {
+      ended.finish(end);
+    }
+  }
+
+  /** Stops the process from running steps until {@link #thaw}. */
+  public void freeze() {
+    if (life != null) {
+      life.frozen = true;
+    }
+  }
+
+  /** Lets a frozen process run the steps that came due meanwhile, in their order. */
+  public void thaw() {
+    if (life != null) {
+      life.thaw();
+    }
+  }
+
+  @Override
+  public String toString() {
+    return name;
+  }
+
+  /** One life of a process, from its start to its end. */
+  public final class Life {
+    private final int number;
+    private final List<EndListener> endListeners = new ArrayList<>();
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private boolean frozen;
+    private boolean ended;
+
+    private Life(int number) {
+      this.number = number;
+    }
+
+    /** Counts the lives on this machine, from 1. */
+    public int number() {
+      return number;
+    }
+
+    /** The machine on which the process runs. */
+    public Machine machine() {
+      return Machine.this;
+    }
+
+    /** False once the process has ended. */
+    public boolean isAlive() {
+      return !ended;
+    }
+
+    /** Runs a step now, once the process is thawed, or never if it has ended by then. */
+    public void run(Runnable step) {
+      if (ended) {
+        return;
+      }
+      if (frozen) {
+        deferred.add(step);
+        return;
+      }
+      step.run();
+    }
+
+    /** Runs a step after a delay in nanoseconds, under the rules of {@link #run}. */
+    public VirtualTime.Event after(long delay, Runnable step) {
+      return time.after(delay, () -> run(step));
+    }
+
+    /** Hears of the end of this life. */
+    public void onEnd(EndListener listener) {
+      endListeners.add(listener);
+    }
+
+    private void thaw() {
+      frozen = false;
+      while (!deferred.isEmpty() && !frozen && !ended) {
+        deferred.poll().run();
+      }
+    }
+
+    private void finish(End end) {
+      ended = true;
+      deferred.clear();
+      for (EndListener listener : endListeners) {
+        listener.ended(end);
+      }
+    }
+  }
+
+  /** Hears that a process has ended. */
+  @FunctionalInterface
+  public interface EndListener {
+    /** Called once, at the end. */
+    void ended(End end);
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/world/Network.java
@@ -0,0 +1,207 @@
+package nettletrail.emulator.world;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/**
+ * The network between machines, as a program sees it that uses TCP: messages on one connection
+ * arrive in order, those of different connections in any; what a cut holds up arrives after the cut
+ * unless the connection has ended; nobody tells that a machine has lost power.
+ */
+public final class Network {
+  private final VirtualTime time;
+  private final SplittableRandom random;
+  private final NetworkSettings settings;
+  private final Map<String, Machine> machines = new HashMap<>();
+  private final Map<String, Listening> listening = new HashMap<>();
+  private final Set<Path> cuts = new HashSet<>();
+  private final Map<Path, Long> extraDelays = new LinkedHashMap<>();
+  private List<Pipe> pipes = new ArrayList<>();
+  private List<Connection> connections = new ArrayList<>();
+  private int sweepAt = 256;
+
+  /**
+   * @param random decides about delays, losses and duplicates
+   */
+  public Network(VirtualTime time, SplittableRandom random, NetworkSettings settings) {
+    this.time = time;
+    this.random = random;
+    this.settings = settings;
+  }
+
+  /** Attaches a machine under its host number. */
+  public void attach(Machine machine) {
+    machines.put(machine.host(), machine);
+  }
+
+  /**
+   * Takes connections to an address for as long as a process lives.
+   *
+   * @param address {@code host:port}, the host being the machine's
+   */
+  public void listen(Machine.Life life, String address, Consumer<Connection> acceptor) {
+    listening.put(address, new Listening(life, acceptor));
+    life.onEnd(end -> listening.computeIfPresent(address, (key, l) -> l.life == life ? null : l));
+  }
+
+  /**
+   * Opens a connection. The result comes as a step of the process: a connection, or null if it was
+   * refused or did not come up in time.
+   */
+  public void connect(Machine.Life from, String address, long timeout, Consumer<Connection> done) {
+    Attempt attempt = new Attempt(from, done);
+    from.after(timeout, () -> attempt.complete(null));
+    Machine target = machines.get(hostOf(address));
+    if (target == null) {
+      return;
+    }
+    Path there = new Path(from.machine(), target);
+    time.after(delay(there), () -> arrive(attempt, there, address));
+  }
+
+  private void arrive(Attempt attempt, Path there, String address) {
+    if (isCut(there) || !there.to().isPowered()) {
+      return;
+    }
+    Listening acceptor = listening.get(address);
+    if (acceptor == null) {
+      answer(attempt, there, null);
+      return;
+    }
+    Connection near = new Connection(attempt.from);
+    Connection far = new Connection(acceptor.life);
+    join(near, far, there);
+    acceptor.life.run(() -> acceptor.acceptor.accept(far));
+    answer(attempt, there, near);
+  }
+
+  private void answer(Attempt attempt, Path there, Connection near) {
+    Path back = there.reversed();
+    time.after(
+        delay(back),
+        () -> {
+          if (!isCut(back)) {
+            attempt.from.run(() -> attempt.complete(near));
+          }
+        });
+  }
+
+  private void join(Connection near, Connection far, Path there) {
+    Pipe outward = new Pipe(time, random, settings, there, this, far);
+    Pipe inward = new Pipe(time, random, settings, there.reversed(), this, near);
+    Connection.join(near, far, outward, inward);
+    pipes.add(outward);
+    pipes.add(inward);
+    register(near);
+    register(far);
+    sweep();
+  }
+
+  private void register(Connection connection) {
+    connections.add(connection);
+    connection.life().onEnd(connection::abandon);
+  }
+
+  /** Forgets connections that have ended, so that a long run stays small. */
+  private void sweep() {
+    if (connections.size() < sweepAt) {
+      return;
+    }
+    connections = new ArrayList<>(connections.stream().filter(Connection::isOpen).toList());
+    pipes = new ArrayList<>(pipes.stream().filter(pipe -> !pipe.isDone()).toList());
+    sweepAt = Math.max(256, 2 * connections.size());
+  }
+
+  /** Lets nothing through from one machine to another; the other direction stays as it is. */
+  public void cutOneWay(Machine from, Machine to) {
+    cuts.add(new Path(from, to));
+  }
+
+  /** Lets nothing through between two machines. */
+  public void cut(Machine one, Machine other) {
+    cutOneWay(one, other);
+    cutOneWay(other, one);
+  }
+
+  /** Cuts each machine of one group from each of another. */
+  public void cut(List<Machine> group, List<Machine> others) {
+    for (Machine machine : group) {
+      others.forEach(other -> cut(machine, other));
+    }
+  }
+
+  /** Ends all cuts. */
+  public void healAll() {
+    List<Path> healed = List.copyOf(cuts);
+    cuts.clear();
+    for (Pipe pipe : List.copyOf(pipes)) {
+      if (healed.stream().anyMatch(pipe::isOn)) {
+        pipe.resume();
+      }
+    }
+  }
+
+  /** True if nothing gets through. */
+  boolean isCut(Path path) {
+    return cuts.contains(path);
+  }
+
+  /** True if nothing gets through from one machine to another. */
+  public boolean isCut(Machine from, Machine to) {
+    return isCut(new Path(from, to));
+  }
+
+  /** Adds to the delay from one machine to another, in nanoseconds; 0 ends it. */
+  public void setExtraDelay(Machine from, Machine to, long extra) {
+    extraDelays.put(new Path(from, to), extra);
+  }
+
+  /** Resets all connections of a machine. */
+  public void resetConnections(Machine machine) {
+    for (Connection connection : List.copyOf(connections)) {
+      if (connection.isOpen() && connection.life().machine() == machine) {
+        connection.reset();
+      }
+    }
+  }
+
+  long delay(Path path) {
+    double extra = -Math.log(1 - random.nextDouble()) * settings.meanExtraDelay();
+    return settings.minDelay() + (long) extra + extraDelays.getOrDefault(path, 0L);
+  }
+
+  private static String hostOf(String address) {
+    return address.substring(0, address.lastIndexOf(':'));
+  }
+
+  private record Listening(Machine.Life life, Consumer<Connection> acceptor) {}
+
+  /** A connection that is being opened; completed once. */
+  private static final class Attempt {
+    private final Machine.Life from;
+    private final Consumer<Connection> done;
+    private boolean completed;
+
+    Attempt(Machine.Life from, Consumer<Connection> done) {
+      this.from = from;
+      this.done = done;
+    }
+
+    /** Hands over the connection, or null; one that comes too late is closed. */
+    void complete(Connection connection) {
+      if (!completed) {
+        completed = true;
+        done.accept(connection);
+      } else if (connection != null) {
+        connection.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/world/Path.java
@@ -0,0 +1,8 @@
+package nettletrail.emulator.world;
+
+/** One direction between two machines. */
+record Path(Machine from, Machine to) {
+  Path reversed() {
+    return new Path(to, from);
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/world/Payload.java
@@ -0,0 +1,7 @@
+package nettletrail.emulator.world;
+
+/**
+ * What a connection carries: one message, whole. Implementations are immutable, since both ends see
+ * the same object.
+ */
+public interface Payload {}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/world/RunLog.java
@@ -0,0 +1,36 @@
+package nettletrail.emulator.world;
+
+import java.util.function.Consumer;
+
+/**
+ * Lines that tell what happened in a run, each with its instant; costs nothing while nobody reads
+ * them.
+ */
+public final class RunLog {
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+  private final VirtualTime time;
+  private Consumer<String> reader;
+
+  RunLog(VirtualTime time) {
+    this.time = time;
+  }
+
+  /** Hands all further lines to a reader. */
+  public void readBy(Consumer<String> newReader) {
+    reader = newReader;
+  }
+
+  /** True if lines are read; to be asked where building a line is costly. */
+  public boolean isRead() {
+    return reader != null;
+  }
+
+  /** Adds a line, formatted as by {@link String#format}. */
+  public void add(String format, Object... arguments) {
+    if (reader != null) {
+      String text = String.format(format, arguments);
+      reader.accept(String.format("%9.4f %s", time.now() / NANOSECONDS_PER_SECOND, text));
+    }
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/world/World.java
@@ -0,0 +1,57 @@
+package nettletrail.emulator.world;
+
+import java.util.SplittableRandom;
+
+/**
+ * Virtual time, the network, the log and all randomness of one run; the same seed gives the same
+ * run.
+ */
+public final class World {
+  private static final double GREATEST_DRIFT_PPM = 200;
+  private static final long GREATEST_CLOCK_ORIGIN = 100_000 * VirtualTime.SECOND;
+
+  private final VirtualTime time = new VirtualTime();
+  private final SplittableRandom random;
+  private final Network network;
+  private final RunLog log = new RunLog(time);
+
+  /**
+   * @param seed decides everything that the settings leave open
+   */
+  public World(long seed, NetworkSettings settings) {
+    this.random = new SplittableRandom(seed);
+    this.network = new Network(time, random.split(), settings);
+  }
+
+  /** The scheduler. */
+  public VirtualTime time() {
+    return time;
+  }
+
+  /** The network. */
+  public Network network() {
+    return network;
+  }
+
+  /** What happened, for whoever reads it. */
+  public RunLog log() {
+    return log;
+  }
+
+  /** A new source of randomness that follows from the seed. */
+  public SplittableRandom newRandom() {
+    return random.split();
+  }
+
+  /** Adds a machine with an empty disk, or without one, on the network; it has no process yet. */
+  public Machine addMachine(String name, String host, boolean withDisk) {
+    SplittableRandom machineRandom = random.split();
+    long origin = machineRandom.nextLong(GREATEST_CLOCK_ORIGIN);
+    double drift = (machineRandom.nextDouble() * 2 - 1) * GREATEST_DRIFT_PPM;
+    MachineClock clock = new MachineClock(time, origin, drift);
+    SimulatedDisk disk = withDisk ? new SimulatedDisk(time, machineRandom.split()) : null;
+    Machine machine = new Machine(name, host, time, clock, disk);
+    network.attach(machine);
+    return machine;
+  }
+}
