--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/ConfigurationHistory.java
@@ -0,0 +1,69 @@
+package nettletrail.emulator.judge;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import nettletrail.emulator.judge.ConfigurationOperation.Answer;
+import nettletrail.emulator.judge.ConfigurationOperation.Order;
+import nettletrail.emulator.judge.ConfigurationOperation.Read;
+import nettletrail.emulator.judge.ConfigurationOperation.Use;
+import nettletrail.emulator.judge.ConfigurationOperation.Write;
+
+/**
+ * Collects what operators and doors saw of the configuration, to be checked at the end of a run.
+ */
+public final class ConfigurationHistory {
+  private final List<TimedOperation<ConfigurationOperation>> answered = new ArrayList<>();
+  private final Map<Order, Long> unclearSince = new LinkedHashMap<>();
+  private final Set<Order> used = new HashSet<>();
+
+  /** A write was answered clearly. */
+  public void written(Order order, Answer answer, long invoked, long returned) {
+    answered.add(new TimedOperation<>(new Write(order, answer), invoked, returned));
+  }
+
+  /**
+   * A write got no clear answer. Of several such calls with one order the first stands for all:
+   * whatever another could have done at some time, the first could have done then too.
+   */
+  public void unclear(Order order, long invoked) {
+    unclearSince.merge(order, invoked, Math::min);
+  }
+
+  /** A read was answered. */
+  public void read(Order order, long invoked, long returned) {
+    answered.add(new TimedOperation<>(new Read(order), invoked, returned));
+  }
+
+  /** A door uses an order's configuration. */
+  public void used(Order order, long instant) {
+    if (used.add(order)) {
+      answered.add(new TimedOperation<>(new Use(order), instant, instant));
+    }
+  }
+
+  /** How many operations there are. */
+  public int size() {
+    return answered.size() + unclearSince.size();
+  }
+
+  /**
+   * Searches for an order of all operations; returns what stands against it, or nothing if there is
+   * one.
+   */
+  public Optional<String> findObstacle() {
+    List<TimedOperation<ConfigurationOperation>> operations = new ArrayList<>(answered);
+    unclearSince.forEach(
+        (order, invoked) ->
+            operations.add(
+                new TimedOperation<>(
+                    new Write(order, Answer.UNCLEAR), invoked, TimedOperation.NEVER)));
+    LinearizabilityChecker<ConfigurationModel.State, ConfigurationOperation> checker =
+        new LinearizabilityChecker<>(new ConfigurationModel(), operations);
+    return checker.isLinearizable() ? Optional.empty() : Optional.of(checker.obstacle());
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/ConfigurationOperation.java
@@ -0,0 +1,39 @@
+package nettletrail.emulator.judge;
+
+/** What operators do with the configuration, and what doors show of it. */
+public sealed interface ConfigurationOperation {
+  /** An operator's call that would replace the configuration. */
+  record Write(Order order, Answer answer) implements ConfigurationOperation {}
+
+  /**
+   * An operator's call that read the configuration.
+   *
+   * @param order the order whose configuration came back; {@link Order#NONE} before the first
+   */
+  record Read(Order order) implements ConfigurationOperation {}
+
+  /** A door used what an order brought. */
+  record Use(Order order) implements ConfigurationOperation {}
+
+  /** How a write was answered. */
+  enum Answer {
+    /** 200: it was taken, by this call or an earlier one. */
+    ACKNOWLEDGED,
+    /** 412: another version is current. */
+    REFUSED,
+    /** Anything else, or nothing. */
+    UNCLEAR
+  }
+
+  /**
+   * One change, however often it is sent.
+   *
+   * @param id unique in a history
+   * @param basedOn the edition in If-Match
+   * @param edition the edition that it brings; two orders may bring the same
+   */
+  record Order(int id, long basedOn, long edition) {
+    /** Stands for the state before the first order. */
+    public static final Order NONE = new Order(0, 0, 0);
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/DrainJudge.java
@@ -0,0 +1,38 @@
+package nettletrail.emulator.judge;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Checks that no door in touch uses a backend after its end was acknowledged and a bound has
+ * passed.
+ */
+public final class DrainJudge {
+  private final long bound;
+  private final Consumer<Violation> violations;
+  private final Map<String, Long> acknowledged = new HashMap<>();
+
+  /**
+   * @param bound how long a backend may be used after the acknowledgement, in nanoseconds
+   * @param violations told what is broken
+   */
+  public DrainJudge(long bound, Consumer<Violation> violations) {
+    this.bound = bound;
+    this.violations = violations;
+  }
+
+  /** A core process acknowledged that a backend is closing or gone. */
+  public void endAcknowledged(long instant, String backend) {
+    acknowledged.putIfAbsent(backend, instant);
+  }
+
+  /** A door sent a request to a backend. */
+  public void used(long instant, String door, boolean inTouch, String backend) {
+    Long since = acknowledged.get(backend);
+    if (inTouch && since != null && instant > since + bound) {
+      String what = door + " used " + backend + ", whose end was acknowledged at " + since;
+      violations.accept(new Violation(Promise.DRAINED_BACKEND, instant, what));
+    }
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/InForceJudge.java
@@ -0,0 +1,57 @@
+package nettletrail.emulator.judge;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Checks that doors use what was acknowledged in time, and never go back to an older configuration.
+ */
+public final class InForceJudge {
+  private final long bound;
+  private final Consumer<Violation> violations;
+  private final NavigableMap<Long, Long> acknowledged = new TreeMap<>();
+  private final Map<String, Long> used = new HashMap<>();
+
+  /**
+   * @param bound how long a door in touch may use an older configuration, in nanoseconds
+   * @param violations told what is broken
+   */
+  public InForceJudge(long bound, Consumer<Violation> violations) {
+    this.bound = bound;
+    this.violations = violations;
+  }
+
+  /** The operator has the acknowledgement of an edition. */
+  public void acknowledged(long instant, long edition) {
+    acknowledged.merge(instant, edition, Math::max);
+  }
+
+  /**
+   * A door used an edition.
+   *
+   * @param door the life of the door's process, not just its machine
+   */
+  public void used(long instant, String door, boolean inTouch, long edition) {
+    long before = used.getOrDefault(door, 0L);
+    if (edition < before) {
+      String what = door + " went back from " + before + " to " + edition;
+      violations.accept(new Violation(Promise.CONFIGURATION_NEVER_BACK, instant, what));
+    }
+    used.put(door, Math.max(before, edition));
+    long due = due(instant);
+    if (inTouch && edition < due) {
+      String what = door + " uses " + edition + " though " + due + " was acknowledged";
+      violations.accept(new Violation(Promise.CONFIGURATION_IN_FORCE, instant, what));
+    }
+  }
+
+  private long due(long instant) {
+    return acknowledged.headMap(instant - bound).values().stream()
+        .mapToLong(Long::longValue)
+        .max()
+        .orElse(0);
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/LinearizabilityChecker.java
@@ -0,0 +1,103 @@
+package nettletrail.emulator.judge;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Searches a history for an order of its operations that respects real time and in which a
+ * sequential model gives each answer (Wing and Gong 1993), remembering which sets of operations
+ * with which state led nowhere (Lowe 2017). An operation without an answer may stand anywhere after
+ * its call, or nowhere.
+ */
+public final class LinearizabilityChecker<S, O> {
+  private final SequentialModel<S, O> model;
+  private final List<TimedOperation<O>> operations;
+  private final Set<Configuration<S>> seen = new HashSet<>();
+  private int mostPlaced = -1;
+  private String obstacle = "";
+
+  /** Checks one history; the operations may come in any order. */
+  public LinearizabilityChecker(SequentialModel<S, O> model, List<TimedOperation<O>> operations) {
+    this.model = model;
+    this.operations = new ArrayList<>(operations);
+    this.operations.sort(Comparator.comparingLong(TimedOperation::invoked));
+  }
+
+  /** True if there is such an order. */
+  public boolean isLinearizable() {
+    return search(model.initial(), new BitSet(operations.size()));
+  }
+
+  /**
+   * After a failed search: the answered operations that could not be placed behind the longest
+   * order found.
+   */
+  public String obstacle() {
+    return obstacle;
+  }
+
+  private boolean search(S state, BitSet placed) {
+    long firstReturn = firstReturnOutside(placed);
+    if (firstReturn == TimedOperation.NEVER) {
+      return true;
+    }
+    if (!seen.add(new Configuration<>(state, (BitSet) placed.clone()))) {
+      return false;
+    }
+    noteObstacle(state, placed);
+    for (int index = placed.nextClearBit(0);
+        index < operations.size();
+        index = placed.nextClearBit(index + 1)) {
+      if (operations.get(index).invoked() > firstReturn) {
+        break;
+      }
+      if (place(index, state, placed)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean place(int index, S state, BitSet placed) {
+    S next = model.apply(state, operations.get(index).operation());
+    if (next == null) {
+      return false;
+    }
+    placed.set(index);
+    boolean found = search(next, placed);
+    placed.clear(index);
+    return found;
+  }
+
+  /** The earliest return among the answered operations that are not placed; NEVER if all are. */
+  private long firstReturnOutside(BitSet placed) {
+    long first = TimedOperation.NEVER;
+    for (int index = placed.nextClearBit(0);
+        index < operations.size();
+        index = placed.nextClearBit(index + 1)) {
+      first = Math.min(first, operations.get(index).returned());
+    }
+    return first;
+  }
+
+  private void noteObstacle(S state, BitSet placed) {
+    if (placed.cardinality() <= mostPlaced) {
+      return;
+    }
+    mostPlaced = placed.cardinality();
+    long firstReturn = firstReturnOutside(placed);
+    StringBuilder text = new StringBuilder("after ").append(state).append(" none fits of:");
+    for (int index = placed.nextClearBit(0);
+        index < operations.size() && operations.get(index).invoked() <= firstReturn;
+        index = placed.nextClearBit(index + 1)) {
+      text.append(' ').append(operations.get(index));
+    }
+    obstacle = text.toString();
+  }
+
+  private record Configuration<S>(S state, BitSet placed) {}
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/OwnershipJudge.java
@@ -0,0 +1,61 @@
+package nettletrail.emulator.judge;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Checks that a shard has one owner at a time and that a fencing token belongs to one process and
+ * one value.
+ */
+public final class OwnershipJudge {
+  private final Consumer<Violation> violations;
+  private final Map<TokenKey, String> tokenHolders = new HashMap<>();
+  private final Map<WriteKey, String> writtenValues = new HashMap<>();
+
+  /**
+   * @param violations told what is broken
+   */
+  public OwnershipJudge(Consumer<Violation> violations) {
+    this.violations = violations;
+  }
+
+  /**
+   * Checks who holds a shard's lease at one instant.
+   *
+   * @param holders all processes that would act as owner now, frozen ones included
+   */
+  public void leaseHolders(long instant, int shard, List<String> holders) {
+    if (holders.size() > 1) {
+      violations.accept(
+          new Violation(Promise.ONE_OWNER, instant, "shard " + shard + " owned by " + holders));
+    }
+  }
+
+  /**
+   * A process acted under a token.
+   *
+   * @param process the process's life, not just its machine
+   */
+  public void tokenUsed(long instant, int shard, String token, String process) {
+    String first = tokenHolders.putIfAbsent(new TokenKey(shard, token), process);
+    if (first != null && !first.equals(process)) {
+      String what = "shard " + shard + " token " + token + " of " + first + " used by " + process;
+      violations.accept(new Violation(Promise.TOKEN_USED_ONCE, instant, what));
+    }
+  }
+
+  /** A process asked replicas to store a value under a token. */
+  public void written(long instant, int shard, String token, long sequence, String valueDigest) {
+    WriteKey key = new WriteKey(shard, token, sequence);
+    String first = writtenValues.putIfAbsent(key, valueDigest);
+    if (first != null && !first.equals(valueDigest)) {
+      violations.accept(new Violation(Promise.TOKEN_USED_ONCE, instant, "two values for " + key));
+    }
+  }
+
+  private record TokenKey(int shard, String token) {}
+
+  private record WriteKey(int shard, String token, long sequence) {}
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/judge/QuotaJudge.java
@@ -0,0 +1,64 @@
+package nettletrail.emulator.judge;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+/** Checks that one tenant's use over all doors stays within its limit in every sliding window. */
+public final class QuotaJudge {
+  /**
+   * A tenant's limit.
+   *
+   * @param ratePerSecond tokens a second
+   * @param burst tokens on top
+   * @param window length of the window, in nanoseconds
+   * @param over by which part of itself the sum may be exceeded
+   * @param slack by how many tokens it may be exceeded besides
+   */
+  public record Limit(double ratePerSecond, double burst, long window, double over, double slack) {
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+    /** The most tokens that may be used in one window. */
+    public double mostPerWindow() {
+      double regular = ratePerSecond * window / NANOSECONDS_PER_SECOND + burst;
+      return regular * (1 + over) + slack;
+    }
+  }
+
+  private final String tenant;
+  private final Limit limit;
+  private final Consumer<Violation> violations;
+  private final Deque<Use> window = new ArrayDeque<>();
+  private long used;
+  private long mostUsed;
+
+  /**
+   * @param violations told what is broken
+   */
+  public QuotaJudge(String tenant, Limit limit, Consumer<Violation> violations) {
+    this.tenant = tenant;
+    this.limit = limit;
+    this.violations = violations;
+  }
+
+  /** Some door used tokens; instants never go back. */
+  public void used(long instant, long tokens) {
+    window.add(new Use(instant, tokens));
+    used += tokens;
+    while (window.peek().instant <= instant - limit.window()) {
+      used -= window.poll().tokens;
+    }
+    mostUsed = Math.max(mostUsed, used);
+    if (used > limit.mostPerWindow()) {
+      String what = tenant + " used " + used + " of at most " + limit.mostPerWindow();
+      violations.accept(new Violation(Promise.QUOTA_WINDOW, instant, what));
+    }
+  }
+
+  /** The most tokens that were used in any window. */
+  public long mostUsed() {
+    return mostUsed;
+  }
+
+  private record Use(long instant, long tokens) {}
+}
