Fleet emulator: processes around the real deciders, their users, random runs

Change: core and door processes host CoreShards, CoreRegistry and DoorControl over the simulated world; operators race, repeat and give up, backends come, leave and crash; a run draws its troubles from a seed and has to recover.

--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/actors/BackendActor.java
@@ -0,0 +1,179 @@
+package nettletrail.emulator.actors;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import nettletrail.emulator.host.ControlRequest;
+import nettletrail.emulator.host.ControlResponse;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.VirtualTime;
+import nettletrail.emulator.world.World;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
+
+/**
+ * One life of a backend: registers itself again and again at any core process, says that it closes,
+ * serves on until that was acknowledged and some time has passed, deletes itself and ends. It may
+ * also crash and say nothing.
+ */
+public final class BackendActor {
+  /** What a backend is doing. */
+  public enum Stage {
+    SERVING,
+    CLOSING,
+    ENDED
+  }
+
+  private static final long ANSWER_TIMEOUT = VirtualTime.SECOND;
+  private static final long RETRY_PAUSE = 200 * VirtualTime.MILLISECOND;
+  private static final int SLOTS = 32;
+  private static final int MOST_DELETE_ATTEMPTS = 5;
+
+  private final Machine.Life life;
+  private final String id;
+  private final String service;
+  private final String address;
+  private final long beat;
+  private final long serveAfterClosing;
+  private final Supplier<List<String>> addresses;
+  private final Predicate<String> coreInTouch;
+  private final Observations observations;
+  private final SplittableRandom random;
+  private final ControlCaller caller;
+  private Stage stage = Stage.SERVING;
+  private boolean endAcknowledged;
+  private long callSequence;
+
+  /**
+   * Starts to register.
+   *
+   * @param address where it serves; may have been another backend's before
+   * @param beat how often it calls, in nanoseconds
+   * @param serveAfterClosing how long it serves on after its closing was acknowledged, in
+   *     nanoseconds
+   * @param addresses where core processes take calls
+   * @param coreInTouch whether the core process at an address is in touch
+   */
+  public BackendActor(
+      World world,
+      Machine machine,
+      String id,
+      String service,
+      String address,
+      long beat,
+      long serveAfterClosing,
+      Supplier<List<String>> addresses,
+      Predicate<String> coreInTouch,
+      Observations observations) {
+    this.life = machine.isUp() ? machine.life() : machine.start();
+    this.id = id;
+    this.service = service;
+    this.address = address;
+    this.beat = beat;
+    this.serveAfterClosing = serveAfterClosing;
+    this.addresses = addresses;
+    this.coreInTouch = coreInTouch;
+    this.observations = observations;
+    this.random = world.newRandom();
+    this.caller = new ControlCaller(world.network(), life, ANSWER_TIMEOUT);
+    register();
+  }
+
+  /** The id of this life. */
+  public String id() {
+    return id;
+  }
+
+  /** What it is doing. */
+  public Stage stage() {
+    return stage;
+  }
+
+  /** True once a core process acknowledged that it closes. */
+  public boolean isEndAcknowledged() {
+    return endAcknowledged;
+  }
+
+  /** It says that it closes, until that is acknowledged. */
+  public void close() {
+    if (stage == Stage.SERVING) {
+      stage = Stage.CLOSING;
+      sayClosing();
+    }
+  }
+
+  /** It ends and says nothing. */
+  public void crash() {
+    stage = Stage.ENDED;
+  }
+
+  private void register() {
+    if (stage == Stage.SERVING) {
+      call("PUT", BackendState.READY, (core, taken) -> {});
+      life.after(beat, this::register);
+    }
+  }
+
+  private void sayClosing() {
+    if (stage != Stage.CLOSING) {
+      return;
+    }
+    call("PUT", BackendState.CLOSING, this::closingAnswered);
+  }
+
+  private void closingAnswered(String core, boolean taken) {
+    if (!taken) {
+      life.after(RETRY_PAUSE, this::sayClosing);
+      return;
+    }
+    acknowledged(core);
+    life.after(serveAfterClosing, () -> delete(MOST_DELETE_ATTEMPTS));
+  }
+
+  private void delete(int attempts) {
+    if (attempts == 0) {
+      stage = Stage.ENDED;
+      return;
+    }
+    call(
+        "DELETE",
+        BackendState.GONE,
+        (core, taken) -> {
+          if (taken) {
+            acknowledged(core);
+            stage = Stage.ENDED;
+          } else {
+            life.after(RETRY_PAUSE, () -> delete(attempts - 1));
+          }
+        });
+  }
+
+  private void acknowledged(String core) {
+    endAcknowledged = true;
+    if (coreInTouch.test(core)) {
+      observations.backendEndAcknowledged(id);
+    }
+  }
+
+  private void call(String method, BackendState state, Answered answered) {
+    callSequence++;
+    List<String> choice = addresses.get();
+    String core = choice.get(random.nextInt(choice.size()));
+    Consumer<ControlResponse> done =
+        response ->
+            answered.answered(core, response != null && response.status() == ControlResponse.OK);
+    caller.call(core, new ControlRequest.Registration(method, record(state)), done);
+  }
+
+  private Backend record(BackendState state) {
+    return new Backend(
+        id, service, address, "zone-a", "v1", SLOTS, state, 0L, "", List.of("m"), callSequence);
+  }
+
+  /** Told whether a call was taken. */
+  private interface Answered {
+    void answered(String core, boolean taken);
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/actors/ControlCaller.java
@@ -0,0 +1,78 @@
+package nettletrail.emulator.actors;
+
+import java.util.function.Consumer;
+import nettletrail.emulator.host.ControlRequest;
+import nettletrail.emulator.host.ControlResponse;
+import nettletrail.emulator.world.Connection;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.Network;
+import nettletrail.emulator.world.Payload;
+import nettletrail.emulator.world.VirtualTime;
+
+/** Makes calls to core processes, each on a connection of its own. */
+final class ControlCaller {
+  private static final long CONNECT_TIMEOUT = VirtualTime.SECOND;
+
+  private final Network network;
+  private final Machine.Life life;
+  private final long timeout;
+
+  /**
+   * @param timeout how long an answer is waited for, in nanoseconds
+   */
+  ControlCaller(Network network, Machine.Life life, long timeout) {
+    this.network = network;
+    this.life = life;
+    this.timeout = timeout;
+  }
+
+  /** Calls once; gives the answer, or null if none came. */
+  void call(String address, ControlRequest request, Consumer<ControlResponse> done) {
+    network.connect(
+        life,
+        address,
+        CONNECT_TIMEOUT,
+        connection -> {
+          if (connection == null) {
+            done.accept(null);
+          } else {
+            new Call(connection, done).send(request);
+          }
+        });
+  }
+
+  private final class Call implements Connection.Listener {
+    private final Connection connection;
+    private final Consumer<ControlResponse> done;
+    private boolean completed;
+
+    Call(Connection connection, Consumer<ControlResponse> done) {
+      this.connection = connection;
+      this.done = done;
+      connection.setListener(this);
+    }
+
+    void send(ControlRequest request) {
+      connection.send(request);
+      life.after(timeout, () -> complete(null));
+    }
+
+    @Override
+    public void received(Payload payload) {
+      complete((ControlResponse) payload);
+    }
+
+    @Override
+    public void closed() {
+      complete(null);
+    }
+
+    private void complete(ControlResponse response) {
+      if (!completed) {
+        completed = true;
+        connection.close();
+        done.accept(response);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/actors/DoorTraffic.java
@@ -0,0 +1,102 @@
+package nettletrail.emulator.actors;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import nettletrail.emulator.host.DoorProcess;
+import nettletrail.emulator.world.VirtualTime;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
+
+/**
+ * Requests at one door: each asks the door for its configuration, whether a key counts, for quota
+ * and for a backend, and tells what it was given. Keys of all former configurations are tried too.
+ */
+public final class DoorTraffic {
+  private static final long PERIOD = 20 * VirtualTime.MILLISECOND;
+
+  private final DoorProcess door;
+  private final BooleanSupplier inTouch;
+  private final Observations observations;
+  private final SplittableRandom random;
+  private final long tokensPerRequest;
+  private final double requestsPerPeriod;
+  private final Set<String> keysSeen = new HashSet<>();
+  private long tokensTaken;
+
+  /**
+   * Traffic that lasts as long as the door's process.
+   *
+   * @param inTouch whether bounds hold for the door at this moment
+   * @param tokensPerSecond what all requests of a second want
+   * @param tokensPerRequest what one request wants on average
+   */
+  public DoorTraffic(
+      DoorProcess door,
+      BooleanSupplier inTouch,
+      Observations observations,
+      SplittableRandom random,
+      double tokensPerSecond,
+      long tokensPerRequest) {
+    this.door = door;
+    this.inTouch = inTouch;
+    this.observations = observations;
+    this.random = random;
+    this.tokensPerRequest = tokensPerRequest;
+    this.requestsPerPeriod = tokensPerSecond / tokensPerRequest * PERIOD / VirtualTime.SECOND;
+    door.life().after(PERIOD, this::period);
+  }
+
+  /** Tokens that the door has given in all. */
+  public long tokensTaken() {
+    return tokensTaken;
+  }
+
+  private void period() {
+    if (door.table() != null) {
+      useConfiguration();
+      useKeys();
+      useQuota();
+      useBackend();
+    }
+    door.life().after(PERIOD, this::period);
+  }
+
+  private void useConfiguration() {
+    int orderId = OrderDocument.orderIdOf(door.table());
+    observations.configurationUsed(door.name(), inTouch.getAsBoolean(), orderId);
+  }
+
+  private void useKeys() {
+    keysSeen.addAll(OrderDocument.keysOf(door.table()));
+    for (String key : keysSeen) {
+      if (door.keysHeld() && door.table().tenantOfKey(key) != null) {
+        observations.keyTaken(door.name(), key);
+      }
+    }
+  }
+
+  private void useQuota() {
+    double requests = requestsPerPeriod + random.nextDouble();
+    for (int request = 1; request <= requests; request++) {
+      long tokens = 1 + random.nextLong(2 * tokensPerRequest);
+      if (door.takeQuota(OrderDocument.TENANT, tokens)) {
+        tokensTaken += tokens;
+        observations.quotaUsed(tokens);
+      }
+    }
+  }
+
+  private void useBackend() {
+    List<Backend> ready =
+        door.backends(OrderDocument.SERVICE).stream()
+            .filter(backend -> backend.getState() == BackendState.READY)
+            .toList();
+    if (!ready.isEmpty()) {
+      Backend backend = ready.get(random.nextInt(ready.size()));
+      observations.backendUsed(door.name(), inTouch.getAsBoolean(), backend.getId());
+    }
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/actors/OrderDocument.java
@@ -0,0 +1,113 @@
+package nettletrail.emulator.actors;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import nettletrail.configuration.RoutingTable;
+import nettletrail.configuration.Tenant;
+import nettletrail.emulator.judge.ConfigurationOperation.Order;
+
+/**
+ * The configuration that one order brings. Each order has a key of its own that its successor still
+ * holds and the one after that has dropped, and a route whose name tells the order.
+ */
+public final class OrderDocument {
+  /** The service that every route leads to. */
+  public static final String SERVICE = "model";
+
+  /** The tenant whose use is limited. */
+  public static final String TENANT = "tenant-a";
+
+  /** Tokens a second that the tenant may use. */
+  public static final long RATE_PER_SECOND = 153_660;
+
+  /** Tokens that the tenant may use on top. */
+  public static final long BURST = 153_660;
+
+  private static final String ROUTE_PREFIX = "order-";
+  private static final String DOCUMENT =
+      """
+{"edition":%d,"routes":[{"name":"%s","station":"one.example","lane_prefix":"/","kind":"resendable",\
+"timeout_ms":4000,"carrier":"%s","attempts":2}],\
+"carriers":[{"name":"%s","protocol":"h1"}],\
+"senders":[{"name":"%s","passes":[%s],"unit":"token_count","plain_tokens":200,\
+"rate_per_s":%d,"burst":%d}]}""";
+
+  private final Order order;
+  private final OrderDocument base;
+
+  /**
+   * @param base what the order builds on; null for the first
+   */
+  public OrderDocument(Order order, OrderDocument base) {
+    this.order = order;
+    this.base = base;
+  }
+
+  /** The order that brings this document. */
+  public Order order() {
+    return order;
+  }
+
+  /** The key that no earlier document held. */
+  public String ownKey() {
+    return "key-" + order.id();
+  }
+
+  /** All keys of the document. */
+  public List<String> keys() {
+    List<String> keys = new ArrayList<>();
+    keys.add(ownKey());
+    if (base != null) {
+      keys.add(base.ownKey());
+    }
+    return keys;
+  }
+
+  /** Keys that documents before this one held and this one doesn't. */
+  public Set<String> revokedKeys() {
+    Set<String> revoked = new HashSet<>();
+    for (OrderDocument ancestor = base; ancestor != null; ancestor = ancestor.base) {
+      revoked.add(ancestor.ownKey());
+    }
+    keys().forEach(revoked::remove);
+    return revoked;
+  }
+
+  /** The document as the operator sends it. */
+  public String json() {
+    String keys = String.join(",", keys().stream().map(key -> '"' + key + '"').toList());
+    return String.format(
+        DOCUMENT,
+        order.edition(),
+        ROUTE_PREFIX + order.id(),
+        SERVICE,
+        SERVICE,
+        TENANT,
+        keys,
+        RATE_PER_SECOND,
+        BURST);
+  }
+
+  /** The id of the order whose document a text is. */
+  public static int orderIdOf(String json) {
+    int start = json.indexOf('"' + ROUTE_PREFIX) + 1 + ROUTE_PREFIX.length();
+    return Integer.parseInt(json.substring(start, json.indexOf('"', start)));
+  }
+
+  /** The id of the order whose document was compiled. */
+  public static int orderIdOf(RoutingTable table) {
+    String route = table.routes().iterator().next().name();
+    return Integer.parseInt(route.substring(ROUTE_PREFIX.length()));
+  }
+
+  /** All keys of a compiled document. */
+  public static Set<String> keysOf(RoutingTable table) {
+    Set<String> keys = new HashSet<>();
+    for (Tenant tenant : table.tenants()) {
+      keys.addAll(tenant.keys());
+    }
+    return keys;
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/DoorNode.java
@@ -0,0 +1,81 @@
+package nettletrail.emulator.fleet;
+
+import java.util.List;
+import nettletrail.emulator.actors.DoorTraffic;
+import nettletrail.emulator.actors.Observations;
+import nettletrail.emulator.host.DoorProcess;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.VirtualTime;
+import nettletrail.emulator.world.World;
+
+/** A door's machine over all lives of its process, with the traffic that comes there. */
+public final class DoorNode {
+  private static final long TOKENS_PER_REQUEST = 1_500;
+
+  private final World world;
+  private final Machine machine;
+  private final Bounds bounds;
+  private final Contact contact;
+  private final Observations observations;
+  private final double tokensPerSecond;
+  private List<String> seeds;
+  private DoorProcess process;
+  private DoorTraffic traffic;
+
+  DoorNode(
+      World world,
+      Machine machine,
+      Bounds bounds,
+      Contact contact,
+      Observations observations,
+      double tokensPerSecond,
+      List<String> seeds) {
+    this.world = world;
+    this.machine = machine;
+    this.bounds = bounds;
+    this.contact = contact;
+    this.observations = observations;
+    this.tokensPerSecond = tokensPerSecond;
+    this.seeds = List.copyOf(seeds);
+  }
+
+  /** The machine. */
+  public Machine machine() {
+    return machine;
+  }
+
+  /** The process; of its last life while there is none. Null before the first start. */
+  public DoorProcess process() {
+    return process;
+  }
+
+  /** The traffic at the present process. */
+  public DoorTraffic traffic() {
+    return traffic;
+  }
+
+  void setSeeds(List<String> addresses) {
+    seeds = List.copyOf(addresses);
+    if (machine.isUp()) {
+      machine.life().run(() -> process.settingsChanged(seeds));
+    }
+  }
+
+  void start() {
+    long revokeMillis = bounds.revoke() / VirtualTime.MILLISECOND;
+    process = new DoorProcess(world, machine.start(), seeds, revokeMillis);
+    traffic =
+        new DoorTraffic(
+            process,
+            () -> contact.isInTouch(machine),
+            observations,
+            world.newRandom(),
+            tokensPerSecond,
+            TOKENS_PER_REQUEST);
+  }
+
+  @Override
+  public String toString() {
+    return machine.name();
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/Fleet.java
@@ -0,0 +1,232 @@
+package nettletrail.emulator.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import nettletrail.control.ShardMap;
+import nettletrail.emulator.actors.BackendActor;
+import nettletrail.emulator.actors.Operator;
+import nettletrail.emulator.actors.OrderBook;
+import nettletrail.emulator.actors.OrderDocument;
+import nettletrail.emulator.host.CoreProcess;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.VirtualTime;
+import nettletrail.emulator.world.World;
+
+/**
+ * An emulated fleet with its operators and backends. Everything follows from the seed and the calls
+ * made here.
+ */
+public final class Fleet {
+  private static final int FOUNDERS = 3;
+  private static final long GREATEST_START_DELAY = 300 * VirtualTime.MILLISECOND;
+
+  private final World world;
+  private final FleetOptions options;
+  private final SplittableRandom random;
+  private final OrderBook orders = new OrderBook();
+  private final List<CoreNode> cores = new ArrayList<>();
+  private final List<DoorNode> doors = new ArrayList<>();
+  private final List<Operator> operators = new ArrayList<>();
+  private final List<BackendActor> backends = new ArrayList<>();
+  private final Contact contact;
+  private final FleetJudge judge;
+  private final Troubles troubles;
+  private int machines;
+
+  /** A fleet whose machines have no power yet. */
+  public Fleet(long seed, FleetOptions options) {
+    this.world = new World(seed, options.network());
+    this.options = options;
+    this.random = world.newRandom();
+    this.contact =
+        new Contact(
+            world.time(),
+            world.network(),
+            options.bounds().contact(),
+            () -> cores.stream().map(CoreNode::machine).toList());
+    this.judge = new FleetJudge(world, options.bounds(), orders, () -> processes());
+    this.troubles = new Troubles(world, this, contact);
+    for (int index = 0; index < options.cores(); index++) {
+      addCore();
+    }
+    List<String> founders = founders();
+    cores.forEach(core -> core.setSeeds(founders));
+    for (int index = 0; index < options.doors(); index++) {
+      addDoor(founders);
+    }
+  }
+
+  /** Starts all machines within a short time, for the first time. */
+  public void startAll() {
+    for (CoreNode core : cores) {
+      world.time().after(random.nextLong(GREATEST_START_DELAY), () -> core.start(true));
+    }
+    for (DoorNode door : doors) {
+      world.time().after(random.nextLong(GREATEST_START_DELAY), door::start);
+    }
+  }
+
+  /** Virtual time, network and randomness. */
+  public World world() {
+    return world;
+  }
+
+  /** The scheduler. */
+  public VirtualTime time() {
+    return world.time();
+  }
+
+  /** What was promised, and what was seen. */
+  public FleetJudge judge() {
+    return judge;
+  }
+
+  /** What can befall the fleet. */
+  public Troubles troubles() {
+    return troubles;
+  }
+
+  /** Core machines, except those that were removed for good. */
+  public List<CoreNode> cores() {
+    return cores;
+  }
+
+  /** Doors. */
+  public List<DoorNode> doors() {
+    return doors;
+  }
+
+  /** Operators. */
+  public List<Operator> operators() {
+    return operators;
+  }
+
+  /** Backends of all lives, ended ones included. */
+  public List<BackendActor> backends() {
+    return backends;
+  }
+
+  /** All orders that were ever made. */
+  public OrderBook orders() {
+    return orders;
+  }
+
+  /** True if bounds on time hold for a machine now. */
+  public boolean isInTouch(Machine machine) {
+    return contact.isInTouch(machine);
+  }
+
+  /**
+   * True if the fleet has to withstand the loss of one more disk: fewer machines than it withstands
+   * count as lost. Three core machines withstand one loss, five two.
+   */
+  public boolean mayLoseDisk(CoreNode core) {
+    int withstood = (options.cores() - 1) / 2;
+    int lost = contact.lostCores(options.bounds().catchUp());
+    return core.machine().isRunning() && lost < withstood;
+  }
+
+  /** Adds an operator, who does nothing by himself. */
+  public Operator addOperator() {
+    Machine machine = newMachine("operator-" + (operators.size() + 1), false);
+    Operator operator = new Operator(world, machine, this::controlAddresses, orders, judge);
+    operators.add(operator);
+    return operator;
+  }
+
+  /** Adds a backend at an address of its own. */
+  public BackendActor addBackend() {
+    Machine machine = newMachine("backend-" + (backends.size() + 1), false);
+    return addBackend(machine, OrderDocument.SERVICE);
+  }
+
+  /** Adds a backend of a service at the address of a machine, where another may have been. */
+  public BackendActor addBackend(Machine machine, String service) {
+    long drain = options.bounds().drain();
+    BackendActor backend =
+        new BackendActor(
+            world,
+            machine,
+            "i-" + (backends.size() + 1),
+            service,
+            machine.host() + ":8080",
+            options.bounds().beat(),
+            drain + random.nextLong(drain),
+            this::controlAddresses,
+            this::isCoreInTouch,
+            judge);
+    backends.add(backend);
+    return backend;
+  }
+
+  /** Adds a machine without a process. */
+  public Machine newMachine(String name, boolean withDisk) {
+    machines++;
+    return world.addMachine(name, "10.0." + machines / 250 + "." + (1 + machines % 250), withDisk);
+  }
+
+  /** The process that owns a shard now; null if there is none. */
+  public CoreNode owner(int shard) {
+    return cores.stream()
+        .filter(core -> core.process() != null && core.process().ownsNow(shard))
+        .findFirst()
+        .orElse(null);
+  }
+
+  /** The owner of the configuration; null if there is none. */
+  public CoreNode configurationOwner() {
+    return owner(ShardMap.CONFIGURATION_SHARD);
+  }
+
+  /** The addresses at which core processes take calls. */
+  public List<String> controlAddresses() {
+    return cores.stream().map(CoreNode::controlAddress).toList();
+  }
+
+  CoreNode addCore() {
+    Machine machine = newMachine("core-" + (machines + 1), true);
+    CoreNode core = new CoreNode(world, machine, options.bounds(), judge, seedsForNewMachine());
+    cores.add(core);
+    return core;
+  }
+
+  void removeCore(CoreNode core) {
+    cores.remove(core);
+  }
+
+  /** Three core machines as they are now, or fewer. */
+  List<String> seedsForNewMachine() {
+    return cores.stream().map(CoreNode::linkAddress).limit(FOUNDERS).toList();
+  }
+
+  private List<String> founders() {
+    return seedsForNewMachine();
+  }
+
+  private void addDoor(List<String> seeds) {
+    Machine machine = newMachine("door-" + (doors.size() + 1), false);
+    doors.add(
+        new DoorNode(
+            world,
+            machine,
+            options.bounds(),
+            contact,
+            judge,
+            options.tokensPerSecond() / options.doors(),
+            seeds));
+  }
+
+  private boolean isCoreInTouch(String controlAddress) {
+    return cores.stream()
+        .filter(core -> core.controlAddress().equals(controlAddress))
+        .anyMatch(core -> contact.isInTouch(core.machine()));
+  }
+
+  private List<CoreProcess> processes() {
+    return cores.stream()
+        .map(CoreNode::process)
+        .filter(process -> process != null && process.life().isAlive())
+        .toList();
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/FleetJudge.java
@@ -0,0 +1,209 @@
+package nettletrail.emulator.fleet;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Supplier;
+import nettletrail.control.ShardMap;
+import nettletrail.emulator.actors.Observations;
+import nettletrail.emulator.actors.OrderBook;
+import nettletrail.emulator.actors.OrderDocument;
+import nettletrail.emulator.host.CoreObserver;
+import nettletrail.emulator.host.CoreProcess;
+import nettletrail.emulator.judge.ConfigurationHistory;
+import nettletrail.emulator.judge.ConfigurationOperation.Answer;
+import nettletrail.emulator.judge.DrainJudge;
+import nettletrail.emulator.judge.InForceJudge;
+import nettletrail.emulator.judge.KeyJudge;
+import nettletrail.emulator.judge.OwnershipJudge;
+import nettletrail.emulator.judge.Promise;
+import nettletrail.emulator.judge.QuotaJudge;
+import nettletrail.emulator.judge.Violation;
+import nettletrail.emulator.world.RunLog;
+import nettletrail.emulator.world.VirtualTime;
+import nettletrail.emulator.world.World;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.GrantReply;
+
+/** All judges of one fleet, and what they found. */
+public final class FleetJudge implements CoreObserver, Observations {
+  private static final int MOST_VIOLATIONS = 20;
+
+  private final VirtualTime time;
+  private final RunLog log;
+  private final OrderBook orders;
+  private final Supplier<List<CoreProcess>> coreProcesses;
+  private final List<Violation> violations = new ArrayList<>();
+  private final ConfigurationHistory history = new ConfigurationHistory();
+  private final OwnershipJudge ownership = new OwnershipJudge(this::report);
+  private final QuotaJudge quota;
+  private final KeyJudge keys;
+  private final DrainJudge drain;
+  private final InForceJudge inForce;
+  private int acknowledgedOrders;
+  private int refusedOrders;
+
+  FleetJudge(
+      World world, Bounds bounds, OrderBook orders, Supplier<List<CoreProcess>> coreProcesses) {
+    this.time = world.time();
+    this.log = world.log();
+    this.orders = orders;
+    this.coreProcesses = coreProcesses;
+    this.quota = new QuotaJudge(OrderDocument.TENANT, bounds.quotaLimit(), this::report);
+    this.keys = new KeyJudge(bounds.revoke(), this::report);
+    this.drain = new DrainJudge(bounds.drain(), this::report);
+    this.inForce = new InForceJudge(bounds.inForce(), this::report);
+  }
+
+  /** Notes a promise that was seen broken. */
+  public void report(Violation violation) {
+    log.add("BROKEN %s", violation);
+    if (violations.size() < MOST_VIOLATIONS) {
+      violations.add(violation);
+    }
+  }
+
+  /** What was found, without the check of the whole history. */
+  public List<Violation> violations() {
+    return List.copyOf(violations);
+  }
+
+  /** Checks the whole history of the configuration; to be called once, at the end. */
+  public void checkHistory() {
+    history
+        .findObstacle()
+        .ifPresent(
+            obstacle ->
+                report(new Violation(Promise.LINEARIZABLE_CONFIGURATION, time.now(), obstacle)));
+  }
+
+  /** How many orders were acknowledged, repeated acknowledgements included. */
+  public int acknowledgedOrders() {
+    return acknowledgedOrders;
+  }
+
+  /** How many orders were refused. */
+  public int refusedOrders() {
+    return refusedOrders;
+  }
+
+  /** The most tokens that the tenant used in any window. */
+  public long mostTokensInWindow() {
+    return quota.mostUsed();
+  }
+
+  // What operators saw
+
+  @Override
+  public void acknowledged(OrderDocument document, long invoked) {
+    acknowledgedOrders++;
+    log.add("acknowledged %s", document.order());
+    history.written(document.order(), Answer.ACKNOWLEDGED, invoked, time.now());
+    inForce.acknowledged(time.now(), document.order().edition());
+    for (String key : document.revokedKeys()) {
+      keys.revoked(time.now(), key);
+    }
+  }
+
+  @Override
+  public void refused(OrderDocument document, long invoked) {
+    refusedOrders++;
+    log.add("refused %s", document.order());
+    history.written(document.order(), Answer.REFUSED, invoked, time.now());
+  }
+
+  @Override
+  public void unclear(OrderDocument document, long invoked) {
+    log.add("no clear answer to %s", document.order());
+    history.unclear(document.order(), invoked);
+  }
+
+  @Override
+  public void read(OrderDocument document, long invoked) {
+    log.add("read %s", document.order());
+    history.read(document.order(), invoked, time.now());
+  }
+
+  // What backends saw
+
+  @Override
+  public void backendEndAcknowledged(String backend) {
+    log.add("end of %s acknowledged", backend);
+    drain.endAcknowledged(time.now(), backend);
+  }
+
+  // What doors did
+
+  @Override
+  public void configurationUsed(String door, boolean inTouch, int orderId) {
+    OrderDocument document = orders.get(orderId);
+    history.used(document.order(), time.now());
+    inForce.used(time.now(), door, inTouch, document.order().edition());
+  }
+
+  @Override
+  public void keyTaken(String door, String key) {
+    keys.taken(time.now(), door, key);
+  }
+
+  @Override
+  public void quotaUsed(long tokens) {
+    quota.used(time.now(), tokens);
+  }
+
+  @Override
+  public void backendUsed(String door, boolean inTouch, String backend) {
+    drain.used(time.now(), door, inTouch, backend);
+  }
+
+  // What core processes did
+
+  @Override
+  public void stepped(CoreProcess process) {
+    for (int shard = 0; shard < ShardMap.SHARD_COUNT; shard++) {
+      if (process.ownsNow(shard)) {
+        checkSingleOwner(shard);
+      }
+    }
+  }
+
+  private void checkSingleOwner(int shard) {
+    List<String> holders = new ArrayList<>();
+    for (CoreProcess process : coreProcesses.get()) {
+      if (process.ownsNow(shard)) {
+        holders.add(process.name());
+      }
+    }
+    ownership.leaseHolders(time.now(), shard, holders);
+  }
+
+  @Override
+  public void accepting(CoreProcess process, Accept message) {
+    String token = text(message.getBallot());
+    String content =
+        digest(message.getVersion().getValue()) + " " + message.getVersion().getMembers();
+    ownership.tokenUsed(time.now(), message.getShard(), token, process.name());
+    ownership.written(
+        time.now(), message.getShard(), token, message.getVersion().getSequence(), content);
+  }
+
+  @Override
+  public void granting(CoreProcess process, GrantReply message) {
+    if (message.getOwner()) {
+      String token = text(message.getToken());
+      ownership.tokenUsed(time.now(), message.getShard(), token, process.name());
+    }
+  }
+
+  private static String text(Ballot ballot) {
+    return ballot.getRound() + "/" + ballot.getNode();
+  }
+
+  private static int digest(ByteBuffer value) {
+    byte[] bytes = new byte[value.remaining()];
+    value.duplicate().get(bytes);
+    return Arrays.hashCode(bytes);
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/RandomRun.java
@@ -0,0 +1,155 @@
+package nettletrail.emulator.fleet;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import nettletrail.emulator.actors.BackendActor;
+import nettletrail.emulator.actors.Operator;
+import nettletrail.emulator.actors.OrderDocument;
+import nettletrail.emulator.host.DoorProcess;
+import nettletrail.emulator.judge.Promise;
+import nettletrail.emulator.judge.Violation;
+import nettletrail.emulator.world.NetworkSettings;
+import nettletrail.emulator.world.VirtualTime;
+
+/**
+ * A day drawn from a seed: a fleet under random troubles with racing operators and backends that
+ * come and go; then all troubles end and the fleet has to recover, to tell what was acknowledged,
+ * and to know its backends.
+ */
+public final class RandomRun {
+  private static final long TROUBLED = 14 * VirtualTime.SECOND;
+  private static final long CALM = 6 * VirtualTime.SECOND;
+  private static final long STEP = 100 * VirtualTime.MILLISECOND;
+  private static final long LONGEST_OPERATOR_PAUSE = 1_500 * VirtualTime.MILLISECOND;
+  private static final int MOST_ATTEMPTS = 6;
+  private static final int PERSISTENT = 1_000;
+  private static final double LARGE_CORE_PART = 0.3;
+  private static final double ROUGH_NETWORK_PART = 0.4;
+
+  private final long seed;
+  private final Fleet fleet;
+  private final SplittableRandom random;
+  private final RandomTroubles randomTroubles;
+  private int acknowledged;
+
+  /** Prepares the run of a seed. */
+  public RandomRun(long seed) {
+    this.seed = seed;
+    SplittableRandom drawn = new SplittableRandom(seed);
+    int cores = drawn.nextDouble() < LARGE_CORE_PART ? 5 : 3;
+    NetworkSettings network =
+        drawn.nextDouble() < ROUGH_NETWORK_PART ? NetworkSettings.rough() : NetworkSettings.calm();
+    FleetOptions options = FleetOptions.small().withMachines(cores, 2).withNetwork(network);
+    this.fleet = new Fleet(seed, options);
+    this.random = drawn.split();
+    this.randomTroubles = new RandomTroubles(fleet, drawn.split());
+  }
+
+  /** The fleet, to be looked at. */
+  public Fleet fleet() {
+    return fleet;
+  }
+
+  /** Hands all lines of the log to a reader. */
+  public RandomRun withLog(Consumer<String> reader) {
+    fleet.world().log().readBy(reader);
+    return this;
+  }
+
+  /** Runs the whole day; returns what was broken. */
+  public List<Violation> run() {
+    fleet.startAll();
+    beginOperator(fleet.addOperator());
+    beginOperator(fleet.addOperator());
+    fleet.addBackend();
+    fleet.addBackend();
+    fleet.time().runUntil(2 * VirtualTime.SECOND);
+    randomTroubles.begin();
+    fleet.time().runFor(TROUBLED);
+    randomTroubles.stop();
+    fleet.troubles().endAll();
+    checkRecovery();
+    fleet.time().runFor(CALM);
+    checkBackends();
+    readBack();
+    fleet.judge().checkHistory();
+    return fleet.judge().violations();
+  }
+
+  private void beginOperator(Operator operator) {
+    fleet.time().after(random.nextLong(LONGEST_OPERATOR_PAUSE), () -> work(operator));
+  }
+
+  private void work(Operator operator) {
+    if (operator.isIdle() && !randomTroubles.isStopped()) {
+      operator.order(1 + random.nextInt(MOST_ATTEMPTS));
+    }
+    fleet.time().after(random.nextLong(LONGEST_OPERATOR_PAUSE), () -> work(operator));
+  }
+
+  /** An operator who knows the newest version has to get an order taken in time. */
+  private void checkRecovery() {
+    long deadline = fleet.time().now() + Bounds.typical().recover();
+    Operator operator = fleet.addOperator();
+    operator.read();
+    if (!waitUntilIdle(operator, deadline)) {
+      broken(Promise.RECOVERY, "no configuration is read after all troubles have ended");
+      return;
+    }
+    acknowledged = fleet.judge().acknowledgedOrders();
+    operator.order(PERSISTENT);
+    if (!waitUntilIdle(operator, deadline)) {
+      broken(Promise.RECOVERY, "no order is acknowledged after all troubles have ended");
+    }
+  }
+
+  private void readBack() {
+    Operator reader = fleet.addOperator();
+    reader.read();
+    if (!waitUntilIdle(reader, fleet.time().now() + Bounds.typical().recover())) {
+      broken(Promise.RECOVERY, "the configuration can't be read back");
+    }
+  }
+
+  private boolean waitUntilIdle(Operator operator, long deadline) {
+    while (!operator.isIdle() && fleet.time().now() < deadline) {
+      fleet.time().runFor(STEP);
+    }
+    return operator.isIdle();
+  }
+
+  private void checkBackends() {
+    for (DoorNode door : fleet.doors()) {
+      for (BackendActor backend : fleet.backends()) {
+        checkBackend(door.process(), backend);
+      }
+    }
+  }
+
+  private void checkBackend(DoorProcess door, BackendActor backend) {
+    boolean listed =
+        door.backends(OrderDocument.SERVICE).stream()
+            .anyMatch(entry -> entry.getId().equals(backend.id()));
+    if (backend.stage() == BackendActor.Stage.SERVING && !listed) {
+      broken(Promise.BACKENDS_KNOWN, door.name() + " does not list " + backend.id());
+    }
+  }
+
+  private void broken(Promise promise, String what) {
+    fleet.judge().report(new Violation(promise, fleet.time().now(), what));
+  }
+
+  @Override
+  public String toString() {
+    return "seed "
+        + seed
+        + ": "
+        + fleet.time().executed()
+        + " events, "
+        + fleet.orders().size()
+        + " orders, "
+        + acknowledged
+        + " acknowledged";
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/RandomTroubles.java
@@ -0,0 +1,272 @@
+package nettletrail.emulator.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import nettletrail.emulator.actors.BackendActor;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.SimulatedDisk;
+import nettletrail.emulator.world.VirtualTime;
+
+/**
+ * Draws troubles from a seed, half of those of core machines at the owner of the configuration.
+ * Kills, losses of power, freezes and cuts come in any number at a time; a disk is lost only while
+ * the others have been well for some time, as many at once as the fleet is to withstand.
+ */
+final class RandomTroubles {
+  private static final long SHORTEST_PAUSE = 100 * VirtualTime.MILLISECOND;
+  private static final long LONGEST_PAUSE = 2_500 * VirtualTime.MILLISECOND;
+  private static final long LONGEST_TROUBLE = 4 * VirtualTime.SECOND;
+  private static final long LONGEST_RESTART = VirtualTime.SECOND;
+  private static final long KILL_SPREAD = 400 * VirtualTime.MILLISECOND;
+  private static final long LARGEST_CLOCK_STEP = 5 * VirtualTime.SECOND;
+  private static final long LARGEST_LINK_DELAY = 800 * VirtualTime.MILLISECOND;
+  private static final long LARGEST_DISK_LATENCY = 200 * VirtualTime.MILLISECOND;
+  private static final int MOST_FREE_BYTES = 3_000;
+
+  private final Fleet fleet;
+  private final Troubles troubles;
+  private final SplittableRandom random;
+  private final List<Runnable> kinds;
+  private boolean stopped;
+
+  RandomTroubles(Fleet fleet, SplittableRandom random) {
+    this.fleet = fleet;
+    this.troubles = fleet.troubles();
+    this.random = random;
+    this.kinds =
+        List.of(
+            this::killCore,
+            this::powerOffCore,
+            this::killAllCores,
+            this::powerOffAllCores,
+            this::freezeCore,
+            this::freezeCore,
+            this::cutGroups,
+            this::cutGroups,
+            this::cutOneWay,
+            () -> troubles.resetConnections(anyMachine()),
+            this::slowLinks,
+            this::slowDisk,
+            () -> troubles.hangDisk(anyCore(), random.nextLong(LONGEST_TROUBLE)),
+            this::fillDisk,
+            this::loseDisk,
+            this::loseDisk,
+            this::replaceCore,
+            this::loseDiskWhileOthersLosePower,
+            this::killDoor,
+            this::freezeDoor,
+            this::cutDoorOff,
+            this::stepClock,
+            troubles::exchangeSeeds,
+            this::changeBackends,
+            this::changeBackends);
+  }
+
+  void begin() {
+    fleet
+        .time()
+        .after(
+            SHORTEST_PAUSE + random.nextLong(LONGEST_PAUSE),
+            () -> {
+              if (!stopped) {
+                kinds.get(random.nextInt(kinds.size())).run();
+                begin();
+              }
+            });
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  boolean isStopped() {
+    return stopped;
+  }
+
+  // Core processes
+
+  private void killCore() {
+    troubles.restart(anyCore(), random.nextLong(LONGEST_TROUBLE));
+  }
+
+  private void powerOffCore() {
+    powerOff(anyCore(), LONGEST_TROUBLE);
+  }
+
+  private void powerOff(CoreNode core, long longest) {
+    troubles.losePower(core.machine());
+    later(longest, () -> troubles.start(core));
+  }
+
+  private void killAllCores() {
+    for (CoreNode core : List.copyOf(fleet.cores())) {
+      later(KILL_SPREAD, () -> troubles.restart(core, random.nextLong(LONGEST_RESTART)));
+    }
+  }
+
+  private void powerOffAllCores() {
+    for (CoreNode core : List.copyOf(fleet.cores())) {
+      powerOff(core, LONGEST_RESTART);
+    }
+  }
+
+  private void freezeCore() {
+    freeze(anyCore().machine());
+  }
+
+  private void freeze(Machine machine) {
+    troubles.freeze(machine);
+    later(LONGEST_TROUBLE, () -> troubles.thaw(machine));
+  }
+
+  // Disks and machines
+
+  private void slowDisk() {
+    CoreNode core = anyCore();
+    troubles.slowDisk(core, 1 + random.nextLong(LARGEST_DISK_LATENCY));
+    later(LONGEST_TROUBLE, () -> troubles.slowDisk(core, SimulatedDisk.USUAL_LATENCY));
+  }
+
+  private void fillDisk() {
+    CoreNode core = anyCore();
+    troubles.fillDisk(core, random.nextInt(MOST_FREE_BYTES));
+    later(LONGEST_TROUBLE, () -> troubles.freeDisk(core));
+  }
+
+  private void loseDisk() {
+    CoreNode core = anyCore();
+    if (fleet.mayLoseDisk(core)) {
+      troubles.wipe(core);
+      later(LONGEST_RESTART, () -> troubles.start(core));
+    }
+  }
+
+  private void replaceCore() {
+    CoreNode core = anyCore();
+    if (fleet.mayLoseDisk(core)) {
+      troubles.replace(core);
+    }
+  }
+
+  private void loseDiskWhileOthersLosePower() {
+    CoreNode lost = anyCore();
+    if (!fleet.mayLoseDisk(lost)) {
+      return;
+    }
+    troubles.wipe(lost);
+    for (CoreNode core : fleet.cores()) {
+      if (core != lost) {
+        powerOff(core, LONGEST_RESTART);
+      }
+    }
+    later(LONGEST_RESTART, () -> troubles.start(lost));
+  }
+
+  // Network
+
+  private void cutGroups() {
+    List<Machine> group = new ArrayList<>();
+    List<Machine> others = new ArrayList<>();
+    for (Machine machine : coreAndDoors()) {
+      (random.nextBoolean() ? group : others).add(machine);
+    }
+    troubles.cut(group, others);
+    healLater();
+  }
+
+  private void cutOneWay() {
+    Machine from = anyMachine();
+    Machine to = anyMachine();
+    if (from != to) {
+      troubles.cutOneWay(from, to);
+      healLater();
+    }
+  }
+
+  private void healLater() {
+    later(LONGEST_TROUBLE, troubles::healCuts);
+  }
+
+  private void slowLinks() {
+    Machine machine = anyMachine();
+    troubles.slowLinks(machine, random.nextLong(LARGEST_LINK_DELAY));
+    later(LONGEST_TROUBLE, () -> troubles.slowLinks(machine, 0));
+  }
+
+  // Doors, clocks, backends
+
+  private void killDoor() {
+    DoorNode door = anyDoor();
+    troubles.kill(door.machine());
+    later(LONGEST_RESTART, () -> troubles.start(door));
+  }
+
+  private void freezeDoor() {
+    freeze(anyDoor().machine());
+  }
+
+  private void cutDoorOff() {
+    Machine door = anyDoor().machine();
+    troubles.cut(List.of(door), fleet.cores().stream().map(CoreNode::machine).toList());
+    healLater();
+  }
+
+  private void stepClock() {
+    troubles.stepClock(anyMachine(), random.nextLong(-LARGEST_CLOCK_STEP, LARGEST_CLOCK_STEP));
+  }
+
+  private void changeBackends() {
+    List<BackendActor> serving =
+        fleet.backends().stream()
+            .filter(backend -> backend.stage() == BackendActor.Stage.SERVING)
+            .toList();
+    if (serving.size() < 2) {
+      fleet.addBackend();
+      return;
+    }
+    BackendActor backend = serving.get(random.nextInt(serving.size()));
+    if (random.nextInt(3) == 0) {
+      backend.crash();
+    } else {
+      backend.close();
+    }
+  }
+
+  // Choices
+
+  private CoreNode anyCore() {
+    CoreNode owner = fleet.configurationOwner();
+    if (owner != null && random.nextBoolean()) {
+      return owner;
+    }
+    return fleet.cores().get(random.nextInt(fleet.cores().size()));
+  }
+
+  private DoorNode anyDoor() {
+    return fleet.doors().get(random.nextInt(fleet.doors().size()));
+  }
+
+  private Machine anyMachine() {
+    return random.nextBoolean() ? anyCore().machine() : anyDoor().machine();
+  }
+
+  private List<Machine> coreAndDoors() {
+    List<Machine> machines = new ArrayList<>();
+    fleet.cores().forEach(core -> machines.add(core.machine()));
+    fleet.doors().forEach(door -> machines.add(door.machine()));
+    return machines;
+  }
+
+  private void later(long longest, Runnable action) {
+    fleet
+        .time()
+        .after(
+            random.nextLong(longest),
+            () -> {
+              if (!stopped) {
+                action.run();
+              }
+            });
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/Troubles.java
@@ -0,0 +1,240 @@
+package nettletrail.emulator.fleet;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import nettletrail.emulator.world.Machine;
+import nettletrail.emulator.world.SimulatedDisk;
+import nettletrail.emulator.world.World;
+
+/** Everything that can befall a fleet, with a note of it for the question who is in touch. */
+public final class Troubles {
+  private final World world;
+  private final Fleet fleet;
+  private final Contact contact;
+  private final Set<Machine> cutMachines = new LinkedHashSet<>();
+
+  Troubles(World world, Fleet fleet, Contact contact) {
+    this.world = world;
+    this.fleet = fleet;
+    this.contact = contact;
+  }
+
+  // Processes
+
+  /** Ends a process, if there is one. */
+  public void kill(Machine machine) {
+    log("kill %s", machine);
+    contact.trouble(machine);
+    machine.end(Machine.End.KILL);
+  }
+
+  /** A machine loses power. */
+  public void losePower(Machine machine) {
+    log("power loss at %s", machine);
+    contact.trouble(machine);
+    machine.end(Machine.End.POWER_LOSS);
+  }
+
+  /** Starts a core process that has ended. */
+  public void start(CoreNode core) {
+    if (!core.machine().isUp()) {
+      contact.trouble(core.machine());
+      log("start %s", core);
+      core.start(false);
+    }
+  }
+
+  /** Starts a door that has ended. */
+  public void start(DoorNode door) {
+    if (!door.machine().isUp()) {
+      contact.trouble(door.machine());
+      log("start %s", door);
+      door.start();
+    }
+  }
+
+  /** Kills a core process and starts it again after a pause in nanoseconds. */
+  public void restart(CoreNode core, long pause) {
+    kill(core.machine());
+    world.time().after(pause, () -> start(core));
+  }
+
+  /** Stops a process between two steps. */
+  public void freeze(Machine machine) {
+    log("freeze %s", machine);
+    contact.trouble(machine);
+    machine.freeze();
+  }
+
+  /** Lets a frozen process go on. */
+  public void thaw(Machine machine) {
+    log("thaw %s", machine);
+    contact.trouble(machine);
+    machine.thaw();
+  }
+
+  // Machines of the core
+
+  /** A core machine loses its disk and comes back at its address with an empty one. */
+  public void wipe(CoreNode core) {
+    log("wipe %s", core);
+    contact.trouble(core.machine());
+    core.machine().end(Machine.End.POWER_LOSS);
+    core.machine().disk().wipe();
+  }
+
+  /**
+   * Takes a core machine away for good and adds an empty one at another address, which starts at
+   * once.
+   */
+  public CoreNode replace(CoreNode core) {
+    log("replace %s", core);
+    contact.trouble(core.machine());
+    core.machine().end(Machine.End.POWER_LOSS);
+    fleet.removeCore(core);
+    CoreNode successor = fleet.addCore();
+    contact.trouble(successor.machine());
+    successor.start(false);
+    return successor;
+  }
+
+  /** All processes hear of other seeds: core machines as they are now. */
+  public void exchangeSeeds() {
+    log("exchange seeds");
+    List<String> seeds = fleet.seedsForNewMachine();
+    fleet.cores().forEach(core -> core.setSeeds(seeds));
+    fleet.doors().forEach(door -> door.setSeeds(seeds));
+  }
+
+  // Network
+
+  /** Nothing gets through between two groups of machines. */
+  public void cut(List<Machine> group, List<Machine> others) {
+    log("cut %s from %s", group, others);
+    for (Machine machine : group) {
+      for (Machine other : others) {
+        noteCut(machine, other);
+        world.network().cut(machine, other);
+      }
+    }
+  }
+
+  /** Nothing gets through from one machine to another. */
+  public void cutOneWay(Machine from, Machine to) {
+    log("cut one way from %s to %s", from, to);
+    noteCut(from, to);
+    world.network().cutOneWay(from, to);
+  }
+
+  /** Ends all cuts. */
+  public void healCuts() {
+    log("heal cuts");
+    cutMachines.forEach(contact::trouble);
+    cutMachines.clear();
+    world.network().healAll();
+  }
+
+  /**
+   * A cut between core machines concerns the core; any other cut concerns the machine outside only.
+   */
+  private void noteCut(Machine one, Machine other) {
+    boolean withinCore = isCore(one) && isCore(other);
+    for (Machine machine : List.of(one, other)) {
+      if (withinCore || !isCore(machine)) {
+        contact.trouble(machine);
+        cutMachines.add(machine);
+      }
+    }
+  }
+
+  private boolean isCore(Machine machine) {
+    return fleet.cores().stream().anyMatch(core -> core.machine() == machine);
+  }
+
+  /** Resets all connections of a machine. */
+  public void resetConnections(Machine machine) {
+    log("reset connections of %s", machine);
+    contact.trouble(machine);
+    world.network().resetConnections(machine);
+  }
+
+  /** Adds to the delay in both directions between a machine and all core machines; 0 ends it. */
+  public void slowLinks(Machine machine, long extra) {
+    log("links of %s take %d ns more", machine, extra);
+    noteLasting(machine, extra > 0);
+    for (CoreNode core : fleet.cores()) {
+      world.network().setExtraDelay(machine, core.machine(), extra);
+      world.network().setExtraDelay(core.machine(), machine, extra);
+    }
+  }
+
+  // Disks and clocks
+
+  /** Every call of a disk takes so long, in nanoseconds. */
+  public void slowDisk(CoreNode core, long latency) {
+    log("calls to the disk of %s take %d ns", core, latency);
+    noteLasting(core.machine(), latency > SimulatedDisk.USUAL_LATENCY);
+    core.machine().disk().setLatency(latency);
+  }
+
+  /** Calls of a disk hang for a span in nanoseconds. */
+  public void hangDisk(CoreNode core, long span) {
+    log("disk of %s hangs for %d ns", core, span);
+    contact.begin(core.machine());
+    core.machine().disk().hangUntil(world.time().now() + span);
+    world.time().after(span, () -> contact.end(core.machine()));
+  }
+
+  /** A disk takes only so many bytes more. */
+  public void fillDisk(CoreNode core, long freeBytes) {
+    log("disk of %s has %d bytes left", core, freeBytes);
+    contact.begin(core.machine());
+    core.machine().disk().setFreeBytes(freeBytes);
+  }
+
+  /** A disk that was full takes writes again. */
+  public void freeDisk(CoreNode core) {
+    log("disk of %s has room", core);
+    contact.end(core.machine());
+    core.machine().disk().setUnlimited();
+  }
+
+  /** The time of day of a machine jumps. */
+  public void stepClock(Machine machine, long span) {
+    log("time of day of %s jumps by %d ns", machine, span);
+    contact.trouble(machine);
+    machine.clock().stepTimeOfDay(span);
+  }
+
+  private void noteLasting(Machine machine, boolean begins) {
+    if (begins) {
+      contact.begin(machine);
+    } else {
+      contact.end(machine);
+    }
+  }
+
+  /** Ends everything that lasts: all machines run, connected, with good disks. */
+  public void endAll() {
+    log("end of all troubles");
+    healCuts();
+    for (CoreNode core : List.copyOf(fleet.cores())) {
+      thaw(core.machine());
+      slowLinks(core.machine(), 0);
+      slowDisk(core, SimulatedDisk.USUAL_LATENCY);
+      core.machine().disk().hangUntil(world.time().now());
+      freeDisk(core);
+      start(core);
+    }
+    for (DoorNode door : fleet.doors()) {
+      thaw(door.machine());
+      slowLinks(door.machine(), 0);
+      start(door);
+    }
+  }
+
+  private void log(String format, Object... arguments) {
+    world.log().add(format, arguments);
+  }
+}
