Router: one class each for sending, answers and ends; silent backends are given up

A send that may run again and whose backend is silent goes to another one; a silent backend is ejected, and its idle connections are closed, so that the next request shows by a new connection whether it is there. Whether a request was written is asked of the write's promise: its listener may be told after the close. Ruled out: probes of backends, which are priced.

--- /dev/null
+++ b/router/src/main/java/nettletrail/router/Completion.java
@@ -0,0 +1,147 @@
+package nettletrail.router;
+
+import io.netty.channel.EventLoop;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import nettletrail.router.admission.VirtualCounters;
+import nettletrail.router.upstream.UpstreamPool;
+
+/**
+ * How an exchange ends: with an answer of the router's own, at its deadline, or because its client has left. What it held
+ * is given back here. On the event loop.
+ *
+ * <p>429 and 503 are given only if no backend can have run the request; one that may have run and has no answer gets 502, or
+ * 504 at its deadline.
+ */
+final class Completion {
+  private static final long RETRY_AFTER_MS = 250;
+  private static final int RETRY_AFTER_SPREAD_MS = 250;
+
+  private final EventLoop loop;
+  private final ControlView control;
+  private final VirtualCounters counters;
+  private final SplittableRandom random;
+  private final Consumer<ServiceState> slotFreed;
+
+  /** @param slotFreed told, in a turn of its own, of a service whose queue is not empty and that has a free slot */
+  Completion(
+      EventLoop loop,
+      ControlView control,
+      VirtualCounters counters,
+      SplittableRandom random,
+      Consumer<ServiceState> slotFreed) {
+    this.loop = loop;
+    this.control = control;
+    this.counters = counters;
+    this.random = random;
+    this.slotFreed = slotFreed;
+  }
+
+  /** No backend will answer it. */
+  void unserved(Exchange exchange) {
+    refuse(exchange, Refusal.unavailable(retryAfterMs()));
+  }
+
+  /** The tenant's quota is spent. */
+  void overQuota(Exchange exchange) {
+    refuse(exchange, Refusal.overQuota(retryAfterMs()));
+  }
+
+  /** Spread, so that clients that were refused together don't come back together. */
+  private long retryAfterMs() {
+    return RETRY_AFTER_MS + random.nextInt(RETRY_AFTER_SPREAD_MS);
+  }
+
+  /** Ends it with this answer if no backend can have run it, else in a way that promises nothing. */
+  void refuse(Exchange exchange, Refusal refusal) {
+    end(exchange, exchange.mayHaveRun() ? Refusal.BAD_GATEWAY : refusal);
+  }
+
+  /** Its deadline has come. */
+  void expired(Exchange exchange) {
+    cancelSend(exchange);
+    end(
+        exchange,
+        exchange.mayHaveRun() ? Refusal.GATEWAY_TIMEOUT : Refusal.unavailable(retryAfterMs()));
+  }
+
+  private void end(Exchange exchange, Refusal refusal) {
+    over(exchange);
+    exchange.dropRelay();
+    if (exchange.client.isStreaming()) {
+      exchange.client.breakStream();
+    } else {
+      exchange.client.answer(refusal);
+    }
+  }
+
+  /** Its client has left. */
+  void abandon(Exchange exchange) {
+    if (exchange.isOver()) {
+      return;
+    }
+    if (exchange.state == Exchange.State.WAITING && exchange.service != null) {
+      exchange.service.queue.remove(exchange);
+    } else {
+      cancelSend(exchange);
+    }
+    over(exchange);
+    exchange.dropRelay();
+  }
+
+  private static void cancelSend(Exchange exchange) {
+    UpstreamPool.Ticket ticket = exchange.ticket;
+    if (ticket != null && !exchange.confirming) {
+      ticket.cancel();
+    }
+    if (exchange.backend != null) {
+      exchange.backend.gaveUp(System.nanoTime());
+      exchange.sendOver(exchange.currentSent);
+    }
+  }
+
+  /** It holds nothing any more, and what it held goes to those that wait. */
+  void over(Exchange exchange) {
+    if (exchange.isOver()) {
+      return;
+    }
+    boolean hadSlot = exchange.state == Exchange.State.SENDING;
+    exchange.state = Exchange.State.OVER;
+    exchange.cancelTimer();
+    long now = System.nanoTime();
+    if (!exchange.mayHaveRun()) {
+      giveQuotaBack(exchange, now);
+    }
+    settle(exchange, now);
+    exchange.request.release();
+    if (hadSlot) {
+      releaseSlot(exchange.service);
+    }
+  }
+
+  private void releaseSlot(ServiceState service) {
+    service.queue.released();
+    if (service.queue.size() > 0) {
+      loop.execute(() -> slotFreed.accept(service));
+    }
+  }
+
+  private void settle(Exchange exchange, long now) {
+    if (exchange.charged) {
+      counters.settle(
+          exchange.tenantName,
+          exchange.inputTokens(),
+          exchange.mayHaveRun(),
+          exchange.outputTokens(),
+          now);
+    }
+  }
+
+  /** Returns the tokens that it took from its tenant's quota. */
+  void giveQuotaBack(Exchange exchange, long now) {
+    if (exchange.quotaTaken > 0) {
+      control.quota().giveBack(exchange.quotaTenant, exchange.quotaTaken, now);
+      exchange.quotaTaken = 0;
+    }
+  }
+}
--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -14,6 +14,7 @@
 import nettletrail.router.balance.BackendChoice;
 import nettletrail.router.balance.BackendLoad;
 import nettletrail.router.balance.PromptPrefix;
+import nettletrail.router.stream.StallRule;
 import nettletrail.router.upstream.Attempt;
 import nettletrail.router.upstream.AttemptFailure;
 import nettletrail.router.upstream.UpstreamPool;
@@ -43,7 +44,9 @@
   /** Which of a route's services it goes to; the same however often it is looked up. */
   final double draw;
 
-  private final RequestDispatcher dispatcher;
+  private final AttemptSender sender;
+  private final AnswerHandler answers;
+  private final Completion completion;
   State state = State.WAITING;
   Resolution resolution;
   ServiceState service;
@@ -65,6 +68,9 @@
   /** The send in hand has been written, as far as is known. */
   boolean currentSent;
 
+  /** When the send in hand was written, or its answer last gave something. */
+  private long heardAt;
+
   private boolean prefilled;
   /** An earlier send may have run. */
   boolean mayHaveRunBefore;
@@ -72,7 +78,6 @@
   /** Sends that reached a backend, or may have. */
   int sends;
 
-  boolean firstSendCounted;
   int connectFailures;
   final List<String> tried = new ArrayList<>(2);
   boolean confirming;
@@ -84,8 +89,16 @@
   /** Of the service that it was sent to, or null. */
   Engine engine;
 
-  Exchange(RequestDispatcher dispatcher, ClientConnection client, ClientRequest request, double draw) {
-    this.dispatcher = dispatcher;
+  Exchange(
+      AttemptSender sender,
+      AnswerHandler answers,
+      Completion completion,
+      ClientConnection client,
+      ClientRequest request,
+      double draw) {
+    this.sender = sender;
+    this.answers = answers;
+    this.completion = completion;
     this.client = client;
     this.request = request;
     this.draw = draw;
@@ -148,10 +161,38 @@
     return Math.max(0, inputTokens() - prefix.tokens());
   }
 
+  /** Tokens that its answer has shown. */
+  long outputTokens() {
+    long events = relay == null ? 0 : relay.events();
+    return events * (engine == null ? 1 : engine.tokensPerEvent());
+  }
+
+  /** Whether its backend is silent for so long that it is better sent elsewhere. */
+  boolean isStalled(long now) {
+    return StallRule.isStalled(
+        now - heardAt, prefilled, route().gapMs(), route().targetMs(), backend.isSilent(now));
+  }
+
+  // ---- What it holds ----
+
+  void cancelTimer() {
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+  }
+
+  void dropRelay() {
+    if (relay != null) {
+      relay.drop();
+      relay = null;
+    }
+  }
+
   // ---- What its client does ----
 
   void clientGone() {
-    dispatcher.abandon(this);
+    completion.abandon(this);
   }
 
   void clientWritable(boolean writable) {
@@ -164,7 +205,7 @@
 
   @Override
   public boolean confirmSend() {
-    return dispatcher.confirmSend(this);
+    return sender.confirmSend(this);
   }
 
   @Override
@@ -193,6 +234,7 @@
   void sent(long now) {
     currentSent = true;
     prefilled = false;
+    heardAt = now;
     backend.sent(prefillTokens(), tokens == null ? 0 : tokens.sum(), now);
   }
 
@@ -222,13 +264,14 @@
   @Override
   public void answerBegan(HttpResponse head) {
     backend.heard(System.nanoTime());
-    dispatcher.answerBegan(this, head);
+    answers.began(this, head);
   }
 
   @Override
   public void answerContent(ByteBuf content) {
     notePrefilled();
-    dispatcher.answerContent(this, content);
+    heardAt = System.nanoTime();
+    answers.content(this, content);
   }
 
   @Override
@@ -241,11 +284,11 @@
 
   @Override
   public void answerEnded() {
-    dispatcher.answerEnded(this);
+    answers.ended(this);
   }
 
   @Override
   public void failed(AttemptFailure failure) {
-    dispatcher.attemptFailed(this, failure);
+    sender.failed(this, failure);
   }
 }
--- a/router/src/main/java/nettletrail/router/Resolution.java
+++ b/router/src/main/java/nettletrail/router/Resolution.java
@@ -76,6 +76,11 @@
     return last;
   }
 
+  /** Whether the request goes to the same service for the same tenant. */
+  boolean hasSameDestination(Resolution other) {
+    return service.name().equals(other.service.name()) && tenantName().equals(other.tenantName());
+  }
+
   /** The priority that a request is sent with, 0 first. */
   int priority() {
     boolean tenantHasOne = tenant != null && tenant.priority() != Tenant.NO_PRIORITY;
--- a/router/src/main/java/nettletrail/router/RouterSettings.java
+++ b/router/src/main/java/nettletrail/router/RouterSettings.java
@@ -19,8 +19,8 @@
     long mostBufferedBytes,
     int connectTimeoutMs,
     long seed) {
-  /** Long enough for one lost packet within a region. */
-  public static final int DEFAULT_CONNECT_TIMEOUT_MS = 400;
+  /** Many times the way there and back within a region. */
+  public static final int DEFAULT_CONNECT_TIMEOUT_MS = 300;
 
   /** Checks the ranges. */
   public RouterSettings {
--- a/router/src/main/java/nettletrail/router/admission/AdmissionQueue.java
+++ b/router/src/main/java/nettletrail/router/admission/AdmissionQueue.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -137,20 +136,15 @@
     return size;
   }
 
-  /** Whether a request of this tenant waits. */
-  public boolean holds(String tenant) {
+  /** Whether a request of any of these tenants waits. */
+  public boolean holdsAny(Collection<String> tenantNames) {
     for (Map<String, ArrayDeque<E>> tenants : waiting.values()) {
-      if (tenants.containsKey(tenant)) {
-        return true;
+      for (String tenant : tenantNames) {
+        if (tenants.containsKey(tenant)) {
+          return true;
+        }
       }
     }
     return false;
   }
-
-  /** All that wait, in no order. */
-  public Iterator<E> entries() {
-    ArrayDeque<E> all = new ArrayDeque<>(size);
-    waiting.values().forEach(tenants -> tenants.values().forEach(all::addAll));
-    return all.iterator();
-  }
 }
--- a/router/src/main/java/nettletrail/router/balance/BackendLoad.java
+++ b/router/src/main/java/nettletrail/router/balance/BackendLoad.java
@@ -6,9 +6,9 @@
  * What this door knows of one incarnation of a backend from the requests that it sent there: how much is outstanding, and
  * how its last sends went.
  *
- * <p>Health is passive: {@link #FAILURES_TO_EJECT} failures in a row eject it for a pause that doubles each time; after the
- * pause one request at a time tries it, until one is answered. A backend that has requests but from which nothing was heard
- * for {@link #SILENCE_NANOS} is suspected: others go first.
+ * <p>Health is passive: {@link #FAILURES_TO_EJECT} failures in a row eject it for a pause that doubles each time; so does
+ * silence of {@link #SILENCE_NANOS} while requests wait there. After the pause one request at a time tries it, until
+ * something is heard.
  */
 public final class BackendLoad {
   static final int FAILURES_TO_EJECT = 3;
@@ -27,6 +27,8 @@
   private boolean trial;
   /** Since when something is awaited and nothing was heard. */
   private long silentSince;
+  /** Whether it was ejected for its silence, so that a word from it is enough to come back. */
+  private boolean ejectedForSilence;
 
   BackendLoad(BackendEndpoint endpoint) {
     this.endpoint = endpoint;
@@ -39,13 +41,13 @@
 
   /** A request is sent there. */
   public void sent(long prefill, long memory, long now) {
-    if (outstanding == 0) {
+    trial = ejected;
+    if (outstanding == 0 || trial) {
       silentSince = now;
     }
     outstanding++;
     prefillTokens += prefill;
     memoryTokens += memory;
-    trial = ejected;
   }
 
   /** The prompt has been read: the first part of the answer came. */
@@ -62,12 +64,16 @@
   /** Bytes came from it. */
   public void heard(long now) {
     silentSince = now;
+    if (ejectedForSilence) {
+      succeeded();
+    }
   }
 
   /** It answered, be it that it is full. */
   public void succeeded() {
     failures = 0;
     ejected = false;
+    ejectedForSilence = false;
     trial = false;
     pauseNanos = 0;
   }
@@ -76,14 +82,34 @@
   public void failed(long now) {
     failures++;
     if (trial || failures >= FAILURES_TO_EJECT && !ejected) {
-      pauseNanos =
-          pauseNanos == 0
-              ? FIRST_PAUSE_NANOS
-              : Math.min(LONGEST_PAUSE_NANOS, 2 * pauseNanos);
-      ejected = true;
-      trial = false;
-      ejectedUntil = now + pauseNanos;
+      eject(now);
+    }
+  }
+
+  /** A request that waits there was given up. */
+  public void gaveUp(long now) {
+    if (isSilent(now) && (trial || !ejected)) {
+      ejectedForSilence = true;
+      eject(now);
+    }
+  }
+
+  private void eject(long now) {
+    pauseNanos =
+        pauseNanos == 0 ? FIRST_PAUSE_NANOS : Math.min(LONGEST_PAUSE_NANOS, 2 * pauseNanos);
+    ejected = true;
+    trial = false;
+    ejectedUntil = now + pauseNanos;
+  }
+
+  /** Ejects it if it has been silent for too long; whether it did. */
+  boolean ejectIfSilent(long now) {
+    if (ejected && !trial || !isSilent(now)) {
+      return false;
     }
+    ejectedForSilence = true;
+    eject(now);
+    return true;
   }
 
   /** Whether it should get requests. */
@@ -92,7 +118,7 @@
   }
 
   /** Whether it keeps requests waiting without a sign of life. */
-  public boolean isSuspect(long now) {
+  public boolean isSilent(long now) {
     return outstanding > 0 && now - silentSince > SILENCE_NANOS;
   }
 
--- a/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -42,6 +42,7 @@
   private final SplittableRandom random;
   private final Map<String, BackendLoad> loads = new HashMap<>();
   private final PrefixIndex prefixes = new PrefixIndex();
+  private final List<String> ejected = new ArrayList<>();
   private List<BackendLoad> ready = List.of();
 
   /** @param zone where this door stands */
@@ -69,6 +70,26 @@
     return new ArrayList<>(before.keySet());
   }
 
+  /** Those that were ejected for their silence since this was last asked. */
+  public List<String> takeEjected() {
+    if (ejected.isEmpty()) {
+      return List.of();
+    }
+    List<String> taken = List.copyOf(ejected);
+    ejected.clear();
+    return taken;
+  }
+
+  /** Whether there is a backend that is none of these. */
+  public boolean hasUntried(List<String> tried) {
+    for (BackendLoad load : ready) {
+      if (!tried.contains(load.endpoint().id())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether the incarnation is ready. */
   public boolean isReady(String backendId) {
     return loads.containsKey(backendId);
@@ -119,7 +140,10 @@
         continue;
       }
       untried.add(load);
-      if (load.isHealthy(now) && !load.isSuspect(now)) {
+      if (load.ejectIfSilent(now)) {
+        ejected.add(load.endpoint().id());
+      }
+      if (load.isHealthy(now)) {
         healthy.add(load);
       }
     }
--- a/router/src/main/java/nettletrail/router/upstream/BackendChannels.java
+++ b/router/src/main/java/nettletrail/router/upstream/BackendChannels.java
@@ -214,6 +214,10 @@
 
   void retire() {
     retired = true;
+    closeIdle();
+  }
+
+  void closeIdle() {
     for (UpstreamConnection each = idle.pollFirst(); each != null; each = idle.pollFirst()) {
       each.close();
     }
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
@@ -38,7 +38,9 @@
   private ChannelHandlerContext wire;
 
   private Ride ride;
-  private boolean written;
+  /** Done when the last byte of the request is in the kernel's hands, or never will be. */
+  private ChannelFuture write;
+
   private boolean used;
   private HttpResponse head;
   /** What is read belongs to an answer of an earlier request. */
@@ -73,7 +75,7 @@
   boolean carry(Ride next) {
     next.boarded(this);
     ride = next;
-    written = false;
+    write = null;
     head = null;
     if (!next.attempt.confirmSend()) {
       boolean still = ride == next;
@@ -85,23 +87,26 @@
       return false;
     }
     decoder.expectAnswerTo(next.attempt.isHeadRequest());
-    next.attempt
-        .head()
-        .writeTo(wire, next.attempt.body(), channel.newPromise())
-        .addListener(this);
+    write = next.attempt.head().writeTo(wire, next.attempt.body(), channel.newPromise());
+    write.addListener(this);
     return true;
   }
 
-  /** The whole request is in the kernel's hands, or it never will be. */
   @Override
-  public void operationComplete(ChannelFuture write) {
-    if (write.isSuccess()) {
-      written = true;
-    } else {
+  public void operationComplete(ChannelFuture done) {
+    if (!done.isSuccess()) {
       channel.close();
     }
   }
 
+  /**
+   * Whether the whole request is in the kernel's hands: from then on it may have run. Asked of the promise itself, whose
+   * listeners may hear of it later.
+   */
+  private boolean isWritten() {
+    return write != null && write.isSuccess();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
@@ -129,7 +134,7 @@
     if (isInformational(start)) {
       return;
     }
-    if (!hasEnd(start) || !written && !isNotRun(start)) {
+    if (!hasEnd(start) || !isWritten() && !isNotRun(start)) {
       garbled(); // a backend begins a request when its last byte has come
       return;
     }
@@ -182,7 +187,7 @@
     idleLimit = idleLimitOf(answer);
     channel.config().setAutoRead(true);
     boolean reusable =
-        written && HttpUtil.isKeepAlive(answer) && !decoder.hasMore() && !skipped && idleLimit > 0;
+        isWritten() && HttpUtil.isKeepAlive(answer) && !decoder.hasMore() && !skipped && idleLimit > 0;
     if (reusable && channel.isActive()) {
       idleSince = now;
       backend.answered(this, now);
@@ -194,7 +199,7 @@
 
   private void garbled() {
     Ride ended = ride;
-    boolean sent = written;
+    boolean sent = isWritten();
     ride = null;
     ended.left();
     channel.close();
@@ -246,7 +251,7 @@
   /** Comes before the decoder hears of the end. */
   void closed() {
     Ride broken = ride;
-    boolean sent = written;
+    boolean sent = isWritten();
     ride = null;
     backend.closed(this);
     if (broken != null) {
@@ -261,9 +266,10 @@
 
   /** Closes it under its request; whether that may have run. */
   boolean abort() {
+    boolean sent = isWritten();
     ride = null;
     channel.close();
-    return written;
+    return sent;
   }
 
   @Override
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
@@ -6,7 +6,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import nettletrail.router.BackendEndpoint;
@@ -85,9 +84,12 @@
     }
   }
 
-  /** The incarnations that connections are kept for. */
-  public List<String> backendIds() {
-    return new ArrayList<>(backends.keySet());
+  /** Closes what is idle at this incarnation: its next request shows by a new connection whether it is there. */
+  public void closeIdle(String backendId) {
+    BackendChannels backend = backends.get(backendId);
+    if (backend != null) {
+      backend.closeIdle();
+    }
   }
 
   /** Ends rests and closes what was idle for too long. To be called about every second. */
