--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -215,6 +215,16 @@
     return group.members();
   }
 
+  /** One shard's state in words, for tests and logs. */
+  String describe(int shard, long now) {
+    return replicas.get(shard).describe(now);
+  }
+
+  /** The group that this process' own replica of a shard holds. */
+  ReplicaGroup group(int shard) {
+    return replicas.get(shard).group();
+  }
+
   /**
    * The latest instant, on this process' steady clock and before the majority was asked, at which no newer configuration than the one
    * announced here was committed; {@link ReplicaGroup#NEVER} if none is known.
--- a/control/src/main/java/nettletrail/control/shard/GroupChanges.java
+++ b/control/src/main/java/nettletrail/control/shard/GroupChanges.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 import nettletrail.protocol.Member;
 
@@ -19,6 +21,8 @@
   /** A process that asks to join. */
   private record Joiner(Member member, long askedAt) {}
 
+  private static final int HEARTBEATS_TO_BE_ALIVE = 3;
+
   private final ShardSettings settings;
   private final Map<String, Joiner> joiners = new HashMap<>();
 
@@ -33,6 +37,32 @@
   /** The group that should follow, or null if it should stay. */
   ReplicaGroup next(
       ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now) {
+    ReplicaGroup changed = wanted(group, self, heardAt, now);
+    boolean viable = changed != null && hasLiveMajority(changed, group, self, heardAt, now);
+    return viable ? changed : null;
+  }
+
+  /** A change that cannot be committed would block the shard, so the new group must have a majority that is alive now. */
+  private boolean hasLiveMajority(
+      ReplicaGroup changed,
+      ReplicaGroup group,
+      Member self,
+      ToLongFunction<String> heardAt,
+      long now) {
+    long earliest = now - HEARTBEATS_TO_BE_ALIVE * settings.heartbeat();
+    Set<String> alive = new HashSet<>();
+    for (Member member : changed.members()) {
+      String id = member.getId();
+      boolean joiner = !group.contains(id);
+      if (joiner || id.equals(self.getId()) || heardAt.applyAsLong(id) >= earliest) {
+        alive.add(id);
+      }
+    }
+    return changed.hasMajority(alive);
+  }
+
+  private ReplicaGroup wanted(
+      ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now) {
     joiners.values().removeIf(joiner -> now - joiner.askedAt() > settings.joinerFresh());
     joiners.keySet().removeIf(group::contains);
     Member joiner = firstJoiner();
--- a/control/src/main/java/nettletrail/control/shard/Ownership.java
+++ b/control/src/main/java/nettletrail/control/shard/Ownership.java
@@ -163,6 +163,11 @@
     return true;
   }
 
+  /** Tells when the former owner was last heard of, which the silence of a member is counted from. */
+  void formerOwnerHeardAt(String id, long heardAt) {
+    progress(id).heardAt = heardAt;
+  }
+
   /** The instant up to which no other replica can own the shard; {@link ReplicaGroup#NEVER} if it holds no lease. */
   long leaseUntil() {
     long askedAt = leaseAskedAt(newest());
--- a/control/src/main/java/nettletrail/control/shard/ShardReplica.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -259,12 +259,18 @@
     }
     askMembers();
     if (election.hasMajority() && election.group().contains(self.getId())) {
-      ownership =
-          new Ownership(
-              shard, election.ballot(), election.newest(), settings, outbox, now);
-      election = null;
-      heartbeatRequested = true;
+      takeOwnership(now);
+    }
+  }
+
+  private void takeOwnership(long now) {
+    ownership =
+        new Ownership(shard, election.ballot(), election.newest(), settings, outbox, now);
+    if (!ownerId.isEmpty() && !ownerId.equals(self.getId())) {
+      ownership.formerOwnerHeardAt(ownerId, ownerHeardAt);
     }
+    election = null;
+    heartbeatRequested = true;
   }
 
   private void postponeElection(long from) {
@@ -329,6 +335,20 @@
     }
   }
 
+  /** The state in words, for tests and logs. */
+  String describe(long now) {
+    ShardVersion accepted = acceptor.accepted();
+    String role = ownership != null ? "owner" : election != null ? "candidate" : "follower";
+    return role
+        + (owns(now) ? " with lease" : "")
+        + ", accepted "
+        + (accepted == null ? "nothing" : VersionStamp.of(accepted))
+        + ", promised "
+        + acceptor.promised()
+        + ", group "
+        + group().members().stream().map(Member::getId).toList();
+  }
+
   /** The members that heartbeats go to; empty unless this process writes as owner. */
   List<Member> heartbeatTargets() {
     return ownership == null ? List.of() : ownership.heartbeatTargets();
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
@@ -34,6 +34,7 @@
   private final Set<String> cutLinks = new HashSet<>();
   private final Map<Long, Consumer<CoreAction.AnswerOrder>> callers = new HashMap<>();
   private final ClusterInvariants invariants = new ClusterInvariants(this);
+  private int machines;
   private long now;
   private long lastOrder;
   private long lastCall;
@@ -120,7 +121,8 @@
   // Machines
 
   SimulatedCore addCore() {
-    String address = "10.0.0." + (cores.size() + 1) + ":8665";
+    machines++;
+    String address = "10.0.0." + machines + ":8665";
     long origin = random.nextInt(1_000_000_000) * 1000L;
     int skew = random.nextInt(2 * MAXIMUM_SKEW_PER_MILLE + 1) - MAXIMUM_SKEW_PER_MILLE;
     SimulatedCore core =
@@ -145,6 +147,12 @@
     return List.copyOf(cores.values());
   }
 
+  /** Takes a machine away for good. */
+  void remove(SimulatedCore core) {
+    core.crash();
+    cores.remove(core.address);
+  }
+
   List<SimulatedCore> runningCores() {
     return cores.values().stream().filter(SimulatedCore::running).toList();
   }
@@ -154,6 +162,10 @@
     return cores.values().stream().filter(core -> core.owns(shard)).findFirst().orElse(null);
   }
 
+  boolean allRun() {
+    return runningCores().size() == cores.size();
+  }
+
   boolean allShardsOwned() {
     for (int shard = 0; shard < SimulatedCore.SHARDS; shard++) {
       if (owner(shard) == null) {
@@ -163,20 +175,35 @@
     return true;
   }
 
-  /** True when every running machine is a member of the configuration shard, and nobody else is. */
+  /** True when every running machine holds a group of exactly the running machines for every shard, and each is owned. */
   boolean groupIsWhole() {
     Set<String> running = new HashSet<>();
     runningCores().forEach(core -> running.add(core.disk.identity.getId()));
     for (SimulatedCore core : runningCores()) {
-      Set<String> members = new HashSet<>();
-      core.shards.members().stream().map(Member::getId).forEach(members::add);
-      if (!members.equals(running)) {
-        return false;
+      for (int shard = 0; shard < SimulatedCore.SHARDS; shard++) {
+        Set<String> members = new HashSet<>();
+        core.shards.group(shard).members().stream().map(Member::getId).forEach(members::add);
+        if (!members.equals(running)) {
+          return false;
+        }
       }
     }
     return allShardsOwned();
   }
 
+  /** The state of all machines, for failures. */
+  String describe() {
+    StringBuilder text = new StringBuilder("\n");
+    for (SimulatedCore core : cores.values()) {
+      text.append(core.address).append(core.frozen() ? " frozen" : "").append('\n');
+      for (int shard = 0; core.running() && shard < SimulatedCore.SHARDS; shard++) {
+        text.append("  ").append(shard).append(' ');
+        text.append(core.shards.describe(shard, core.localNow())).append('\n');
+      }
+    }
+    return text.toString();
+  }
+
   // Network
 
   void cut(SimulatedCore one, SimulatedCore other) {
