--- a/store/src/main/java/nettletrail/store/CoreStore.java
+++ b/store/src/main/java/nettletrail/store/CoreStore.java
@@ -45,10 +45,14 @@
       stored.put(shard, content);
       damaged |= !content.damaged().isEmpty();
     }
-    Member self =
-        damaged
-            ? NodeIdentity.replace(directory, address, random)
-            : NodeIdentity.loadOrCreate(directory, address, firstRun, random);
+    if (!damaged) {
+      Member self = NodeIdentity.loadOrCreate(directory, address, firstRun, random);
+      return new CoreStore(self, stores, stored);
+    }
+    Member self = NodeIdentity.replace(directory, address, random);
+    for (int shard = 0; shard < shardCount; shard++) {
+      stores.get(shard).discard(stored.get(shard).damaged());
+    }
     return new CoreStore(self, stores, stored);
   }
 
--- a/store/src/main/java/nettletrail/store/VersionStore.java
+++ b/store/src/main/java/nettletrail/store/VersionStore.java
@@ -58,19 +58,32 @@
     return new StoredShard(promised, newest, damaged);
   }
 
+  /** Removes files that {@link #load} could not read; only once the disk has taken a fresh identity. */
+  void discard(List<String> damaged) throws StorageException {
+    for (String name : damaged) {
+      directory.remove(name);
+    }
+    versionFiles.values().removeAll(damaged);
+    directory.syncDirectory();
+  }
+
   /** Makes a promise durable. */
   public void storePromise(Ballot ballot) throws StorageException {
     byte[] payload = encode(PROMISE_FILE, ballot, new SpecificDatumWriter<>(Ballot.class));
     RecordFile.write(directory, PROMISE_FILE, RecordFile.Kind.PROMISE, payload);
   }
 
-  /** Makes a version durable, then removes the oldest files beyond those kept. */
+  /**
+   * Makes a version durable, then removes the oldest files beyond those kept. After a failure the next write takes the same name, so
+   * a full disk does not gather unfinished files.
+   */
   public void storeVersion(ShardVersion version) throws StorageException {
-    lastNumber++;
-    String name = VERSION_PREFIX + String.format("%016x", lastNumber);
+    long number = lastNumber + 1;
+    String name = VERSION_PREFIX + String.format("%016x", number);
     byte[] payload = encode(name, version, new SpecificDatumWriter<>(ShardVersion.class));
     RecordFile.write(directory, name, RecordFile.Kind.VERSION, payload);
-    versionFiles.put(lastNumber, name);
+    lastNumber = number;
+    versionFiles.put(number, name);
     removeOldest();
   }
 
--- a/store/src/test/java/nettletrail/store/CoreStoreTest.java
+++ b/store/src/test/java/nettletrail/store/CoreStoreTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.Stream;
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.Member;
@@ -110,6 +111,8 @@
     assertEquals(List.of(newest.getFileName().toString()), reopened.stored().get(0).damaged());
     assertEquals(version(1), reopened.stored().get(0).version());
     assertNotEquals(store.self().getId(), reopened.self().getId());
+    assertEquals(reopened.self(), open(false).self());
+    assertTrue(open(false).stored().get(0).damaged().isEmpty());
   }
 
   @Test
@@ -121,6 +124,22 @@
     assertEquals(List.of("promise"), stored.damaged());
   }
 
+  @Test
+  void givenFullDisk_whenVersionsFail_thenUnfinishedFilesDontGather() throws StorageException {
+    SimulatedDirectory disk = new SimulatedDirectory(new Random(1));
+    VersionStore store = new VersionStore(disk);
+    store.load();
+    disk.failWith(1);
+    for (long sequence = 1; sequence <= 50; sequence++) {
+      ShardVersion version = version(sequence);
+      assertThrows(StorageException.class, () -> store.storeVersion(version));
+    }
+    assertTrue(disk.list().size() <= 1, disk.list().toString());
+    disk.failWith(0);
+    store.storeVersion(version(51));
+    assertEquals(version(51), new VersionStore(disk).load().version());
+  }
+
   @Test
   void givenMissingFile_whenRead_thenTheFailureNamesStepAndFile() throws StorageException {
     Directory directory = DiskDirectory.open(folder);
