--- a/fleet/src/main/java/nettletrail/fleet/cli/ConfigDiff.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ConfigDiff.java
@@ -47,7 +47,7 @@
   private void print(List<ItemChange> changes, Console console) {
     if (output.json) {
       Map<String, Object> result = new LinkedHashMap<>();
-      result.put("changes", changes.stream().map(ItemChange::toString).toList());
+      result.put("changes", changes.stream().map(ItemChange::toJson).toList());
       console.json(result);
     } else {
       changes.forEach(console.out()::println);
--- a/fleet/src/main/java/nettletrail/fleet/cli/ItemChange.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ItemChange.java
@@ -1,6 +1,9 @@
 package nettletrail.fleet.cli;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 
 /**
  * One difference between two configurations.
@@ -27,6 +30,16 @@
     }
   }
 
+  /** The difference as fields of a JSON object. */
+  Map<String, Object> toJson() {
+    Map<String, Object> object = new LinkedHashMap<>();
+    object.put("change", kind.name().toLowerCase(Locale.ROOT));
+    object.put("section", section);
+    object.put("name", name);
+    object.put("details", details);
+    return object;
+  }
+
   @Override
   public String toString() {
     String item = name.isEmpty() ? section : section + " " + name;
--- a/fleet/src/test/java/nettletrail/fleet/cli/OperatorClientTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/cli/OperatorClientTest.java
@@ -136,6 +136,11 @@
               "~ senders tenant: passes changed");
       assertEquals(expected, output().lines().toList());
       assertFalse(output().contains("secret"));
+      String removed = DOCUMENT.replaceAll("(?s)\"senders\".*]}]", "\"senders\":[]");
+      assertEquals(1, run("config", "diff", "--json", "--core", core.address(), file(removed)));
+      String change =
+          "{\"change\":\"removed\",\"section\":\"senders\",\"name\":\"tenant\",\"details\":[]}";
+      assertEquals("{\"changes\":[" + change + "]}", output());
       String same = DOCUMENT.replace("4000", "4.0e3");
       assertEquals(0, run("config", "diff", "--json", "--core", core.address(), file(same)));
       assertEquals("{\"changes\":[]}", output());
--- a/protocol/src/main/java/nettletrail/protocol/link/Dialler.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Dialler.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -73,7 +74,11 @@
       return;
     }
     failureLogged = true;
-    LOG.info("{} with {} failed, dialling on: {}", LinkStep.DIAL, address, failure.toString());
+    LOG.info(
+        "{} with {} failed, dialling on: {}",
+        LinkStep.DIAL,
+        NetUtil.toSocketAddressString(address),
+        failure.getMessage());
   }
 
   private void redial() {
