--- a/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
@@ -45,6 +45,12 @@
 
   @BeforeEach
   void listen() throws Exception {
+    listen(new ControlSettings(4, 2048, 10_000, 3, 30_000, 30_000));
+  }
+
+  /** For tests of the time-outs themselves; short ones would end other tests on a busy machine. */
+  private void listenWithShortTimeouts() throws Exception {
+    server.close();
     listen(new ControlSettings(4, 2048, 10_000, 3, 300, 600));
   }
 
@@ -310,6 +316,7 @@
 
   @Test
   void requestThatDoesNotEndClosesItsConnection() throws Exception {
+    listenWithShortTimeouts();
     try (HttpCaller headOnly = new HttpCaller(address);
         HttpCaller bodyCut = new HttpCaller(address)) {
       headOnly.write("GET /nettletrail/config HTTP/1.1\r\nHost: co");
@@ -321,6 +328,7 @@
 
   @Test
   void restingConnectionIsClosedButNotOneThatWaitsForItsAnswer() throws Exception {
+    listenWithShortTimeouts();
     try (HttpCaller resting = new HttpCaller(address);
         HttpCaller waiting = new HttpCaller(address)) {
       waiting.request("GET", CONFIGURATION, "");
