Voter, group and restart tests of the replicated shards

Trial mutants of the voter (no pause after a start, accepting below a promise) had survived the random runs; each now has an example of its own. Random faults come at varying pace, also in short bursts.

--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/AcceptorTest.java
@@ -0,0 +1,216 @@
+package nettletrail.control.shard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.PreVote;
+import nettletrail.protocol.PreVoteReply;
+import nettletrail.protocol.Prepare;
+import nettletrail.protocol.PrepareReply;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.store.StoredShard;
+import org.apache.avro.specific.SpecificRecord;
+import org.junit.jupiter.api.Test;
+
+/** What one voter may and may not answer. */
+class AcceptorTest {
+
+  private static final ShardSettings SETTINGS = ShardSettings.defaults();
+  private static final Member SELF = new Member("a:1#0", "a:1");
+  private static final Member OWNER = new Member("b:1#0", "b:1");
+  private static final Member CANDIDATE = new Member("c:1#0", "c:1");
+  private static final long LEASE = SETTINGS.lease();
+
+  private final Outbox outbox = new Outbox(SELF.getAddress());
+
+  private Acceptor acceptor(long promisesFrom) {
+    StoredShard nothing = new StoredShard(null, null, List.of());
+    return new Acceptor(0, SELF, SETTINGS, nothing, outbox, promisesFrom);
+  }
+
+  private static Ballot ballot(long round, Member member) {
+    return new Ballot(round, member.getId());
+  }
+
+  private static Accept accept(Ballot ballot, long sequence) {
+    List<Member> group = List.of(SELF, OWNER, CANDIDATE);
+    ShardVersion version =
+        new ShardVersion(ballot, sequence, group, ByteBuffer.wrap(new byte[] {1}));
+    return new Accept(0, SELF.getId(), ballot, version);
+  }
+
+  private static Prepare prepare(Ballot ballot) {
+    return new Prepare(0, SELF.getId(), ballot);
+  }
+
+  private static ShardBeat beat(Ballot ballot) {
+    return new ShardBeat(0, SELF.getId(), ballot, 0L);
+  }
+
+  private <T extends SpecificRecord> T onlySent(Class<T> type) {
+    List<CoreAction> actions = outbox.drain();
+    assertEquals(1, actions.size(), actions.toString());
+    CoreAction.Send send = assertInstanceOf(CoreAction.Send.class, actions.get(0));
+    return assertInstanceOf(type, send.message());
+  }
+
+  private long onlyStored() {
+    List<CoreAction> actions = outbox.drain();
+    assertEquals(1, actions.size(), actions.toString());
+    CoreAction action = actions.get(0);
+    return action instanceof CoreAction.StorePromise promise
+        ? promise.ticket()
+        : ((CoreAction.StoreVersion) action).ticket();
+  }
+
+  @Test
+  void givenPrepare_whenNotYetDurable_thenNoAnswer() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onPrepare("c:1", prepare(ballot(1, CANDIDATE)), 0);
+    long ticket = onlyStored();
+    acceptor.onStored(ticket, StoreOutcome.STORED);
+    assertTrue(onlySent(PrepareReply.class).getGranted());
+  }
+
+  @Test
+  void givenPrepare_whenStorageFails_thenRefused() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onPrepare("c:1", prepare(ballot(1, CANDIDATE)), 0);
+    acceptor.onStored(onlyStored(), StoreOutcome.failed("full"));
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+  }
+
+  @Test
+  void givenPromise_whenAcceptOfALowerBallotComes_thenRefused() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onPrepare("c:1", prepare(ballot(5, CANDIDATE)), 0);
+    outbox.drain();
+    acceptor.onAccept("b:1", accept(ballot(4, OWNER), 1));
+    AcceptReply reply = onlySent(AcceptReply.class);
+    assertFalse(reply.getAccepted());
+    assertEquals(ballot(5, CANDIDATE), reply.getPromised());
+  }
+
+  @Test
+  void givenPromise_whenPreparedWithTheSameBallot_thenRefused() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onPrepare("c:1", prepare(ballot(5, CANDIDATE)), 0);
+    outbox.drain();
+    acceptor.onPrepare("c:1", prepare(ballot(5, CANDIDATE)), 0);
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+  }
+
+  @Test
+  void givenJustStarted_whenPrepared_thenNoPromiseForAWholeLease() {
+    Acceptor acceptor = acceptor(LEASE);
+    acceptor.onPrepare("c:1", prepare(ballot(1, CANDIDATE)), LEASE - 1);
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+    acceptor.onPreVote("c:1", new PreVote(0, SELF.getId(), ballot(1, CANDIDATE)), LEASE - 1);
+    assertFalse(onlySent(PreVoteReply.class).getGranted());
+    acceptor.onPrepare("c:1", prepare(ballot(1, CANDIDATE)), LEASE);
+    acceptor.onStored(onlyStored(), StoreOutcome.STORED);
+    assertTrue(onlySent(PrepareReply.class).getGranted());
+  }
+
+  @Test
+  void givenLease_whenAnotherPrepares_thenRefusedUntilItEnds() {
+    Acceptor acceptor = acceptor(0);
+    assertTrue(acceptor.onBeat(beat(ballot(1, OWNER)), 100).getGranted());
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 99 + LEASE);
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 100 + LEASE);
+    onlyStored();
+  }
+
+  @Test
+  void givenLease_whenItsHolderPreparesAnew_thenGranted() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onBeat(beat(ballot(1, OWNER)), 100);
+    acceptor.onPrepare("b:1", prepare(ballot(2, OWNER)), 200);
+    onlyStored();
+  }
+
+  @Test
+  void givenPromiseUnderWay_whenAnOlderOwnerBeats_thenNoLease() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onPrepare("c:1", prepare(ballot(5, CANDIDATE)), 0);
+    outbox.drain();
+    ShardBeatReply reply = acceptor.onBeat(beat(ballot(4, OWNER)), 1);
+    assertFalse(reply.getGranted());
+    assertFalse(acceptor.boundToOther(CANDIDATE.getId(), 1));
+  }
+
+  @Test
+  void givenVersionBeingStored_whenPrepared_thenThePromiseNamesIt() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onAccept("b:1", accept(ballot(1, OWNER), 3));
+    long storingVersion = onlyStored();
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 0);
+    assertTrue(outbox.drain().isEmpty());
+    acceptor.onStored(storingVersion, StoreOutcome.STORED);
+    List<CoreAction> actions = outbox.drain();
+    CoreAction.StorePromise promise =
+        assertInstanceOf(CoreAction.StorePromise.class, actions.get(1));
+    acceptor.onStored(promise.ticket(), StoreOutcome.STORED);
+    PrepareReply reply = onlySent(PrepareReply.class);
+    assertTrue(reply.getGranted());
+    assertEquals(3, reply.getAccepted().getSequence());
+  }
+
+  @Test
+  void givenVersionThatFailedToStore_whenPrepared_thenItIsNotNamed() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onAccept("b:1", accept(ballot(1, OWNER), 3));
+    acceptor.onStored(onlyStored(), StoreOutcome.failed("full"));
+    assertEquals("full", onlySent(AcceptReply.class).getFailure());
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 0);
+    acceptor.onStored(onlyStored(), StoreOutcome.STORED);
+    assertNull(onlySent(PrepareReply.class).getAccepted());
+  }
+
+  @Test
+  void givenPromiseOvertakenWhileStored_whenDurable_thenRefused() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 0);
+    long ticket = onlyStored();
+    acceptor.onAccept("b:1", accept(ballot(3, OWNER), 1));
+    assertTrue(outbox.drain().isEmpty());
+    acceptor.onStored(ticket, StoreOutcome.STORED);
+    CoreAction.Send send = assertInstanceOf(CoreAction.Send.class, outbox.drain().get(0));
+    assertFalse(((PrepareReply) send.message()).getGranted());
+  }
+
+  @Test
+  void givenStalledStorage_whenManyVersionsCome_thenOnlyTheNewestWaits() {
+    Acceptor acceptor = acceptor(0);
+    for (long sequence = 1; sequence <= 100; sequence++) {
+      acceptor.onAccept("b:1", accept(ballot(1, OWNER), sequence));
+    }
+    acceptor.onStored(onlyStored(), StoreOutcome.STORED);
+    List<CoreAction> actions = outbox.drain();
+    CoreAction.StoreVersion next =
+        assertInstanceOf(CoreAction.StoreVersion.class, actions.get(1));
+    assertEquals(100, next.version().getSequence());
+  }
+
+  @Test
+  void givenStoredState_whenRestarted_thenPromiseIsTheHigherOfFileAndVersion() {
+    ShardVersion version = accept(ballot(7, OWNER), 3).getVersion();
+    StoredShard stored = new StoredShard(ballot(4, CANDIDATE), version, List.of());
+    Acceptor acceptor = new Acceptor(0, SELF, SETTINGS, stored, outbox, 0);
+    assertEquals(ballot(7, OWNER), acceptor.promised());
+    acceptor.onPrepare("c:1", prepare(ballot(6, CANDIDATE)), 0);
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+  }
+}
--- a/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
+++ b/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
@@ -241,6 +241,23 @@
     assertEquals(3, added.shards.members().size());
   }
 
+  @Test
+  void givenVoterRestartsDuringALease_whenAnotherStandsForElection_thenNoSecondOwner() {
+    SimulatedCluster cluster = settled(17);
+    SimulatedCore owner = cluster.owner(0);
+    SimulatedCore candidate = cluster.core(otherThan(indexOf(cluster, owner)));
+    SimulatedCore voter = cluster.core(otherThan(indexOf(cluster, candidate)));
+    cluster.cut(owner, candidate);
+    cluster.runFor(millis(1190));
+    assertTrue(owner.owns(0));
+    voter.crash();
+    voter.start(cluster.seeds(), false);
+    cluster.cut(owner, voter);
+    long before = cluster.now();
+    assertTrue(cluster.runUntil(() -> candidate.owns(0) || voter.owns(0), millis(4000)));
+    assertTrue(cluster.now() - before >= millis(1100), "a lease was forgotten");
+  }
+
   @Test
   void givenIsolatedOwner_whenItReturns_thenItFollowsTheNewOne() {
     SimulatedCluster cluster = settled(15);
--- a/control/src/test/java/nettletrail/control/shard/RandomFaults.java
+++ b/control/src/test/java/nettletrail/control/shard/RandomFaults.java
@@ -11,20 +11,22 @@
  */
 final class RandomFaults {
 
-  private static final long PAUSE = millis(1500);
+  private static final long SHORT = millis(500);
   private static final long LONGEST = millis(4000);
 
   private final SimulatedCluster cluster;
   private final Random random;
+  private final long longestPause;
   private boolean stopped;
 
   RandomFaults(SimulatedCluster cluster) {
     this.cluster = cluster;
     this.random = cluster.random();
+    this.longestPause = millis(200) + randomBelow(millis(1500));
   }
 
   void start() {
-    cluster.after(randomBelow(PAUSE), this::next);
+    cluster.after(randomBelow(longestPause), this::next);
   }
 
   /** Ends all troubles: machines run, links carry, disks store. */
@@ -45,12 +47,13 @@
       return;
     }
     draw();
-    cluster.after(randomBelow(PAUSE), this::next);
+    cluster.after(randomBelow(longestPause), this::next);
   }
 
   private void draw() {
     SimulatedCore core = anyCore();
-    long duration = millis(100) + (long) (random.nextDouble() * LONGEST);
+    long longest = random.nextBoolean() ? LONGEST : SHORT;
+    long duration = millis(10) + randomBelow(longest);
     switch (random.nextInt(13)) {
       case 0, 1 -> crash(core, duration);
       case 2 -> crashAll();
