A read of the configuration waits behind the write in flight

Cause: ConfigurationRegister.onOrder answered GET at once from what the owner knew as committed. Ruled out: the register itself, no acknowledged version was lost. Change: GET is judged in turn like any order. Also: the binary passes other commands to the operators' client; core processes drop links to members that left.

--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -66,12 +66,13 @@
     return decoded;
   }
 
-  /** Takes an order that some core process passed on. */
+  /**
+   * Takes an order that some core process passed on. A read waits behind the write in flight like any other order: another process may
+   * have learnt from a majority that the write is committed, and pushed it to the doors, before its owner did.
+   */
   void onOrder(String address, OrderForward order, long now) {
     if (!replica.owns(now)) {
       outbox.send(address, OrderReplies.notOwner(order.getCall()));
-    } else if (order.getMethod().equals("GET")) {
-      outbox.send(address, read(order));
     } else if (queue.size() >= settings.orderQueue()) {
       outbox.send(address, OrderReplies.unavailable(order.getCall(), "too many orders wait"));
     } else {
@@ -149,6 +150,10 @@
 
   private void judge(WaitingOrder waiting, long now) {
     OrderForward order = waiting.order();
+    if (order.getMethod().equals("GET")) {
+      outbox.send(waiting.address(), read(order));
+      return;
+    }
     ConfigurationState state = state();
     long ifMatch = parseIfMatch(order.getIfMatch());
     if (ifMatch == NO_EDITION) {
--- a/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
+++ b/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import nettletrail.protocol.AcceptReply;
 import org.junit.jupiter.api.Test;
 
 /** The basic flows of a core of three machines. */
@@ -68,6 +69,28 @@
     assertTrue(owners.size() >= 2, owners.toString());
   }
 
+  @Test
+  void givenWriteThatOthersKnowAsCommitted_whenOwnerIsReadBeforeItKnows_thenNotTheOlderVersion() {
+    int cases = 0;
+    for (long seed = 1; seed <= 60; seed++) {
+      SimulatedCluster cluster = settled(seed);
+      assertEquals(200, put(cluster, 0, "0", "3 first"));
+      cluster.runFor(millis(600));
+      SimulatedCore owner = cluster.owner(0);
+      SimulatedCore other = cluster.core(otherThan(indexOf(cluster, owner)));
+      long before = other.shards.committedSequence();
+      cluster.lose(message -> message instanceof AcceptReply);
+      byte[] second = "5 second".getBytes(StandardCharsets.UTF_8);
+      cluster.call(other, "PUT", "3", second, answer -> {});
+      assertTrue(cluster.runUntil(() -> other.shards.committedSequence() > before, millis(800)));
+      if (owner.shards.committedSequence() == before) {
+        cases++;
+        assertNotEquals("3 first", read(cluster, indexOf(cluster, owner)), "seed " + seed);
+      }
+    }
+    assertTrue(cases > 0, "no seed in which another process knows of the commit first");
+  }
+
   @Test
   void givenOwner_whenOrdersAtEachMachine_thenTakenAndReadEverywhere() {
     SimulatedCluster cluster = settled(1);
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import nettletrail.protocol.Member;
 import org.apache.avro.specific.SpecificRecord;
 
@@ -32,6 +33,7 @@
   private final Map<String, SimulatedCore> cores = new LinkedHashMap<>();
   private final Map<String, Long> lastArrival = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
+  private Predicate<SpecificRecord> lost = message -> false;
   private final Map<Long, Consumer<CoreAction.AnswerOrder>> callers = new HashMap<>();
   private final ClusterInvariants invariants = new ClusterInvariants(this);
   private int machines;
@@ -215,8 +217,14 @@
     cores.values().stream().filter(other -> other != core).forEach(other -> cut(core, other));
   }
 
+  /** Loses each message for which the condition holds, from now on. */
+  void lose(Predicate<SpecificRecord> condition) {
+    lost = condition;
+  }
+
   void heal() {
     cutLinks.clear();
+    lost = message -> false;
   }
 
   private static String link(String from, String to) {
@@ -232,7 +240,7 @@
   }
 
   private void transmit(String from, String to, SpecificRecord message) {
-    if (random.nextDouble() < lossRate) {
+    if (random.nextDouble() < lossRate || lost.test(message)) {
       return;
     }
     String link = link(from, to);
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -4,13 +4,14 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.ConfigurationDocument;
@@ -73,11 +74,13 @@
   private final CoreRegistry registry;
   private final Links links;
   private final ControlServer server;
+  private List<String> seeds;
   private ScheduledFuture<?> ticks;
 
   /** Opens the disk; blocks until it has been read. */
   CoreProcess(FleetSettings settings) throws StartException {
     this.settings = settings;
+    this.seeds = settings.seedInternalAddresses();
     SplittableRandom random = ProcessSeed.random(settings.node());
     CoreStore store = openStore(settings, random.nextLong());
     long now = System.nanoTime();
@@ -106,18 +109,17 @@
     String control = settings.controlGate().orElse("");
     try {
       links.listen(settings.internalAddress()).sync();
-      server.listen(socketAddress(control)).sync();
+      server.listen(FleetSettings.socketAddress(control)).sync();
     } catch (ProtocolException | InterruptedException | RuntimeException failure) {
       throw new StartException("listen", settings.internalAddress() + " " + control, failure);
     }
-    loop.execute(this::dialSeeds);
     ticks = loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     loop.execute(() -> server.setReady(true));
   }
 
   /** Takes the seeds of changed settings; on any thread. */
   void settingsChanged(FleetSettings changed) {
-    loop.execute(() -> changed.seedInternalAddresses().forEach(this::dialOther));
+    loop.execute(() -> seeds = changed.seedInternalAddresses());
   }
 
   EventLoop loop() {
@@ -147,9 +149,6 @@
       perform(registry.doorUp(peer.key(), now));
       return;
     }
-    if (!peer.dialled()) {
-      dialOther(peer.key());
-    }
     perform(registry.coreUp(peer.key(), now));
   }
 
@@ -177,10 +176,6 @@
     return peer.role().equals(Links.DOOR_ROLE);
   }
 
-  private void dialSeeds() {
-    settings.seedInternalAddresses().forEach(this::dialOther);
-  }
-
   private void dialOther(String address) {
     if (!address.equals(settings.internalAddress())) {
       links.dial(address);
@@ -205,9 +200,21 @@
     long now = System.nanoTime();
     run(shards.tick(now));
     perform(registry.tick(now));
+    followMembers();
+  }
+
+  /** Keeps a link to each seed and member, and to nobody else. */
+  private void followMembers() {
+    Set<String> wanted = new HashSet<>(seeds);
     for (Member member : shards.members()) {
-      dialOther(member.getAddress());
+      wanted.add(member.getAddress());
     }
+    for (String address : Set.copyOf(links.dialled())) {
+      if (!wanted.contains(address)) {
+        links.undial(address);
+      }
+    }
+    wanted.forEach(this::dialOther);
   }
 
   private void run(List<CoreAction> actions) {
@@ -329,10 +336,4 @@
     return new CoreRegistrySettings(
         settings.internalAddress(), Math.max(1, life), settings.heartbeatInterval().toMillis(), terms);
   }
-
-  private static InetSocketAddress socketAddress(String hostAndPort) {
-    int colon = hostAndPort.lastIndexOf(':');
-    return new InetSocketAddress(
-        hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
-  }
 }
--- a/fleet/src/main/java/nettletrail/fleet/Main.java
+++ b/fleet/src/main/java/nettletrail/fleet/Main.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import nettletrail.fleet.cli.OperatorClient;
 import nettletrail.fleet.settings.FleetSettings;
 import nettletrail.fleet.settings.SettingsException;
 import nettletrail.fleet.settings.SettingsReader;
@@ -12,7 +13,7 @@
 
 /**
  * The fleet's binary: {@code door} and {@code core} are its roles as daemons; {@code warm-up} exercises both for the archive of
- * classes; the operators' client follows.
+ * classes; everything else is the operators' client.
  *
  * <p>Exit codes: 0 after SIGTERM, 2 if the settings or the machine don't allow a start.
  */
@@ -22,17 +23,14 @@
 
   private Main() {}
 
-  /** Starts a role. */
+  /** Starts a role, or the operators' client. */
   public static void main(String[] arguments) throws Exception {
     String command = arguments.length == 0 ? "help" : arguments[0];
     switch (command) {
       case "door" -> System.exit(daemon(Main::runDoor));
       case "core" -> System.exit(daemon(Main::runCore));
       case "warm-up" -> WarmUp.run();
-      default -> {
-        System.err.println("usage: nettletrail-fleet door|core");
-        System.exit(CANNOT_START);
-      }
+      default -> System.exit(OperatorClient.run(arguments));
     }
   }
 
