Capacity: fit, gauge and rounding are shared by both measures

The line through measured sizes, the thread's gauge and the rounding of figures were private to the roles' measure in app; the router fleet's scale run needs the same. They move to the emulator's capacity package, which app now depends on, so that nothing is written twice.

--- a/app/src/main/java/nettletrail/app/scale/roles/CounterFleet.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/CounterFleet.java
@@ -8,12 +8,13 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import nettletrail.counter.CounterStore;
+import nettletrail.emulator.capacity.Gauge;
 import nettletrail.limits.LeaseScript;
-import nettletrail.limits.LimitsDecider;
 import nettletrail.limits.LimitsDecider.Call;
 import nettletrail.limits.LimitsDecider.Ceiling;
 import nettletrail.limits.LimitsDecider.Terms;
 import nettletrail.limits.LimitsDecider.Told;
+import nettletrail.limits.LimitsDecider;
 
 /**
  * Many front doors' real deciders before the real script in virtual time, under the traffic of many tenants: Poisson
--- a/app/src/main/java/nettletrail/app/scale/roles/CustomersRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/CustomersRole.java
@@ -7,6 +7,8 @@
 import nettletrail.decision.Brain;
 import nettletrail.decision.Gateway;
 import nettletrail.decision.SettingsReader;
+import nettletrail.emulator.capacity.Gauge;
+import nettletrail.emulator.capacity.Rounded;
 
 /** What the decision module of a front door keeps of each customer, and what a request costs by how many there are. */
 final class CustomersRole {
--- a/app/src/main/java/nettletrail/app/scale/roles/LimitsRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/LimitsRole.java
@@ -5,12 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import nettletrail.counter.CounterStore;
+import nettletrail.emulator.capacity.Fit;
+import nettletrail.emulator.capacity.Gauge;
+import nettletrail.emulator.capacity.Rounded;
 import nettletrail.limits.LeaseScript;
-import nettletrail.limits.LimitsDecider;
 import nettletrail.limits.LimitsDecider.Call;
 import nettletrail.limits.LimitsDecider.Ceiling;
 import nettletrail.limits.LimitsDecider.Row;
 import nettletrail.limits.LimitsDecider.Terms;
+import nettletrail.limits.LimitsDecider;
 
 /** The counter and the doors' leases: calls, bytes, processor time and state, by doors and tenants. */
 final class LimitsRole {
--- a/app/src/main/java/nettletrail/app/scale/roles/MembersRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/MembersRole.java
@@ -7,6 +7,8 @@
 import nettletrail.app.members.MembersFleet;
 import nettletrail.core.Members.Life;
 import nettletrail.core.Members.View;
+import nettletrail.emulator.capacity.Gauge;
+import nettletrail.emulator.capacity.Rounded;
 import nettletrail.members.Change;
 import nettletrail.members.MembersDecider;
 import nettletrail.members.Message.Datagram;
--- a/app/src/main/java/nettletrail/app/scale/roles/MembersTraffic.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/MembersTraffic.java
@@ -1,6 +1,7 @@
 package nettletrail.app.scale.roles;
 
 import nettletrail.app.members.MembersFleet;
+import nettletrail.emulator.capacity.Gauge;
 import nettletrail.members.Agree;
 import nettletrail.members.Codec;
 import nettletrail.members.Message.Datagram;
--- a/app/src/main/java/nettletrail/app/scale/roles/Roles.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/Roles.java
@@ -4,6 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import nettletrail.emulator.capacity.Fit;
+import nettletrail.emulator.capacity.Gauge;
+import nettletrail.emulator.capacity.Rounded;
 
 /**
  * All roles one after the other within a given time: as many sizes as fit, a line through them, and what it says for the
--- a/app/src/main/java/nettletrail/app/scale/roles/SettingsRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/SettingsRole.java
@@ -11,6 +11,8 @@
 import nettletrail.core.Endpoint;
 import nettletrail.discovery.Discovery;
 import nettletrail.door.Config;
+import nettletrail.emulator.capacity.Gauge;
+import nettletrail.emulator.capacity.Rounded;
 
 /** A front door's configuration and discovery's list by their numbers of plans and backends, through the real readers. */
 final class SettingsRole {
--- a/app/src/test/java/nettletrail/app/scale/roles/FitTest.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/capacity/FitTest.java
@@ -1,4 +1,4 @@
-package nettletrail.app.scale.roles;
+package nettletrail.emulator.capacity;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
