--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/FleetNames.java
@@ -0,0 +1,59 @@
+package nettletrail.emulator.capacity;
+
+import java.util.Locale;
+
+/** Names and addresses as long as those of a real fleet, the same for the same number. */
+final class FleetNames {
+  private static final long GOLDEN_RATIO = 0x9e3779b1L;
+  private static final long LOW_32_BITS = 0xffffffffL;
+  private static final int ADDRESSES_PER_BYTE = 250;
+
+  private FleetNames() {}
+
+  static String door(int number) {
+    return "door-" + zone(number) + "-" + number;
+  }
+
+  static String doorAddress(int number) {
+    return address(1, number, 8662);
+  }
+
+  static String core(int number) {
+    return "core-" + zone(number) + "-" + number;
+  }
+
+  static String coreAddress(int number) {
+    return address(0, number, 7680);
+  }
+
+  /** Identity of a replica: its address and the life of its disk. */
+  static String member(int number) {
+    return coreAddress(number) + "#0";
+  }
+
+  static String backend(int number) {
+    return String.format(Locale.ROOT, "i-%08x", (number + 1) * GOLDEN_RATIO & LOW_32_BITS);
+  }
+
+  static String backendAddress(int number) {
+    return address(128, number, 8080);
+  }
+
+  static String tenant(int number) {
+    return String.format(Locale.ROOT, "tenant-%04d", number);
+  }
+
+  static String zone(int number) {
+    return "hall-" + (char) ('a' + number % FleetPlan.ZONES);
+  }
+
+  static String service(int number) {
+    return "service-" + number;
+  }
+
+  private static String address(int net, int number, int port) {
+    int third = number / ADDRESSES_PER_BYTE;
+    int fourth = 1 + number % ADDRESSES_PER_BYTE;
+    return "10." + net + "." + third + "." + fourth + ":" + port;
+  }
+}
--- /dev/null
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/SampleMessages.java
@@ -0,0 +1,202 @@
+package nettletrail.emulator.capacity;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendFreshness;
+import nettletrail.protocol.BackendState;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfirmQuery;
+import nettletrail.protocol.ConfirmReply;
+import nettletrail.protocol.DoorHeartbeat;
+import nettletrail.protocol.DoorHeartbeatReply;
+import nettletrail.protocol.FeedAck;
+import nettletrail.protocol.FeedEvents;
+import nettletrail.protocol.FeedSnapshot;
+import nettletrail.protocol.GrantReply;
+import nettletrail.protocol.GrantRequest;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.OwnerHeartbeat;
+import nettletrail.protocol.OwnerHeartbeatReply;
+import nettletrail.protocol.RegistryDigest;
+import nettletrail.protocol.RegistryUpdate;
+import nettletrail.protocol.RegistryUpdateReply;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.protocol.TenantGrant;
+import nettletrail.protocol.TenantUse;
+
+/** Messages with the names and numbers that a fleet has after some weeks of service. */
+final class SampleMessages {
+  private static final long STEADY_CLOCK_NS = 30L * 24 * 3_600 * 1_000_000_000L;
+  private static final long TOKENS_USED = 5_000_000_000L;
+  private static final long TOKENS_WANTED = 4_000;
+  private static final long COUNT = 1_000_000;
+
+  private SampleMessages() {}
+
+  static Ballot ballot() {
+    return new Ballot(40L, FleetNames.member(0));
+  }
+
+  static List<Member> members() {
+    return IntStream.range(0, FleetPlan.CORE_PROCESSES)
+        .mapToObj(number -> new Member(FleetNames.member(number), FleetNames.coreAddress(number)))
+        .toList();
+  }
+
+  static ShardVersion version(int valueBytes) {
+    return new ShardVersion(ballot(), COUNT, members(), ByteBuffer.wrap(new byte[valueBytes]));
+  }
+
+  static Accept accept(int valueBytes) {
+    return new Accept(0, FleetNames.member(1), ballot(), version(valueBytes));
+  }
+
+  static AcceptReply acceptReply() {
+    return new AcceptReply(0, FleetNames.member(1), ballot(), COUNT, true, ballot(), "");
+  }
+
+  static OwnerHeartbeat ownerHeartbeat(int shards) {
+    List<ShardBeat> beats =
+        IntStream.range(0, shards)
+            .mapToObj(shard -> new ShardBeat(shard, FleetNames.member(1), ballot(), COUNT))
+            .toList();
+    return new OwnerHeartbeat(FleetNames.member(0), STEADY_CLOCK_NS, beats);
+  }
+
+  static OwnerHeartbeatReply ownerHeartbeatReply(int shards) {
+    List<ShardBeatReply> replies =
+        IntStream.range(0, shards)
+            .mapToObj(shard -> new ShardBeatReply(shard, true, ballot(), ballot(), COUNT))
+            .toList();
+    return new OwnerHeartbeatReply(FleetNames.member(1), STEADY_CLOCK_NS, replies);
+  }
+
+  static ConfirmQuery confirmQuery() {
+    return new ConfirmQuery(FleetNames.member(0), 0, STEADY_CLOCK_NS);
+  }
+
+  static ConfirmReply confirmReply() {
+    return new ConfirmReply(
+        FleetNames.member(1),
+        0,
+        STEADY_CLOCK_NS,
+        true,
+        ballot(),
+        COUNT,
+        COUNT,
+        FleetNames.coreAddress(0),
+        members());
+  }
+
+  static Backend backend(int number) {
+    return new Backend(
+        FleetNames.backend(number),
+        FleetNames.service(number % SampleDocument.SERVICES),
+        FleetNames.backendAddress(number),
+        FleetNames.zone(number),
+        "v17",
+        128,
+        BackendState.READY,
+        0L,
+        "either_way",
+        List.of("m" + number % SampleDocument.SERVICES),
+        COUNT);
+  }
+
+  static List<Backend> backends(int count) {
+    return IntStream.range(0, count).mapToObj(SampleMessages::backend).toList();
+  }
+
+  static RegistryUpdate registryUpdate(int backends) {
+    return new RegistryUpdate(FleetNames.member(0), COUNT, backends(backends));
+  }
+
+  static RegistryUpdateReply registryUpdateReply() {
+    return new RegistryUpdateReply(FleetNames.member(1), COUNT);
+  }
+
+  static RegistryDigest registryDigest(int backends) {
+    List<BackendFreshness> all = new ArrayList<>();
+    for (int i = 0; i < backends; i++) {
+      all.add(new BackendFreshness(FleetNames.backend(i), COUNT, 600L));
+    }
+    return new RegistryDigest(FleetNames.member(0), all);
+  }
+
+  static DoorHeartbeat doorHeartbeat(int door) {
+    return new DoorHeartbeat(
+        FleetNames.door(door),
+        FleetNames.zone(door),
+        STEADY_CLOCK_NS,
+        STEADY_CLOCK_NS,
+        COUNT,
+        STEADY_CLOCK_NS,
+        COUNT,
+        false);
+  }
+
+  static DoorHeartbeatReply doorHeartbeatReply(int doors) {
+    List<String> owners =
+        IntStream.range(0, FleetPlan.SHARDS)
+            .mapToObj(shard -> FleetNames.coreAddress(shard % FleetPlan.CORE_PROCESSES))
+            .toList();
+    return new DoorHeartbeatReply(
+        FleetNames.member(0),
+        STEADY_CLOCK_NS,
+        true,
+        150L,
+        COUNT,
+        STEADY_CLOCK_NS,
+        COUNT,
+        doors,
+        members(),
+        owners);
+  }
+
+  static ConfigurationPush configurationPush(byte[] document) {
+    return new ConfigurationPush(COUNT, COUNT, ByteBuffer.wrap(document));
+  }
+
+  static FeedSnapshot feedSnapshot(int backends) {
+    return new FeedSnapshot(FleetNames.member(0), STEADY_CLOCK_NS, COUNT, backends(backends));
+  }
+
+  static FeedEvents feedEvents(int backends) {
+    return new FeedEvents(
+        FleetNames.member(0),
+        STEADY_CLOCK_NS,
+        COUNT,
+        COUNT + backends,
+        backends(backends),
+        List.of());
+  }
+
+  static FeedAck feedAck(int door) {
+    return new FeedAck(FleetNames.door(door), STEADY_CLOCK_NS, COUNT);
+  }
+
+  static GrantRequest grantRequest(int door, int tenants) {
+    List<TenantUse> uses =
+        IntStream.range(0, tenants)
+            .mapToObj(i -> new TenantUse(
+                        FleetNames.tenant(i), TOKENS_USED, TOKENS_WANTED, TOKENS_WANTED, 0L))
+            .toList();
+    return new GrantRequest(FleetNames.door(door), STEADY_CLOCK_NS, COUNT, 1, uses);
+  }
+
+  static GrantReply grantReply(int tenants) {
+    List<TenantGrant> grants =
+        IntStream.range(0, tenants)
+            .mapToObj(i -> new TenantGrant(FleetNames.tenant(i), TOKENS_WANTED, 40.0, 3, true))
+            .toList();
+    return new GrantReply(FleetNames.member(0), COUNT, 1, true, ballot(), 1_000L, grants);
+  }
+}
