--- a/control/src/main/java/nettletrail/control/shard/Acceptor.java
+++ b/control/src/main/java/nettletrail/control/shard/Acceptor.java
@@ -16,9 +16,10 @@
 /**
  * The voting half of a replica: what it promised, what it accepted, and to whom its lease runs.
  *
- * <p>A ballot is promised only if it is above all promised before, no other owner's lease runs, and a whole lease has passed since
- * the process started (a lease given in a former life is not on disk). Promises and versions are answered once they are durable.
- * One storage operation is under way at a time; a version that waits goes before a promise that waits, so that the answer to a
+ * <p>A ballot is promised only if it is above all promised before, no other owner's lease runs, and
+ * a whole lease has passed since the process started (a lease given in a former life is not on
+ * disk). Promises and versions are answered once they are durable. One storage operation is under
+ * way at a time; a version that waits goes before a promise that waits, so that the answer to a
  * Prepare names every version that this replica acknowledged or will acknowledge below that ballot.
  */
 final class Acceptor {
@@ -74,7 +75,9 @@
     return accepted;
   }
 
-  /** True while it is bound to an owner other than the node given, or does not know whether it is. */
+  /**
+   * True while it is bound to an owner other than the node given, or does not know whether it is.
+   */
   boolean boundToOther(String node, long now) {
     if (now < promisesFrom) {
       return true;
@@ -99,8 +102,7 @@
   boolean onPrepare(String address, Prepare request, long now) {
     Ballot ballot = request.getBallot();
     if (!mayPromise(ballot, now)) {
-      outbox.send(
-          address, new PrepareReply(shard, self.getId(), ballot, false, promised, null));
+      outbox.send(address, new PrepareReply(shard, self.getId(), ballot, false, promised, null));
       return false;
     }
     promised = ballot;
@@ -154,7 +156,10 @@
         accepted == null ? 0L : accepted.getSequence());
   }
 
-  /** Takes the outcome of the storage operation under way; false if the ticket is not of this replica. */
+  /**
+   * Takes the outcome of the storage operation under way; false if the ticket is not of this
+   * replica.
+   */
   boolean onStored(long ticket, StoreOutcome outcome) {
     if (ticket != storingTicket) {
       return false;
@@ -207,8 +212,7 @@
     }
   }
 
-  private void replyAccept(
-      String address, ShardVersion version, boolean stored, String failure) {
+  private void replyAccept(String address, ShardVersion version, boolean stored, String failure) {
     outbox.send(
         address,
         new AcceptReply(
--- a/control/src/main/java/nettletrail/control/shard/AddressBook.java
+++ b/control/src/main/java/nettletrail/control/shard/AddressBook.java
@@ -6,7 +6,10 @@
 import nettletrail.protocol.ConfirmReply;
 import nettletrail.protocol.Member;
 
-/** What a core process knows of the others beyond the groups that its own replicas hold: seeds, and what answers to queries tell. */
+/**
+ * What a core process knows of the others beyond the groups that its own replicas hold: seeds, and
+ * what answers to queries tell.
+ */
 final class AddressBook {
 
   private final List<String> seeds;
@@ -30,7 +33,10 @@
     }
   }
 
-  /** The owner of the configuration shard as another process named it at most maximumAge ago, else empty. */
+  /**
+   * The owner of the configuration shard as another process named it at most maximumAge ago, else
+   * empty.
+   */
   String reportedOwner(long now, long maximumAge) {
     boolean fresh = now - reportedOwnerAt <= maximumAge;
     return fresh ? reportedOwner : "";
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -12,9 +12,10 @@
 /**
  * Judges the operator's orders at the owner of the configuration shard, one at a time.
  *
- * <p>An order that was taken before is acknowledged again; one that builds on another edition than the current one gets 412; an
- * invalid one 400; any other is written and acknowledged once committed. Refusals are given only while the lease holds and no write
- * is in flight, so they rest on the newest committed value. A write whose outcome is unknown gets 503.
+ * <p>An order that was taken before is acknowledged again; one that builds on another edition than
+ * the current one gets 412; an invalid one 400; any other is written and acknowledged once
+ * committed. Refusals are given only while the lease holds and no write is in flight, so they rest
+ * on the newest committed value. A write whose outcome is unknown gets 503.
  */
 final class ConfigurationRegister {
 
@@ -177,8 +178,7 @@
     }
   }
 
-  private void write(
-      WaitingOrder waiting, ConfigurationState state, ByteBuffer digest, long now)
+  private void write(WaitingOrder waiting, ConfigurationState state, ByteBuffer digest, long now)
       throws InvalidConfigurationException {
     ConfigurationRules.CheckedDocument document = check(waiting.order(), state);
     ShardVersion version = replica.write(state.after(document, digest).encode(), now);
@@ -199,8 +199,7 @@
     return rules.patched(state.documentBytes(), body, state.edition());
   }
 
-  private void refuse(
-      WaitingOrder waiting, int status, ConfigurationState state, String reason) {
+  private void refuse(WaitingOrder waiting, int status, ConfigurationState state, String reason) {
     outbox.send(
         waiting.address(),
         OrderReplies.refused(waiting.order().getCall(), status, state.edition(), reason));
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRules.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRules.java
@@ -1,6 +1,9 @@
 package nettletrail.control.shard;
 
-/** Reads and checks documents for the configuration register. Pure; called by the thread of {@link CoreShards}. */
+/**
+ * Reads and checks documents for the configuration register. Pure; called by the thread of {@link
+ * CoreShards}.
+ */
 public interface ConfigurationRules {
 
   /** A checked document: its edition and its JSON. */
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
@@ -3,9 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import nettletrail.protocol.ConfigurationChange;
@@ -18,7 +18,8 @@
 import org.apache.avro.specific.SpecificDatumWriter;
 
 /**
- * A value of the configuration shard: the document in force and the digests of the last orders that were taken. Immutable.
+ * A value of the configuration shard: the document in force and the digests of the last orders that
+ * were taken. Immutable.
  */
 final class ConfigurationState {
 
--- a/control/src/main/java/nettletrail/control/shard/Confirmation.java
+++ b/control/src/main/java/nettletrail/control/shard/Confirmation.java
@@ -7,12 +7,15 @@
 import nettletrail.protocol.ShardVersion;
 
 /**
- * Quorum reads of one shard: up to which instant is it certain that no version was committed beyond the one this process knows?
+ * Quorum reads of one shard: up to which instant is it certain that no version was committed beyond
+ * the one this process knows?
  *
- * <p>A replica that reported an accepted sequence of at most s, when asked at t or later, had not accepted any committed version
- * above s before t. So the majority-th latest instant at which members of the known version's group were asked and reported no more
- * than the known sequence is confirmed. The next version's group shares a member with each majority of this one, so a change of the
- * group does not slip through. A higher version that is accepted but not committed holds this up until the owner settles it.
+ * <p>A replica that reported an accepted sequence of at most s, when asked at t or later, had not
+ * accepted any committed version above s before t. So the majority-th latest instant at which
+ * members of the known version's group were asked and reported no more than the known sequence is
+ * confirmed. The next version's group shares a member with each majority of this one, so a change
+ * of the group does not slip through. A higher version that is accepted but not committed holds
+ * this up until the owner settles it.
  */
 final class Confirmation {
 
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/ConfirmationRounds.java
@@ -0,0 +1,126 @@
+package nettletrail.control.shard;
+
+import nettletrail.protocol.ConfirmQuery;
+import nettletrail.protocol.ConfirmReply;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.protocol.VersionQuery;
+import nettletrail.protocol.VersionReply;
+
+/**
+ * Asks the configuration shard's replicas, several times a second, for the newest version that they
+ * accepted, and fetches the newest committed one where this process is behind. Works without an
+ * owner, and for a process that is no replica.
+ */
+final class ConfirmationRounds {
+
+  private final ShardReplica replica;
+  private final Member self;
+  private final AddressBook addressBook;
+  private final ShardSettings settings;
+  private final Outbox outbox;
+  private final long startedAt;
+  private final Confirmation confirmation = new Confirmation();
+  private long askDueAt;
+  private long versionAskedAt;
+
+  ConfirmationRounds(
+      ShardReplica replica,
+      Member self,
+      AddressBook addressBook,
+      ShardSettings settings,
+      Outbox outbox,
+      long now) {
+    this.replica = replica;
+    this.self = self;
+    this.addressBook = addressBook;
+    this.settings = settings;
+    this.outbox = outbox;
+    this.startedAt = now;
+    this.askDueAt = now;
+    this.versionAskedAt = now - settings.confirm();
+  }
+
+  /**
+   * Starts the next round when it is due; asks every known address while no committed version is
+   * known.
+   */
+  void tick(Iterable<String> knownAddresses, long now) {
+    if (now < askDueAt) {
+      return;
+    }
+    askDueAt = now + settings.confirm();
+    ConfirmQuery query = new ConfirmQuery(self.getId(), CoreShards.CONFIGURATION_SHARD, now);
+    ShardVersion committed = replica.committed();
+    if (committed == null) {
+      knownAddresses.forEach(address -> outbox.send(address, query));
+      return;
+    }
+    ReplicaGroup group = new ReplicaGroup(committed.getMembers());
+    confirmation.retain(group);
+    for (Member member : group.members()) {
+      outbox.send(member.getAddress(), query);
+    }
+  }
+
+  void onQuery(String peer, ConfirmQuery query, long now) {
+    ShardVersion accepted = replica.accepted();
+    ShardVersion committed = replica.committed();
+    ReplicaGroup group = replica.group();
+    outbox.send(
+        peer,
+        new ConfirmReply(
+            self.getId(),
+            query.getShard(),
+            query.getSentAt(),
+            group.contains(self.getId()),
+            accepted == null ? null : accepted.getBallot(),
+            accepted == null ? -1L : accepted.getSequence(),
+            committed == null ? -1L : committed.getSequence(),
+            replica.ownerAddress(now),
+            group.members()));
+  }
+
+  void onReply(String peer, ConfirmReply reply, long now) {
+    boolean sentInThisLife = reply.getSentAt() >= startedAt && reply.getSentAt() <= now;
+    if (!sentInThisLife) {
+      return;
+    }
+    addressBook.onConfirmReply(reply, now);
+    confirmation.onReply(reply);
+    ShardVersion accepted = replica.accepted();
+    if (accepted != null && confirmation.provesCommitted(accepted)) {
+      replica.learnCommitted(accepted);
+    }
+    boolean behind = reply.getCommittedSequence() > committedSequence();
+    if (behind && now - versionAskedAt >= settings.confirm()) {
+      versionAskedAt = now;
+      outbox.send(peer, new VersionQuery(CoreShards.CONFIGURATION_SHARD));
+    }
+  }
+
+  void onVersionQuery(String peer) {
+    outbox.send(peer, new VersionReply(CoreShards.CONFIGURATION_SHARD, replica.committed()));
+  }
+
+  void onVersionReply(VersionReply reply) {
+    if (reply.getVersion() != null) {
+      replica.learnCommitted(reply.getVersion());
+    }
+  }
+
+  /** Works out what is confirmed; after each event. */
+  void update() {
+    confirmation.update(replica.committed());
+  }
+
+  /** The sequence of the newest version that is known to be committed, or -1. */
+  long committedSequence() {
+    ShardVersion committed = replica.committed();
+    return committed == null ? -1 : committed.getSequence();
+  }
+
+  long confirmedAt() {
+    return confirmation.confirmedAt();
+  }
+}
--- a/control/src/main/java/nettletrail/control/shard/CoreAction.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreAction.java
@@ -7,13 +7,22 @@
 /** What {@link CoreShards} asks its process to do. */
 public sealed interface CoreAction {
 
-  /** Send a message to the core process at that address; it may be lost, not reordered within one connection. */
+  /**
+   * Send a message to the core process at that address; it may be lost, not reordered within one
+   * connection.
+   */
   record Send(String address, SpecificRecord message) implements CoreAction {}
 
-  /** Make a promise durable, in the order of the tickets of its shard, then call {@link CoreShards#stored}. */
+  /**
+   * Make a promise durable, in the order of the tickets of its shard, then call {@link
+   * CoreShards#stored}.
+   */
   record StorePromise(long ticket, int shard, Ballot ballot) implements CoreAction {}
 
-  /** Make a version durable, in the order of the tickets of its shard, then call {@link CoreShards#stored}. */
+  /**
+   * Make a version durable, in the order of the tickets of its shard, then call {@link
+   * CoreShards#stored}.
+   */
   record StoreVersion(long ticket, int shard, ShardVersion version) implements CoreAction {}
 
   /**
@@ -26,7 +35,10 @@
    */
   record AnswerOrder(long call, int status, String edition, byte[] body) implements CoreAction {}
 
-  /** A newer configuration is known to be committed; the sequence grows for the whole life of the process. */
+  /**
+   * A newer configuration is known to be committed; the sequence grows for the whole life of the
+   * process.
+   */
   record CommittedConfiguration(long sequence, long edition, byte[] document)
       implements CoreAction {}
 }
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -31,11 +31,12 @@
 import org.apache.avro.specific.SpecificRecord;
 
 /**
- * All replicated shards of one core process: shard {@value #CONFIGURATION_SHARD} holds the configuration, the others only decide who
- * owns them.
+ * All replicated shards of one core process: shard {@value #CONFIGURATION_SHARD} holds the
+ * configuration, the others only decide who owns them.
  *
- * <p>Pure and confined to one thread: each event returns the actions that follow from it. Times are nanoseconds of this process'
- * steady clock. {@link #tick} is due about every 50 ms; timers are no finer than that.
+ * <p>Pure and confined to one thread: each event returns the actions that follow from it. Times are
+ * nanoseconds of this process' steady clock. {@link #tick} is due about every 50 ms; timers are no
+ * finer than that.
  */
 public final class CoreShards {
 
@@ -49,20 +50,19 @@
   private final ShardReplica configurationReplica;
   private final ConfigurationRegister register;
   private final OrderRouter orders;
-  private final Confirmation confirmation = new Confirmation();
+  private final ConfirmationRounds confirmations;
   private final AddressBook addressBook;
   private final long startedAt;
   private long heartbeatDueAt;
-  private long confirmDueAt;
   private long joinDueAt;
-  private long versionAskedAt;
   private long announcedSequence;
 
   /**
    * Starts the process' shards.
    *
    * @param self identity and address of this process
-   * @param seedAddresses where other core processes may be found; at the first run the founding group
+   * @param seedAddresses where other core processes may be found; at the first run the founding
+   *     group
    * @param firstRun true only at the first start of the whole system
    * @param stored what the disk holds, by shard; a shard that is missing has nothing
    * @param seed of the random numbers; should differ between processes and lives
@@ -110,13 +110,12 @@
       replicas.add(startReplica(shard, content, firstRun, seedAddresses, random.split(), now));
     }
     this.configurationReplica = replicas.get(CONFIGURATION_SHARD);
-    this.register =
-        new ConfigurationRegister(configurationReplica, rules, settings, outbox);
+    this.register = new ConfigurationRegister(configurationReplica, rules, settings, outbox);
     this.orders = new OrderRouter(settings, outbox, random.nextLong());
+    this.confirmations =
+        new ConfirmationRounds(configurationReplica, self, addressBook, settings, outbox, now);
     this.heartbeatDueAt = now;
-    this.confirmDueAt = now;
     this.joinDueAt = now + settings.join();
-    this.versionAskedAt = now - settings.confirm();
   }
 
   private ShardReplica startReplica(
@@ -132,8 +131,7 @@
         new ShardReplica(shard, self, settings, content, outbox, random, promisesFrom);
     List<Member> founders = seedAddresses.stream().map(NodeIdentity::founding).toList();
     if (founding && founders.contains(self)) {
-      ShardVersion initial =
-          new ShardVersion(Ballots.ZERO, 0L, founders, ByteBuffer.allocate(0));
+      ShardVersion initial = new ShardVersion(Ballots.ZERO, 0L, founders, ByteBuffer.allocate(0));
       replica.bootstrap(initial, now);
     }
     return replica;
@@ -156,10 +154,7 @@
       heartbeatDueAt = now + settings.heartbeat();
       sendHeartbeats(replicas, now);
     }
-    if (now >= confirmDueAt) {
-      confirmDueAt = now + settings.confirm();
-      askForConfirmation(now);
-    }
+    confirmations.tick(addressBook.addresses(replicas), now);
     if (now >= joinDueAt) {
       joinDueAt = now + settings.join();
       askToJoin(now);
@@ -178,9 +173,11 @@
     return finish(now);
   }
 
-  /** Takes an operator's call that arrived at this process; it is answered by an {@link CoreAction.AnswerOrder}. */
-  public List<CoreAction> submit(
-      long call, String method, String ifMatch, byte[] body, long now) {
+  /**
+   * Takes an operator's call that arrived at this process; it is answered by an {@link
+   * CoreAction.AnswerOrder}.
+   */
+  public List<CoreAction> submit(long call, String method, String ifMatch, byte[] body, long now) {
     String owner = ownerAddress(CONFIGURATION_SHARD, now);
     orders.submit(call, method, ifMatch, body, owner, now);
     return finish(now);
@@ -188,7 +185,10 @@
 
   // Views
 
-  /** True while this process holds the lease of a shard: no other process can own it before that runs out. */
+  /**
+   * True while this process holds the lease of a shard: no other process can own it before that
+   * runs out.
+   */
   public boolean owns(int shard, long now) {
     return replicas.get(shard).owns(now);
   }
@@ -210,8 +210,7 @@
     ShardVersion accepted = configurationReplica.accepted();
     long ownSequence = accepted == null ? -1 : accepted.getSequence();
     boolean reportedNewer = addressBook.reportedSequence() > ownSequence;
-    ReplicaGroup group =
-        reportedNewer ? addressBook.reportedGroup() : configurationReplica.group();
+    ReplicaGroup group = reportedNewer ? addressBook.reportedGroup() : configurationReplica.group();
     return group.members();
   }
 
@@ -226,17 +225,20 @@
   }
 
   /**
-   * The latest instant, on this process' steady clock and before the majority was asked, at which no newer configuration than the one
-   * announced here was committed; {@link ReplicaGroup#NEVER} if none is known.
+   * The latest instant, on this process' steady clock and before the majority was asked, at which
+   * no newer configuration than the one announced here was committed; {@link ReplicaGroup#NEVER} if
+   * none is known.
    */
   public long confirmedAt() {
-    return confirmation.confirmedAt();
+    return confirmations.confirmedAt();
   }
 
-  /** The sequence of the newest version of the configuration shard that is known to be committed, or -1. */
+  /**
+   * The sequence of the newest version of the configuration shard that is known to be committed, or
+   * -1.
+   */
   public long committedSequence() {
-    ShardVersion committed = configurationReplica.committed();
-    return committed == null ? -1 : committed.getSequence();
+    return confirmations.committedSequence();
   }
 
   // Messages
@@ -267,14 +269,13 @@
 
   private void dispatchConfiguration(String peer, SpecificRecord message, long now) {
     if (message instanceof ConfirmQuery query) {
-      outbox.send(peer, confirmReply(query, now));
+      confirmations.onQuery(peer, query, now);
     } else if (message instanceof ConfirmReply reply) {
-      onConfirmReply(peer, reply, now);
-    } else if (message instanceof VersionQuery query) {
-      ShardVersion committed = replicas.get(query.getShard()).committed();
-      outbox.send(peer, new VersionReply(query.getShard(), committed));
+      confirmations.onReply(peer, reply, now);
+    } else if (message instanceof VersionQuery) {
+      confirmations.onVersionQuery(peer);
     } else if (message instanceof VersionReply reply) {
-      onVersionReply(reply);
+      confirmations.onVersionReply(reply);
     } else if (message instanceof OrderForward order) {
       register.onOrder(peer, order, now);
     } else if (message instanceof OrderForwardReply reply) {
@@ -291,8 +292,7 @@
       }
     }
     if (!replies.isEmpty()) {
-      outbox.send(
-          peer, new OwnerHeartbeatReply(self.getId(), heartbeat.getSentAt(), replies));
+      outbox.send(peer, new OwnerHeartbeatReply(self.getId(), heartbeat.getSentAt(), replies));
     }
   }
 
@@ -307,45 +307,6 @@
     }
   }
 
-  private ConfirmReply confirmReply(ConfirmQuery query, long now) {
-    ShardReplica replica = replicas.get(query.getShard());
-    ShardVersion accepted = replica.accepted();
-    ShardVersion committed = replica.committed();
-    return new ConfirmReply(
-        self.getId(),
-        query.getShard(),
-        query.getSentAt(),
-        replica.group().contains(self.getId()),
-        accepted == null ? null : accepted.getBallot(),
-        accepted == null ? -1L : accepted.getSequence(),
-        committed == null ? -1L : committed.getSequence(),
-        replica.ownerAddress(now),
-        replica.group().members());
-  }
-
-  private void onConfirmReply(String peer, ConfirmReply reply, long now) {
-    if (reply.getShard() != CONFIGURATION_SHARD || !sentInThisLife(reply.getSentAt(), now)) {
-      return;
-    }
-    addressBook.onConfirmReply(reply, now);
-    confirmation.onReply(reply);
-    ShardVersion accepted = configurationReplica.accepted();
-    if (accepted != null && confirmation.provesCommitted(accepted)) {
-      configurationReplica.learnCommitted(accepted);
-    }
-    boolean behind = reply.getCommittedSequence() > committedSequence();
-    if (behind && now - versionAskedAt >= settings.confirm()) {
-      versionAskedAt = now;
-      outbox.send(peer, new VersionQuery(CONFIGURATION_SHARD));
-    }
-  }
-
-  private void onVersionReply(VersionReply reply) {
-    if (reply.getVersion() != null) {
-      replicas.get(reply.getShard()).learnCommitted(reply.getVersion());
-    }
-  }
-
   /** An answer to a former life of this process must not count: its clock may have been another. */
   private boolean sentInThisLife(long sentAt, long now) {
     return sentAt >= startedAt && sentAt <= now;
@@ -363,25 +324,13 @@
       }
     }
     beats.forEach(
-        (address, shards) ->
-            outbox.send(address, new OwnerHeartbeat(self.getId(), now, shards)));
-  }
-
-  private void askForConfirmation(long now) {
-    ConfirmQuery query = new ConfirmQuery(self.getId(), CONFIGURATION_SHARD, now);
-    ShardVersion committed = configurationReplica.committed();
-    if (committed == null) {
-      addressBook.addresses(replicas).forEach(address -> outbox.send(address, query));
-      return;
-    }
-    ReplicaGroup group = new ReplicaGroup(committed.getMembers());
-    confirmation.retain(group);
-    for (Member member : group.members()) {
-      outbox.send(member.getAddress(), query);
-    }
+        (address, shards) -> outbox.send(address, new OwnerHeartbeat(self.getId(), now, shards)));
   }
 
-  /** A process that is no member of a shard, or has heard no owner for long, asks to be a member; owners ignore members. */
+  /**
+   * A process that is no member of a shard, or has heard no owner for long, asks to be a member;
+   * owners ignore members.
+   */
   private void askToJoin(long now) {
     for (int shard = 0; shard < replicas.size(); shard++) {
       ShardReplica replica = replicas.get(shard);
@@ -407,7 +356,7 @@
       register.advance(now);
       sendRequestedHeartbeats(now);
     } while (outbox.hasLoopback());
-    confirmation.update(configurationReplica.committed());
+    confirmations.update();
     announceConfiguration();
     return outbox.drain();
   }
--- a/control/src/main/java/nettletrail/control/shard/Election.java
+++ b/control/src/main/java/nettletrail/control/shard/Election.java
@@ -11,8 +11,8 @@
 import nettletrail.protocol.ShardVersion;
 
 /**
- * One candidacy for one shard: a PreVote round, which changes nothing, then a Prepare round. It is won with promises of a majority
- * of the group that the newest version among the answers names.
+ * One candidacy for one shard: a PreVote round, which changes nothing, then a Prepare round. It is
+ * won with promises of a majority of the group that the newest version among the answers names.
  */
 final class Election {
 
--- a/control/src/main/java/nettletrail/control/shard/GroupChanges.java
+++ b/control/src/main/java/nettletrail/control/shard/GroupChanges.java
@@ -12,9 +12,10 @@
 /**
  * Decides how the owner of a shard changes its group, by one member at a time.
  *
- * <p>A group of 2k + 1 and one of 2k both need k + 1 members, so taking a dead member out of an odd group and taking a joiner into
- * an even one cost nothing. A group that is odd takes a joiner only in place of a dead member or when all its members are alive.
- * Dead is a member whose address a joiner has taken over with a fresh disk, or one silent for some seconds.
+ * <p>A group of 2k + 1 and one of 2k both need k + 1 members, so taking a dead member out of an odd
+ * group and taking a joiner into an even one cost nothing. A group that is odd takes a joiner only
+ * in place of a dead member or when all its members are alive. Dead is a member whose address a
+ * joiner has taken over with a fresh disk, or one silent for some seconds.
  */
 final class GroupChanges {
 
@@ -35,14 +36,16 @@
   }
 
   /** The group that should follow, or null if it should stay. */
-  ReplicaGroup next(
-      ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now) {
+  ReplicaGroup next(ReplicaGroup group, Member self, ToLongFunction<String> heardAt, long now) {
     ReplicaGroup changed = wanted(group, self, heardAt, now);
     boolean viable = changed != null && hasLiveMajority(changed, group, self, heardAt, now);
     return viable ? changed : null;
   }
 
-  /** A change that cannot be committed would block the shard, so the new group must have a majority that is alive now. */
+  /**
+   * A change that cannot be committed would block the shard, so the new group must have a majority
+   * that is alive now.
+   */
   private boolean hasLiveMajority(
       ReplicaGroup changed,
       ReplicaGroup group,
@@ -80,8 +83,7 @@
     if (replaced != null) {
       return group.without(replaced.getId());
     }
-    boolean allHeard =
-        silentFor(group, self, heardAt, now, settings.joinerFresh()) == null;
+    boolean allHeard = silentFor(group, self, heardAt, now, settings.joinerFresh()) == null;
     return allHeard ? group.with(joiner) : null;
   }
 
@@ -119,8 +121,7 @@
       if (other == null) {
         continue;
       }
-      boolean otherOlder =
-          heardAt.applyAsLong(other.getId()) < heardAt.applyAsLong(member.getId());
+      boolean otherOlder = heardAt.applyAsLong(other.getId()) < heardAt.applyAsLong(member.getId());
       Member older = otherOlder ? other : member;
       return older.getId().equals(self.getId()) ? null : older;
     }
--- a/control/src/main/java/nettletrail/control/shard/OrderRouter.java
+++ b/control/src/main/java/nettletrail/control/shard/OrderRouter.java
@@ -9,8 +9,9 @@
 import nettletrail.protocol.OrderForwardReply;
 
 /**
- * Passes the operator's calls that arrived at this process to the owner of the configuration shard, which may be this process, and
- * relays the answers. A call waits some time for an owner to be known; one without an answer in time gets 503.
+ * Passes the operator's calls that arrived at this process to the owner of the configuration shard,
+ * which may be this process, and relays the answers. A call waits some time for an owner to be
+ * known; one without an answer in time gets 503.
  */
 final class OrderRouter {
 
@@ -33,7 +34,10 @@
   private final Map<Long, PendingCall> pending = new HashMap<>();
   private long lastForward;
 
-  /** Numbers its messages from firstForward, which differs between lives of a process so that late answers find nobody. */
+  /**
+   * Numbers its messages from firstForward, which differs between lives of a process so that late
+   * answers find nobody.
+   */
   OrderRouter(ShardSettings settings, Outbox outbox, long firstForward) {
     this.settings = settings;
     this.outbox = outbox;
@@ -49,8 +53,7 @@
     }
     lastForward++;
     String condition = ifMatch == null ? "" : ifMatch;
-    OrderForward order =
-        new OrderForward(lastForward, method, condition, ByteBuffer.wrap(body));
+    OrderForward order = new OrderForward(lastForward, method, condition, ByteBuffer.wrap(body));
     PendingCall added = new PendingCall(call, order, now);
     pending.put(lastForward, added);
     forward(added, ownerAddress);
--- a/control/src/main/java/nettletrail/control/shard/Outbox.java
+++ b/control/src/main/java/nettletrail/control/shard/Outbox.java
@@ -8,7 +8,10 @@
 import nettletrail.protocol.ShardVersion;
 import org.apache.avro.specific.SpecificRecord;
 
-/** Collects the actions of one event. Messages to this process itself are kept apart and handled within the same event. */
+/**
+ * Collects the actions of one event. Messages to this process itself are kept apart and handled
+ * within the same event.
+ */
 final class Outbox {
 
   private final String selfAddress;
--- a/control/src/main/java/nettletrail/control/shard/Ownership.java
+++ b/control/src/main/java/nettletrail/control/shard/Ownership.java
@@ -1,5 +1,6 @@
 package nettletrail.control.shard;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,11 +16,12 @@
 import nettletrail.protocol.ShardVersion;
 
 /**
- * The owner's half of a replica, for as long as it writes under one ballot: first it writes again the version that its election
- * found, then one new version at a time. A version is committed once a majority of the group that it names has it durably.
+ * The owner's half of a replica, for as long as it writes under one ballot: first it writes again
+ * the version that its election found, then one new version at a time. A version is committed once
+ * a majority of the group that it names has it durably.
  *
- * <p>The lease holds until the majority-th latest grant, counted from before it was asked, plus the lease, less the margin. While a
- * change of the group is in flight, both groups must grant.
+ * <p>The lease holds until the majority-th latest grant, counted from before it was asked, plus the
+ * lease, less the margin. While a change of the group is in flight, both groups must grant.
  */
 final class Ownership {
 
@@ -90,7 +92,7 @@
   }
 
   /** Writes a new version; only when {@link #settled}. */
-  ShardVersion write(java.nio.ByteBuffer value, ReplicaGroup group, long now) {
+  ShardVersion write(ByteBuffer value, ReplicaGroup group, long now) {
     if (!settled()) {
       throw new IllegalStateException("a write is in flight");
     }
@@ -121,8 +123,7 @@
     if (!reply.getAccepted()) {
       return false;
     }
-    return acknowledge(
-        reply.getSender(), new VersionStamp(reply.getBallot(), reply.getSequence()));
+    return acknowledge(reply.getSender(), new VersionStamp(reply.getBallot(), reply.getSequence()));
   }
 
   /** Returns true if this committed the version in flight. */
@@ -163,12 +164,17 @@
     return true;
   }
 
-  /** Tells when the former owner was last heard of, which the silence of a member is counted from. */
+  /**
+   * Tells when the former owner was last heard of, which the silence of a member is counted from.
+   */
   void formerOwnerHeardAt(String id, long heardAt) {
     progress(id).heardAt = heardAt;
   }
 
-  /** The instant up to which no other replica can own the shard; {@link ReplicaGroup#NEVER} if it holds no lease. */
+  /**
+   * The instant up to which no other replica can own the shard; {@link ReplicaGroup#NEVER} if it
+   * holds no lease.
+   */
   long leaseUntil() {
     long askedAt = leaseAskedAt(newest());
     if (proposal != null && committed != null) {
--- a/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
+++ b/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
@@ -61,7 +61,10 @@
     return !members.isEmpty() && count >= majority();
   }
 
-  /** The latest instant that a majority has reached, or {@link #NEVER}; members without an instant give {@link #NEVER}. */
+  /**
+   * The latest instant that a majority has reached, or {@link #NEVER}; members without an instant
+   * give {@link #NEVER}.
+   */
   public long majorityInstant(ToLongFunction<Member> instantOf) {
     if (members.isEmpty()) {
       return NEVER;
@@ -89,8 +92,8 @@
   }
 
   /**
-   * The rank of an address among the group's for a shard, by rendezvous hashing: 0 for the member that should stand first for its
-   * election. Each shard orders the members differently.
+   * The rank of an address among the group's for a shard, by rendezvous hashing: 0 for the member
+   * that should stand first for its election. Each shard orders the members differently.
    */
   int rendezvousRank(int shard, String address) {
     long own = rendezvousHash(shard, address);
--- a/control/src/main/java/nettletrail/control/shard/ShardReplica.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -19,9 +19,10 @@
 /**
  * One process' part in one shard: voter, candidate and owner.
  *
- * <p>States: follower (neither election nor ownership), candidate, owner. A follower that has heard no owner for a lease, plus a
- * stagger by its rank for the shard, becomes a candidate; a candidate that finds a majority becomes owner; an owner that meets a
- * higher ballot prepares anew if its lease still runs, else it becomes a follower.
+ * <p>States: follower (neither election nor ownership), candidate, owner. A follower that has heard
+ * no owner for a lease, plus a stagger by its rank for the shard, becomes a candidate; a candidate
+ * that finds a majority becomes owner; an owner that meets a higher ballot prepares anew if its
+ * lease still runs, else it becomes a follower.
  */
 final class ShardReplica {
 
@@ -209,8 +210,7 @@
   }
 
   private void standForElection(long now) {
-    boolean eligible =
-        group().contains(self.getId()) && !acceptor.boundToOther(self.getId(), now);
+    boolean eligible = group().contains(self.getId()) && !acceptor.boundToOther(self.getId(), now);
     if (!eligible) {
       postponeElection(now);
       return;
@@ -221,19 +221,16 @@
   private void startElection(Election.Phase phase, long now) {
     Ballot above = Ballots.max(highestSeen, acceptor.promised());
     Ballot ballot = Ballots.next(above, self.getId());
-    election =
-        new Election(phase, ballot, acceptor.accepted(), now + settings.electionTimeout());
+    election = new Election(phase, ballot, acceptor.accepted(), now + settings.electionTimeout());
     askMembers();
   }
 
   private void askMembers() {
     for (Member member : election.takeUnasked()) {
       if (election.phase() == Election.Phase.PRE_VOTE) {
-        outbox.send(
-            member.getAddress(), new PreVote(shard, member.getId(), election.ballot()));
+        outbox.send(member.getAddress(), new PreVote(shard, member.getId(), election.ballot()));
       } else {
-        outbox.send(
-            member.getAddress(), new Prepare(shard, member.getId(), election.ballot()));
+        outbox.send(member.getAddress(), new Prepare(shard, member.getId(), election.ballot()));
       }
     }
   }
@@ -264,8 +261,7 @@
   }
 
   private void takeOwnership(long now) {
-    ownership =
-        new Ownership(shard, election.ballot(), election.newest(), settings, outbox, now);
+    ownership = new Ownership(shard, election.ballot(), election.newest(), settings, outbox, now);
     if (!ownerId.isEmpty() && !ownerId.equals(self.getId())) {
       ownership.formerOwnerHeardAt(ownerId, ownerHeardAt);
     }
@@ -308,7 +304,10 @@
     heartbeatRequested = true;
   }
 
-  /** Ends the ownership if a higher ballot is known; takes a new ballot at once while the lease still runs. */
+  /**
+   * Ends the ownership if a higher ballot is known; takes a new ballot at once while the lease
+   * still runs.
+   */
   private void deposeBy(Ballot ballot, long now) {
     highestSeen = Ballots.max(highestSeen, ballot);
     if (ownership == null || !Ballots.above(ballot, ownership.ballot())) {
--- a/control/src/main/java/nettletrail/control/shard/VersionStamp.java
+++ b/control/src/main/java/nettletrail/control/shard/VersionStamp.java
@@ -4,7 +4,8 @@
 import nettletrail.protocol.ShardVersion;
 
 /**
- * What orders the versions of one shard: the ballot under which a version was written, then its sequence number.
+ * What orders the versions of one shard: the ballot under which a version was written, then its
+ * sequence number.
  *
  * @param ballot the owner's ballot
  * @param sequence counts the values of the register, from 0
--- a/control/src/test/java/nettletrail/control/shard/AcceptorTest.java
+++ b/control/src/test/java/nettletrail/control/shard/AcceptorTest.java
@@ -199,8 +199,7 @@
     }
     acceptor.onStored(onlyStored(), StoreOutcome.STORED);
     List<CoreAction> actions = outbox.drain();
-    CoreAction.StoreVersion next =
-        assertInstanceOf(CoreAction.StoreVersion.class, actions.get(1));
+    CoreAction.StoreVersion next = assertInstanceOf(CoreAction.StoreVersion.class, actions.get(1));
     assertEquals(100, next.version().getSequence());
   }
 
--- a/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
+++ b/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
@@ -55,7 +55,11 @@
       boolean before = order.time() < trueInstant - 1000;
       if (before && order.edition() > known) {
         throw new AssertionError(
-            core.address + " confirmed edition " + known + " after the acknowledgement of " + order);
+            core.address
+                + " confirmed edition "
+                + known
+                + " after the acknowledgement of "
+                + order);
       }
       if (before) {
         return;
--- a/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
+++ b/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
@@ -7,11 +7,21 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import nettletrail.protocol.Accept;
 import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
+import nettletrail.protocol.OwnerHeartbeat;
+import nettletrail.protocol.PreVote;
+import nettletrail.protocol.Prepare;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardVersion;
+import org.apache.avro.specific.SpecificRecord;
 import org.junit.jupiter.api.Test;
 
 /** The basic flows of a core of three machines. */
@@ -31,8 +41,7 @@
   }
 
   private static String read(SimulatedCluster cluster, int core) {
-    CoreAction.AnswerOrder answer =
-        callAndWait(cluster, cluster.core(core), "GET", "", "");
+    CoreAction.AnswerOrder answer = callAndWait(cluster, cluster.core(core), "GET", "", "");
     return answer.status() == 200 ? ClusterInvariants.text(answer.body()) : "" + answer.status();
   }
 
@@ -133,8 +142,7 @@
   void givenConfiguration_whenPatched_thenMerged() {
     SimulatedCluster cluster = settled(4);
     assertEquals(200, put(cluster, 0, "0", "3 first"));
-    assertEquals(
-        200, callAndWait(cluster, cluster.core(1), "PATCH", "3", "4 more").status());
+    assertEquals(200, callAndWait(cluster, cluster.core(1), "PATCH", "3", "4 more").status());
     assertEquals("4 first more", read(cluster, 2));
   }
 
@@ -300,6 +308,28 @@
     assertNotNull(cluster.owner(0));
   }
 
+  @Test
+  void givenFreshIdentity_whenMessagesForTheFormerOneCome_thenNoAnswer() {
+    SimulatedCluster cluster = settled(18);
+    SimulatedCore core = cluster.core(0);
+    Ballot ballot = new Ballot(1000L, cluster.core(1).disk.identity.getId());
+    String former = core.address + "#former";
+    ShardVersion version =
+        new ShardVersion(ballot, 1L, core.shards.members(), ByteBuffer.allocate(0));
+    OwnerHeartbeat heartbeat =
+        new OwnerHeartbeat(ballot.getNode(), 0L, List.of(new ShardBeat(0, former, ballot, 0L)));
+    List<SpecificRecord> messages =
+        List.of(
+            new PreVote(0, former, ballot),
+            new Prepare(0, former, ballot),
+            new Accept(0, former, ballot, version),
+            heartbeat);
+    for (SpecificRecord message : messages) {
+      assertEquals(
+          List.of(), core.shards.receive(cluster.core(1).address, message, core.localNow()));
+    }
+  }
+
   @Test
   void givenQuietCore_whenTimePasses_thenEveryProcessConfirmsOften() {
     SimulatedCluster cluster = settled(16);
--- a/control/src/test/java/nettletrail/control/shard/RandomFaults.java
+++ b/control/src/test/java/nettletrail/control/shard/RandomFaults.java
@@ -6,8 +6,9 @@
 import java.util.Random;
 
 /**
- * Troubles of a {@link SimulatedCluster}, drawn at random: crashes, freezes, cuts, slow links, loss, stalled and full disks, and, one
- * at a time and only while all groups are whole, lost disks and machines that are replaced.
+ * Troubles of a {@link SimulatedCluster}, drawn at random: crashes, freezes, cuts, slow links,
+ * loss, stalled and full disks, and, one at a time and only while all groups are whole, lost disks
+ * and machines that are replaced.
  */
 final class RandomFaults {
 
--- a/control/src/test/java/nettletrail/control/shard/RandomFaultsTest.java
+++ b/control/src/test/java/nettletrail/control/shard/RandomFaultsTest.java
@@ -8,8 +8,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Two operators race while machines, disks and links fail at random; the invariants are checked after every event, and what was
- * acknowledged is read back at the end. {@code -Dshard.seeds=N} and {@code -Dshard.firstSeed=N} choose the runs.
+ * Two operators race while machines, disks and links fail at random; the invariants are checked
+ * after every event, and what was acknowledged is read back at the end. {@code -Dshard.seeds=N} and
+ * {@code -Dshard.firstSeed=N} choose the runs.
  */
 class RandomFaultsTest {
 
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
@@ -15,7 +15,10 @@
 import nettletrail.protocol.Member;
 import org.apache.avro.specific.SpecificRecord;
 
-/** Core machines, their network and time, all from one seed. Times are true nanoseconds since the start. */
+/**
+ * Core machines, their network and time, all from one seed. Times are true nanoseconds since the
+ * start.
+ */
 final class SimulatedCluster {
 
   private record Event(long time, long order, Runnable action) {}
@@ -177,7 +180,10 @@
     return true;
   }
 
-  /** True when every running machine holds a group of exactly the running machines for every shard, and each is owned. */
+  /**
+   * True when every running machine holds a group of exactly the running machines for every shard,
+   * and each is owned.
+   */
   boolean groupIsWhole() {
     Set<String> running = new HashSet<>();
     runningCores().forEach(core -> running.add(core.disk.identity.getId()));
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
@@ -8,7 +8,10 @@
 import nettletrail.store.NodeIdentity;
 import org.apache.avro.specific.SpecificRecord;
 
-/** One machine of a {@link SimulatedCluster}: a process with its storage thread, and a disk that outlives it. */
+/**
+ * One machine of a {@link SimulatedCluster}: a process with its storage thread, and a disk that
+ * outlives it.
+ */
 final class SimulatedCore {
 
   static final int SHARDS = 5;
--- a/control/src/test/java/nettletrail/control/shard/SimulatedOperator.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedOperator.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** An operator that sends one change after another, each again and again until it has a clear answer. */
+/**
+ * An operator that sends one change after another, each again and again until it has a clear
+ * answer.
+ */
 final class SimulatedOperator {
 
   private static final long PATIENCE = SimulatedCluster.millis(1000);
--- a/store/src/main/java/nettletrail/store/CoreStore.java
+++ b/store/src/main/java/nettletrail/store/CoreStore.java
@@ -9,8 +9,8 @@
 import nettletrail.protocol.ShardVersion;
 
 /**
- * Everything that a core process keeps on its disk: its identity and one {@link VersionStore} a shard. Blocking; one thread at a
- * time.
+ * Everything that a core process keeps on its disk: its identity and one {@link VersionStore} a
+ * shard. Blocking; one thread at a time.
  */
 public final class CoreStore {
 
@@ -25,8 +25,8 @@
   }
 
   /**
-   * Opens the disk. If a file that had been durable is damaged, promises may be forgotten, so the process takes a fresh identity and
-   * its votes of before no longer count.
+   * Opens the disk. If a file that had been durable is damaged, promises may be forgotten, so the
+   * process takes a fresh identity and its votes of before no longer count.
    *
    * @param address where peers dial this process
    * @param firstRun true only at the first start of the whole system
--- a/store/src/main/java/nettletrail/store/Directory.java
+++ b/store/src/main/java/nettletrail/store/Directory.java
@@ -3,10 +3,12 @@
 import java.util.List;
 
 /**
- * One folder of a disk, as narrow as the store needs it. Implementations block. Names are plain file names without separators.
+ * One folder of a disk, as narrow as the store needs it. Implementations block. Names are plain
+ * file names without separators.
  *
- * <p>What survives a loss of power: the content of a file up to its last {@link #sync}, and the creation, renaming and removal of
- * names up to the last {@link #syncDirectory}; anything later may be kept, lost or (content) torn, each on its own.
+ * <p>What survives a loss of power: the content of a file up to its last {@link #sync}, and the
+ * creation, renaming and removal of names up to the last {@link #syncDirectory}; anything later may
+ * be kept, lost or (content) torn, each on its own.
  */
 public interface Directory {
 
@@ -22,7 +24,10 @@
   /** Makes the content of a file durable. */
   void sync(String name) throws StorageException;
 
-  /** Renames a file, replacing the target if there is one; not durable before {@link #syncDirectory}. */
+  /**
+   * Renames a file, replacing the target if there is one; not durable before {@link
+   * #syncDirectory}.
+   */
   void rename(String from, String to) throws StorageException;
 
   /** Removes a file; not durable before {@link #syncDirectory}. */
--- a/store/src/main/java/nettletrail/store/NodeIdentity.java
+++ b/store/src/main/java/nettletrail/store/NodeIdentity.java
@@ -4,8 +4,9 @@
 import nettletrail.protocol.Member;
 
 /**
- * The identity of a disk: {@code address#0} if it was made at the first start of the whole system, else {@code address#random}. It
- * is made once and read back at each later start, so a process whose disk was lost comes back as another member.
+ * The identity of a disk: {@code address#0} if it was made at the first start of the whole system,
+ * else {@code address#random}. It is made once and read back at each later start, so a process
+ * whose disk was lost comes back as another member.
  */
 public final class NodeIdentity {
 
@@ -22,8 +23,8 @@
   }
 
   /**
-   * Reads the identity of this disk or makes it durably. A file that is damaged, or that names another address, is replaced by a
-   * fresh identity.
+   * Reads the identity of this disk or makes it durably. A file that is damaged, or that names
+   * another address, is replaced by a fresh identity.
    *
    * @param address where peers dial this process
    * @param firstRun true only at the first start of the whole system
--- a/store/src/main/java/nettletrail/store/RecordFile.java
+++ b/store/src/main/java/nettletrail/store/RecordFile.java
@@ -5,8 +5,9 @@
 import java.util.zip.CRC32C;
 
 /**
- * The format of every file of the store: a header of magic number, format number, kind, payload length and CRC32C of the payload,
- * then the payload. Written under a temporary name, synced, renamed, and the folder synced.
+ * The format of every file of the store: a header of magic number, format number, kind, payload
+ * length and CRC32C of the payload, then the payload. Written under a temporary name, synced,
+ * renamed, and the folder synced.
  */
 final class RecordFile {
 
@@ -26,7 +27,10 @@
 
   private RecordFile() {}
 
-  /** Writes a file durably under its final name, or throws; then the old content, the new one or none is there. */
+  /**
+   * Writes a file durably under its final name, or throws; then the old content, the new one or
+   * none is there.
+   */
   static void write(Directory directory, String name, Kind kind, byte[] payload)
       throws StorageException {
     String temporary = name + TEMPORARY_SUFFIX;
--- a/store/src/main/java/nettletrail/store/StorageException.java
+++ b/store/src/main/java/nettletrail/store/StorageException.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 
-/** An operation on the disk failed; tells which step on which file. Whether the step took effect is unknown. */
+/**
+ * An operation on the disk failed; tells which step on which file. Whether the step took effect is
+ * unknown.
+ */
 public final class StorageException extends IOException {
 
   private static final long serialVersionUID = 1L;
--- a/store/src/main/java/nettletrail/store/VersionStore.java
+++ b/store/src/main/java/nettletrail/store/VersionStore.java
@@ -16,10 +16,12 @@
 import org.apache.avro.specific.SpecificRecord;
 
 /**
- * The durable promise and versions of one shard, in a folder of its own. Blocking; one thread at a time.
+ * The durable promise and versions of one shard, in a folder of its own. Blocking; one thread at a
+ * time.
  *
- * <p>Each version is a new file, numbered in the order of writing; once it is durable, all but the newest {@value #KEPT_VERSIONS}
- * are removed. A write that throws may or may not be there after a restart.
+ * <p>Each version is a new file, numbered in the order of writing; once it is durable, all but the
+ * newest {@value #KEPT_VERSIONS} are removed. A write that throws may or may not be there after a
+ * restart.
  */
 public final class VersionStore {
 
@@ -58,7 +60,9 @@
     return new StoredShard(promised, newest, damaged);
   }
 
-  /** Removes files that {@link #load} could not read; only once the disk has taken a fresh identity. */
+  /**
+   * Removes files that {@link #load} could not read; only once the disk has taken a fresh identity.
+   */
   void discard(List<String> damaged) throws StorageException {
     for (String name : damaged) {
       directory.remove(name);
@@ -74,8 +78,8 @@
   }
 
   /**
-   * Makes a version durable, then removes the oldest files beyond those kept. After a failure the next write takes the same name, so
-   * a full disk does not gather unfinished files.
+   * Makes a version durable, then removes the oldest files beyond those kept. After a failure the
+   * next write takes the same name, so a full disk does not gather unfinished files.
    */
   public void storeVersion(ShardVersion version) throws StorageException {
     long number = lastNumber + 1;
@@ -96,10 +100,7 @@
 
   private Ballot readPromise(List<String> damaged) throws StorageException {
     return decode(
-        PROMISE_FILE,
-        RecordFile.Kind.PROMISE,
-        new SpecificDatumReader<>(Ballot.class),
-        damaged);
+        PROMISE_FILE, RecordFile.Kind.PROMISE, new SpecificDatumReader<>(Ballot.class), damaged);
   }
 
   private void addVersionFile(String name, List<String> damaged) {
--- a/store/src/test/java/nettletrail/store/CoreStoreTest.java
+++ b/store/src/test/java/nettletrail/store/CoreStoreTest.java
@@ -40,7 +40,9 @@
 
   private List<Path> versionFiles(int shard) throws IOException {
     try (Stream<Path> files = Files.list(folder.resolve("shard-" + shard))) {
-      return files.filter(file -> file.getFileName().toString().startsWith("version")).sorted()
+      return files
+          .filter(file -> file.getFileName().toString().startsWith("version"))
+          .sorted()
           .toList();
     }
   }
@@ -143,8 +145,7 @@
   @Test
   void givenMissingFile_whenRead_thenTheFailureNamesStepAndFile() throws StorageException {
     Directory directory = DiskDirectory.open(folder);
-    StorageException failure =
-        assertThrows(StorageException.class, () -> directory.read("absent"));
+    StorageException failure = assertThrows(StorageException.class, () -> directory.read("absent"));
     assertEquals(StorageException.Step.READ, failure.step());
     assertTrue(failure.file().endsWith("absent"));
   }
--- a/store/src/test/java/nettletrail/store/SimulatedDirectory.java
+++ b/store/src/test/java/nettletrail/store/SimulatedDirectory.java
@@ -8,8 +8,9 @@
 import java.util.Random;
 
 /**
- * A folder in memory that loses power and fails as real ones may: unsynced content is kept, lost or torn; names that were made,
- * renamed or removed since the folder's sync are kept or lost, each on its own; an operation that fails may have taken effect.
+ * A folder in memory that loses power and fails as real ones may: unsynced content is kept, lost or
+ * torn; names that were made, renamed or removed since the folder's sync are kept or lost, each on
+ * its own; an operation that fails may have taken effect.
  */
 final class SimulatedDirectory implements Directory {
 
@@ -142,8 +143,7 @@
 
   @Override
   public void remove(String name) throws StorageException {
-    attempt(
-        StorageException.Step.REMOVE, name, () -> change(target -> target.remove(name)));
+    attempt(StorageException.Step.REMOVE, name, () -> change(target -> target.remove(name)));
   }
 
   @Override
