--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -68,8 +68,9 @@
   }
 
   /**
-   * Takes an order that some core process passed on. A read waits behind the write in flight like any other order: another process may
-   * have learnt from a majority that the write is committed, and pushed it to the doors, before its owner did.
+   * Takes an order that some core process passed on. A read waits behind the write in flight like
+   * any other order: another process may have learnt from a majority that the write is committed,
+   * and pushed it to the doors, before its owner did.
    */
   void onOrder(String address, OrderForward order, long now) {
     if (!replica.owns(now)) {
