--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -251,7 +251,7 @@
     } else if (message instanceof PreVote request) {
       replicas.get(request.getShard()).onPreVote(peer, request, now);
     } else if (message instanceof PreVoteReply reply) {
-      replicas.get(reply.getShard()).onPreVoteReply(reply);
+      replicas.get(reply.getShard()).onPreVoteReply(reply, now);
     } else if (message instanceof Prepare request) {
       replicas.get(request.getShard()).onPrepare(peer, request, now);
     } else if (message instanceof PrepareReply reply) {
--- a/control/src/main/java/nettletrail/control/shard/Election.java
+++ b/control/src/main/java/nettletrail/control/shard/Election.java
@@ -23,7 +23,7 @@
   }
 
   private final Ballot ballot;
-  private final long deadline;
+  private long deadline;
   private final Set<String> grants = new HashSet<>();
   private final Set<String> asked = new HashSet<>();
   private Phase phase;
@@ -99,8 +99,9 @@
     return group().hasMajority(grants);
   }
 
-  /** Goes from PreVote to Prepare. */
-  void startPrepare() {
+  /** Goes from PreVote to Prepare, which has a deadline of its own. */
+  void startPrepare(long deadline) {
+    this.deadline = deadline;
     phase = Phase.PREPARE;
     grants.clear();
     asked.clear();
--- a/control/src/main/java/nettletrail/control/shard/OrderRouter.java
+++ b/control/src/main/java/nettletrail/control/shard/OrderRouter.java
@@ -51,6 +51,11 @@
       answer(call, OrderReplies.METHOD_NOT_ALLOWED, "", error);
       return;
     }
+    if (pending.size() >= settings.orderQueue()) {
+      ByteBuffer error = OrderReplies.error("too many calls wait");
+      answer(call, OrderReplies.UNAVAILABLE, "", error);
+      return;
+    }
     lastForward++;
     String condition = ifMatch == null ? "" : ifMatch;
     OrderForward order = new OrderForward(lastForward, method, condition, ByteBuffer.wrap(body));
--- a/control/src/main/java/nettletrail/control/shard/ShardReplica.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -235,13 +235,13 @@
     }
   }
 
-  void onPreVoteReply(PreVoteReply reply) {
+  void onPreVoteReply(PreVoteReply reply, long now) {
     if (election == null) {
       return;
     }
     election.onPreVoteReply(reply);
     if (election.phase() == Election.Phase.PRE_VOTE && election.hasMajority()) {
-      election.startPrepare();
+      election.startPrepare(now + settings.electionTimeout());
       askMembers();
     }
   }
--- a/control/src/main/java/nettletrail/control/shard/ShardSettings.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardSettings.java
@@ -9,7 +9,7 @@
  * @param leaseMargin what the holder takes off for clocks that run at different rates
  * @param heartbeat period of the owner's heartbeats
  * @param electionStagger how much later each further replica stands for election
- * @param electionTimeout how long a candidate waits for a majority
+ * @param electionTimeout how long a candidate waits for a majority in each of its two rounds
  * @param resend how long an owner waits before it sends a version to a replica once more
  * @param confirm period of the rounds that confirm the newest version with a majority
  * @param join period at which a process that is no member asks to be one
