--- a/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
@@ -20,8 +20,7 @@
   }
 
   /**
-   * Reads a document. The rules between items are not checked here, see {@link
-   * #requireValidAfter}.
+   * Reads a document. The rules between items are not checked here, see {@link #requireValidAfter}.
    *
    * @throws ConfigurationException if the text is not one whole JSON object, a required field is
    *     missing, a field has the wrong type, or a tenant lists a key twice
--- a/configuration/src/main/java/nettletrail/configuration/JsonParser.java
+++ b/configuration/src/main/java/nettletrail/configuration/JsonParser.java
@@ -20,6 +20,8 @@
   private static final int MAXIMUM_DEPTH = 128;
 
   private static final int FIRST_PRINTABLE = 0x20;
+  private static final int UNICODE_ESCAPE_DIGITS = 4;
+  private static final int HEXADECIMAL = 16;
 
   private final byte[] source;
   private final String sourceName;
@@ -146,9 +148,9 @@
     if (letter != 'u') {
       return;
     }
-    for (int digit = 0; digit < 4; digit++) {
+    for (int digit = 0; digit < UNICODE_ESCAPE_DIGITS; digit++) {
       position++;
-      if (Character.digit(peek(), 16) < 0) {
+      if (Character.digit(peek(), HEXADECIMAL) < 0) {
         throw failure("a unicode escape without four hexadecimal digits");
       }
     }
@@ -221,7 +223,7 @@
     if (position >= source.length) {
       throw failure("the text ends early");
     }
-    return source[position] & 0xff;
+    return Byte.toUnsignedInt(source[position]);
   }
 
   private void skipWhitespace() {
--- a/configuration/src/main/java/nettletrail/configuration/ModelReader.java
+++ b/configuration/src/main/java/nettletrail/configuration/ModelReader.java
@@ -61,8 +61,9 @@
       case "resendable" -> RouteKind.REPEATABLE;
       case "single_send" -> RouteKind.SINGLE_SEND;
       case "serial" -> RouteKind.STREAM;
-      default -> throw new ConfigurationException(
-          Step.READ_FIELDS, reader.placeOf("kind"), "unknown kind " + kind);
+      default ->
+          throw new ConfigurationException(
+              Step.READ_FIELDS, reader.placeOf("kind"), "unknown kind " + kind);
     };
   }
 
@@ -108,8 +109,7 @@
         models);
   }
 
-  private static List<Tenant> readTenants(List<FieldReader> readers)
-      throws ConfigurationException {
+  private static List<Tenant> readTenants(List<FieldReader> readers) throws ConfigurationException {
     List<Tenant> tenants = new ArrayList<>(readers.size());
     for (FieldReader reader : readers) {
       tenants.add(readTenant(reader));
--- a/configuration/src/main/java/nettletrail/configuration/ModelValidator.java
+++ b/configuration/src/main/java/nettletrail/configuration/ModelValidator.java
@@ -86,8 +86,7 @@
   private static void requireUniquePrefixes(List<Route> routes) throws ConfigurationException {
     Map<String, Set<String>> prefixesOfHost = new HashMap<>();
     for (Route route : routes) {
-      Set<String> prefixes =
-          prefixesOfHost.computeIfAbsent(route.host(), host -> new HashSet<>());
+      Set<String> prefixes = prefixesOfHost.computeIfAbsent(route.host(), host -> new HashSet<>());
       if (!prefixes.add(route.prefix())) {
         throw invalid("route " + route.name(), "another route has its host and prefix");
       }
--- a/configuration/src/main/java/nettletrail/configuration/RoutingTable.java
+++ b/configuration/src/main/java/nettletrail/configuration/RoutingTable.java
@@ -33,8 +33,7 @@
    * @throws ConfigurationException if the document breaks a rule, see {@link
    *     ConfigurationDocument#requireValidAfter}; its edition is not compared with another
    */
-  public static RoutingTable compile(ConfigurationDocument document)
-      throws ConfigurationException {
+  public static RoutingTable compile(ConfigurationDocument document) throws ConfigurationException {
     ModelValidator.requireValid(document.model());
     return new RoutingTable(document.model());
   }
--- a/configuration/src/test/java/nettletrail/configuration/AcceptedDocumentTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/AcceptedDocumentTest.java
@@ -66,8 +66,7 @@
   void roundsAFractionUpAndBoundsALargeNumber() throws ConfigurationException {
     RoutingTable fraction =
         compile(SMALLEST_ROUTE.replace("\"timeout_ms\":1", "\"timeout_ms\":0.5"));
-    RoutingTable large =
-        compile(SMALLEST_ROUTE.replace("\"timeout_ms\":1", "\"timeout_ms\":1e12"));
+    RoutingTable large = compile(SMALLEST_ROUTE.replace("\"timeout_ms\":1", "\"timeout_ms\":1e12"));
 
     assertEquals(1, fraction.match("h", "/").timeoutMs());
     assertEquals(Integer.MAX_VALUE, large.match("h", "/").timeoutMs());
@@ -78,8 +77,7 @@
     String split = "\"timeout_ms\":1,\"split\":[{\"carrier\":\"s\",\"share\":3}]";
     RoutingTable table = compile(SMALLEST_ROUTE.replace("\"timeout_ms\":1", split));
 
-    int sum =
-        table.match("h", "/").services().stream().mapToInt(ServiceShare::weight).sum();
+    int sum = table.match("h", "/").services().stream().mapToInt(ServiceShare::weight).sum();
     assertEquals(3, sum);
   }
 
--- a/configuration/src/test/java/nettletrail/configuration/DocumentPatchTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/DocumentPatchTest.java
@@ -32,8 +32,7 @@
     String patch =
         "{\"edition\":2,\"deliver\":{\"carriers\":[{\"name\":\"c\"}, { \"name\":\"a\",\"y\":1 }]}}";
 
-    String expected =
-        "\"carriers\":[{ \"name\":\"a\",\"y\":1 },{\"name\":\"b\"},{\"name\":\"c\"}]";
+    String expected = "\"carriers\":[{ \"name\":\"a\",\"y\":1 },{\"name\":\"b\"},{\"name\":\"c\"}]";
     assertTrue(patched(SMALL, patch).contains(expected), patched(SMALL, patch));
   }
 
--- a/configuration/src/test/java/nettletrail/configuration/InvalidDocumentTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/InvalidDocumentTest.java
@@ -160,14 +160,12 @@
     byte[] whole = Documents.bytes(Documents.EXAMPLE.strip());
     for (int length = 0; length < whole.length; length++) {
       byte[] truncated = Arrays.copyOf(whole, length);
-      assertThrows(
-          ConfigurationException.class, () -> ConfigurationDocument.parse(truncated));
+      assertThrows(ConfigurationException.class, () -> ConfigurationDocument.parse(truncated));
     }
   }
 
   @Test
   void refusesBytesAfterTheDocument() {
-    assertThrows(
-        ConfigurationException.class, () -> Documents.parse(Documents.EXAMPLE + "}"));
+    assertThrows(ConfigurationException.class, () -> Documents.parse(Documents.EXAMPLE + "}"));
   }
 }
--- a/configuration/src/test/java/nettletrail/configuration/JsonParserTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/JsonParserTest.java
@@ -19,8 +19,18 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
-        "{}", "[]", " [ ] ", "{ }", "[1, -0, 0.5, -1.25e+10, 1E5, 1e-2]", "true", "false", "null",
-        "\"\"", "{\"a\":{\"b\":[{}]}}", "\t\r\n1\n", "\"\\\"\\\\\\/\\b\\f\\n\\r\\t\\u00e9\"",
+        "{}",
+        "[]",
+        " [ ] ",
+        "{ }",
+        "[1, -0, 0.5, -1.25e+10, 1E5, 1e-2]",
+        "true",
+        "false",
+        "null",
+        "\"\"",
+        "{\"a\":{\"b\":[{}]}}",
+        "\t\r\n1\n",
+        "\"\\\"\\\\\\/\\b\\f\\n\\r\\t\\u00e9\"",
         "123456789012345678901234567890"
       })
   void acceptsJsonAndKeepsItsBytes(String json) throws ConfigurationException {
@@ -30,15 +40,58 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
-        "", " ", "{", "[", "}", "]", "[1,]", "[,1]", "[1 2]", "{\"a\":1,}", "{\"a\"}", "{\"a\":}",
-        "{a:1}", "{'a':1}", "{1:1}", "{\"a\":1 \"b\":2}", "[1}", "{\"a\":1]", "tru", "truex",
-        "txxx", "nul", "nulll", "True", "NaN", "Infinity", "01", "-", "+1", "1.", ".5", "1e", "1e+",
-        "0x10", "1.2.3", "--1", "\"", "\"a", "\"\\", "\"\\x\"", "\"\\u12\"", "\"\\u12g4\"",
-        "\"a\nb\"", "{}{}", "{} x", "[]]", "1 2", "// c\n1", "{\"a\":1}\u0000"
+        "",
+        " ",
+        "{",
+        "[",
+        "}",
+        "]",
+        "[1,]",
+        "[,1]",
+        "[1 2]",
+        "{\"a\":1,}",
+        "{\"a\"}",
+        "{\"a\":}",
+        "{a:1}",
+        "{'a':1}",
+        "{1:1}",
+        "{\"a\":1 \"b\":2}",
+        "[1}",
+        "{\"a\":1]",
+        "tru",
+        "truex",
+        "txxx",
+        "nul",
+        "nulll",
+        "True",
+        "NaN",
+        "Infinity",
+        "01",
+        "-",
+        "+1",
+        "1.",
+        ".5",
+        "1e",
+        "1e+",
+        "0x10",
+        "1.2.3",
+        "--1",
+        "\"",
+        "\"a",
+        "\"\\",
+        "\"\\x\"",
+        "\"\\u12\"",
+        "\"\\u12g4\"",
+        "\"a\nb\"",
+        "{}{}",
+        "{} x",
+        "[]]",
+        "1 2",
+        "// c\n1",
+        "{\"a\":1}\u0000"
       })
   void refusesEverythingElse(String json) {
-    ConfigurationException refused =
-        assertThrows(ConfigurationException.class, () -> parse(json));
+    ConfigurationException refused = assertThrows(ConfigurationException.class, () -> parse(json));
 
     assertEquals(Step.PARSE, refused.step());
   }
@@ -50,8 +103,7 @@
     "'{} x', 'text byte 3'",
   })
   void namesThePlace(String json, String place) {
-    assertEquals(
-        place, assertThrows(ConfigurationException.class, () -> parse(json)).place());
+    assertEquals(place, assertThrows(ConfigurationException.class, () -> parse(json)).place());
   }
 
   @Test
@@ -65,8 +117,7 @@
   void refusesDeepNestingRatherThanExhaustTheStack() {
     String deep = "[".repeat(1_000_000);
 
-    ConfigurationException refused =
-        assertThrows(ConfigurationException.class, () -> parse(deep));
+    ConfigurationException refused = assertThrows(ConfigurationException.class, () -> parse(deep));
 
     assertTrue(refused.getMessage().contains("nested deeper"), refused.getMessage());
   }
--- a/configuration/src/test/java/nettletrail/configuration/PatchPropertyTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/PatchPropertyTest.java
@@ -30,8 +30,18 @@
     Arbitrary<String> spaces = Arbitraries.of("", " ", "\n\t", "  ");
     Arbitrary<String> values =
         Arbitraries.of(
-            "180000.0", "1e2", "-0", "123456789012345678901234567890", "0.10", "null", "[ 1, 2 ]",
-            "\"\\u00e9\"", "\"é😀\"", "\"\\ud83d\\ude00\"", "{\"name\":\"inner\"}", "\"],}\\\"\"");
+            "180000.0",
+            "1e2",
+            "-0",
+            "123456789012345678901234567890",
+            "0.10",
+            "null",
+            "[ 1, 2 ]",
+            "\"\\u00e9\"",
+            "\"é😀\"",
+            "\"\\ud83d\\ude00\"",
+            "{\"name\":\"inner\"}",
+            "\"],}\\\"\"");
     return Combinators.combine(names, spaces, values, Arbitraries.of(true, false))
         .as(PatchPropertyTest::itemText);
   }
