Configuration: an edition is read exactly or refused

Need: an edition beyond 64 bits was taken as the largest one, after which no other could follow, and a fraction was rounded up. Change: 7.0 and 7e0 are 7, everything inexact is refused; the length of such a number is bounded.

--- a/configuration/src/main/java/nettletrail/configuration/DocumentPatch.java
+++ b/configuration/src/main/java/nettletrail/configuration/DocumentPatch.java
@@ -39,7 +39,7 @@
    */
   static DocumentPatch parse(byte[] json) throws ConfigurationException {
     JsonValue body = JsonParser.parse(json, SOURCE_NAME);
-    new FieldReader(body, SOURCE_NAME).requiredLong(EDITION);
+    new FieldReader(body, SOURCE_NAME).requiredExactLong(EDITION);
     DocumentPatch patch = new DocumentPatch(body);
     for (JsonValue.Member removal : patch.removals.values()) {
       requireNames(removal);
--- a/configuration/src/main/java/nettletrail/configuration/FieldReader.java
+++ b/configuration/src/main/java/nettletrail/configuration/FieldReader.java
@@ -1,11 +1,15 @@
 package nettletrail.configuration;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
 import nettletrail.configuration.ConfigurationException.Step;
 
 /** Reads typed fields of one JSON object; a field that is null counts as absent. */
 final class FieldReader {
+  /** In characters; bounds the work of reading one number. */
+  private static final int LONGEST_EXACT_NUMBER = 40;
+
   private final JsonValue object;
   private final String place;
 
@@ -55,9 +59,18 @@
     return typed(field, JsonValue.Kind.BOOLEAN, "a boolean").text().equals("true");
   }
 
-  long requiredLong(String field) throws ConfigurationException {
+  /** A whole number that is neither rounded nor bounded; 7.0 and 7e0 are 7. */
+  long requiredExactLong(String field) throws ConfigurationException {
     requirePresent(field);
-    return optionalLong(field, 0);
+    String text = typed(field, JsonValue.Kind.NUMBER, "a number").text();
+    try {
+      if (text.length() <= LONGEST_EXACT_NUMBER) {
+        return new BigDecimal(text).longValueExact();
+      }
+    } catch (ArithmeticException | NumberFormatException inexact) {
+      // Reported below, as a number that is too long is.
+    }
+    throw wrongType(placeOf(field), "a whole number of 64 bits");
   }
 
   /** A whole number; a fraction is rounded up, a number out of range becomes the nearest long. */
--- a/configuration/src/main/java/nettletrail/configuration/ModelReader.java
+++ b/configuration/src/main/java/nettletrail/configuration/ModelReader.java
@@ -22,7 +22,7 @@
     reader.requirePresent("routes");
     reader.requirePresent("carriers");
     return new ConfigurationModel(
-        reader.requiredLong("edition"),
+        reader.requiredExactLong("edition"),
         readRoutes(reader.objects("routes")),
         readServices(reader.objects("carriers")),
         readTenants(reader.objects("senders")),
--- a/configuration/src/test/java/nettletrail/configuration/AcceptedDocumentTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/AcceptedDocumentTest.java
@@ -48,6 +48,8 @@
         "\"edition\":1 | \"edition\":1,\"limits\":{},\"senders\":[]",
         "\"edition\":1 | \"edition\":1,\"senders\":[{\"name\":\"t\"}]",
         "\"edition\":1 | \"edition\":9007199254740993",
+        "\"edition\":1 | \"edition\":7.0",
+        "\"edition\":1 | \"edition\":7e0",
       })
   void acceptsTheSmallestRouteWith(String original, String replacement)
       throws ConfigurationException {
