--- a/front-door/src/main/java/nettletrail/upstream/IdleAges.java
+++ b/front-door/src/main/java/nettletrail/upstream/IdleAges.java
@@ -11,7 +11,7 @@
  * fault strikes just the connections that happened to be old: they are then not used for some seconds, and each
  * request there pays for a new one.
  */
-final class IdleAges {
+public final class IdleAges {
     /** Ages by powers of two from this on; what is younger counts as one, what is older than the last as the last. */
     private static final long YOUNGEST_NS = TimeUnit.MILLISECONDS.toNanos(16);
     private static final int CLASSES = 12;
@@ -28,12 +28,13 @@
     private final double[] breaks = new double[CLASSES];
     private long decayedAt;
 
-    IdleAges(long now) {
+    /** @param now as {@link System#nanoTime} */
+    public IdleAges(long now) {
         decayedAt = now;
     }
 
     /** A connection that had stood idle for so long was used, and broke before a byte of the answer, or not. */
-    void used(long ageNs, boolean broke, long now) {
+    public void used(long ageNs, boolean broke, long now) {
         decay(now);
         int at = classOf(ageNs);
         uses[at]++;
@@ -41,7 +42,7 @@
     }
 
     /** Connections idle for longer are better not used. */
-    long most(long now) {
+    public long most(long now) {
         decay(now);
         double younger = uses[0];
         double brokeYounger = breaks[0];
--- a/router/src/main/java/nettletrail/router/AnswerHandler.java
+++ b/router/src/main/java/nettletrail/router/AnswerHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import nettletrail.configuration.RouteKind;
 import nettletrail.router.upstream.AttemptFailure;
 import nettletrail.router.upstream.UpstreamPool;
@@ -67,7 +68,7 @@
     if (exchange.rejected != null) {
       rejectedEnded(exchange);
     } else if (exchange.relay instanceof StreamAnswer stream) {
-      exchange.backend.succeeded();
+      exchange.backend.succeeded(System.nanoTime());
       exchange.sendOver(true);
       completion.over(exchange);
       stream.end();
@@ -81,7 +82,7 @@
   private void rejectedEnded(Exchange exchange) {
     boolean notRun = AnswerRules.isNotRun(exchange.rejected.head());
     exchange.rejected = null;
-    exchange.backend.succeeded();
+    exchange.backend.succeeded(System.nanoTime());
     exchange.sendOver(!notRun);
     sender.tryAgain(exchange);
   }
@@ -89,7 +90,7 @@
   private void bufferedEnded(Exchange exchange, BufferedAnswer answer) {
     HttpResponse head = answer.head();
     if (AnswerRules.isNotRun(head)) {
-      exchange.backend.succeeded();
+      exchange.backend.succeeded(System.nanoTime());
       exchange.sendOver(false);
       sender.tryAgain(exchange);
       return;
@@ -100,7 +101,8 @@
       sender.tryAgainIfIdempotent(exchange);
       return;
     }
-    exchange.backend.succeeded();
+    boolean failure = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+    exchange.backend.served(!failure, System.nanoTime());
     completion.over(exchange);
     boolean bodiless = AnswerRules.isBodiless(head, exchange.isHeadRequest());
     exchange.client.forward(head, answer.body(), bodiless);
--- a/router/src/main/java/nettletrail/router/AttemptSender.java
+++ b/router/src/main/java/nettletrail/router/AttemptSender.java
@@ -114,13 +114,13 @@
 
   private boolean countSend(Exchange exchange, long now) {
     int doors = control.doorCount();
-    if (exchange.sends > 0 && !exchange.service.budget.take(doors)) {
+    if (exchange.sends > 0 && !exchange.service.budget.take(doors, now)) {
       completion.unserved(exchange);
       return false;
     }
     if (!exchange.charged) {
       exchange.charged = true;
-      exchange.service.budget.firstSend(doors);
+      exchange.service.budget.firstSend(now);
       counters.charge(exchange.tenantName, exchange.inputTokens(), now);
     }
     exchange.sends++;
@@ -177,7 +177,7 @@
   private static void takeSendBack(Exchange exchange) {
     exchange.sends--;
     if (exchange.sends > 0) {
-      exchange.service.budget.giveBack();
+      exchange.service.budget.giveBack(System.nanoTime());
     }
   }
 
@@ -200,7 +200,7 @@
 
   private boolean mayTryAgain(Exchange exchange) {
     return exchange.sends < exchange.route().attempts()
-        && exchange.service.budget.has(control.doorCount())
+        && exchange.service.budget.has(control.doorCount(), System.nanoTime())
         && exchange.service.backends.hasUntried(exchange.tried);
   }
 
--- a/router/src/main/java/nettletrail/router/Completion.java
+++ b/router/src/main/java/nettletrail/router/Completion.java
@@ -18,7 +18,7 @@
   private static final int RETRY_AFTER_SPREAD_MS = 250;
 
   private final EventLoop loop;
-  private final ControlView control;
+  private final QuotaGate quota;
   private final VirtualCounters counters;
   private final SplittableRandom random;
   private final Consumer<ServiceState> slotFreed;
@@ -26,12 +26,12 @@
   /** @param slotFreed told, in a turn of its own, of a service whose queue is not empty and that has a free slot */
   Completion(
       EventLoop loop,
-      ControlView control,
+      QuotaGate quota,
       VirtualCounters counters,
       SplittableRandom random,
       Consumer<ServiceState> slotFreed) {
     this.loop = loop;
-    this.control = control;
+    this.quota = quota;
     this.counters = counters;
     this.random = random;
     this.slotFreed = slotFreed;
@@ -110,7 +110,7 @@
     exchange.cancelTimer();
     long now = System.nanoTime();
     if (!exchange.mayHaveRun()) {
-      giveQuotaBack(exchange, now);
+      quota.giveBack(exchange, now);
     }
     settle(exchange, now);
     exchange.request.release();
@@ -136,12 +136,4 @@
           now);
     }
   }
-
-  /** Returns the tokens that it took from its tenant's quota. */
-  void giveQuotaBack(Exchange exchange, long now) {
-    if (exchange.quotaTaken > 0) {
-      control.quota().giveBack(exchange.quotaTenant, exchange.quotaTaken, now);
-      exchange.quotaTaken = 0;
-    }
-  }
 }
--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -14,6 +14,7 @@
 import nettletrail.router.balance.BackendChoice;
 import nettletrail.router.balance.BackendLoad;
 import nettletrail.router.balance.PromptPrefix;
+import nettletrail.router.balance.ServiceBackends;
 import nettletrail.router.stream.StallRule;
 import nettletrail.router.upstream.Attempt;
 import nettletrail.router.upstream.AttemptFailure;
@@ -71,6 +72,8 @@
   /** When the send in hand was written, or its answer last gave something. */
   private long heardAt;
 
+  private long sentAt;
+  private double workBefore;
   private boolean prefilled;
   /** An earlier send may have run. */
   boolean mayHaveRunBefore;
@@ -232,6 +235,8 @@
 
   /** The send in hand is written from now on. */
   void sent(long now) {
+    workBefore = ServiceBackends.workBefore(backend, prefillTokens(), engine);
+    sentAt = now;
     currentSent = true;
     prefilled = false;
     heardAt = now;
@@ -269,8 +274,11 @@
 
   @Override
   public void answerContent(ByteBuf content) {
-    notePrefilled();
     heardAt = System.nanoTime();
+    if (!prefilled) {
+      service.backends.answerBegan(backend, workBefore, heardAt - sentAt, heardAt);
+      notePrefilled();
+    }
     answers.content(this, content);
   }
 
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/QuotaGate.java
@@ -0,0 +1,78 @@
+package nettletrail.router;
+
+import java.util.HashMap;
+import java.util.Map;
+import nettletrail.configuration.Tenant;
+import nettletrail.router.admission.Companion;
+
+/**
+ * What of its tenant's quota an exchange may use: tokens of the hard grants, and before these the companion's estimate, by
+ * which requests beyond the rate are refused at once. On the event loop.
+ */
+final class QuotaGate {
+  private final ControlView control;
+  private final long seed;
+  private final Map<String, Companion> companions = new HashMap<>();
+
+  QuotaGate(ControlView control, long seed) {
+    this.control = control;
+    this.seed = seed;
+  }
+
+  /** Whether a request that has just come may wait for tokens. */
+  boolean admits(Exchange exchange, long now) {
+    Tenant tenant = exchange.resolution.tenant();
+    if (tenant == null || tenant.ratePerSecond() <= 0) {
+      return true;
+    }
+    QuotaSource quota = control.quota();
+    String name = tenant.name();
+    return companion(tenant, now)
+        .admits(quota.pressurePercent(name), quota.doorsServing(name), now);
+  }
+
+  private Companion companion(Tenant tenant, long now) {
+    Companion companion = companions.get(tenant.name());
+    if (companion == null) {
+      int doors = control.quota().doorsServing(tenant.name());
+      long seedOfTenant = seed ^ tenant.name().hashCode();
+      companion =
+          new Companion(tenant.ratePerSecond(), tenant.burst(), doors, seedOfTenant, now);
+      companions.put(tenant.name(), companion);
+    }
+    companion.limit(tenant.ratePerSecond(), tenant.burst());
+    return companion;
+  }
+
+  /** Takes what the exchange costs, once; whether it has it. */
+  boolean take(Exchange exchange, long now) {
+    long cost = exchange.resolution.quotaCost(exchange.tokens);
+    if (cost == 0 || exchange.quotaTaken > 0) {
+      return true;
+    }
+    String tenant = exchange.resolution.tenantName();
+    if (!control.quota().take(tenant, cost, now)) {
+      exchange.quotaShort = true;
+      return false;
+    }
+    companion(exchange.resolution.tenant(), now).used(cost);
+    exchange.quotaTaken = cost;
+    exchange.quotaTenant = tenant;
+    return true;
+  }
+
+  /** Returns what the exchange took: no backend has run it. */
+  void giveBack(Exchange exchange, long now) {
+    if (exchange.quotaTaken > 0) {
+      control.quota().giveBack(exchange.quotaTenant, exchange.quotaTaken, now);
+      exchange.quotaTaken = 0;
+    }
+  }
+
+  /** Forgets tenants that the configuration no longer has. */
+  void routingChanged() {
+    if (control.routing() != null) {
+      companions.keySet().removeIf(name -> control.routing().tenant(name) == null);
+    }
+  }
+}
--- a/router/src/main/java/nettletrail/router/RequestDispatcher.java
+++ b/router/src/main/java/nettletrail/router/RequestDispatcher.java
@@ -27,6 +27,8 @@
   private final SplittableRandom random;
   private final VirtualCounters counters = new VirtualCounters();
   private final Map<String, ServiceState> services = new HashMap<>();
+  private final long startedAt = System.nanoTime();
+  private final QuotaGate quota;
   private final Completion completion;
   private final AttemptSender sender;
   private final AnswerHandler answers;
@@ -38,7 +40,8 @@
     this.control = control;
     this.pool = pool;
     random = new SplittableRandom(settings.seed());
-    completion = new Completion(loop, control, counters, random, this::pump);
+    quota = new QuotaGate(control, settings.seed());
+    completion = new Completion(loop, quota, counters, random, this::pump);
     sender = new AttemptSender(loop, control, pool, counters, completion, this::requeue);
     answers = new AnswerHandler(sender, completion);
   }
@@ -56,6 +59,10 @@
       completion.refuse(exchange, exchange.resolution.refusal());
       return;
     }
+    if (!quota.admits(exchange, now)) {
+      completion.overQuota(exchange);
+      return;
+    }
     await(exchange, now);
   }
 
@@ -80,7 +87,7 @@
   private void requeue(Exchange exchange) {
     long now = System.nanoTime();
     exchange.service.queue.released();
-    completion.giveQuotaBack(exchange, now);
+    quota.giveBack(exchange, now);
     exchange.state = Exchange.State.WAITING;
     await(exchange, now);
   }
@@ -88,7 +95,7 @@
   private ServiceState service(String name) {
     ServiceState state = services.get(name);
     if (state == null) {
-      state = new ServiceState(name, settings, counters);
+      state = new ServiceState(name, settings, counters, startedAt);
       state.backends.update(control.backends(name));
       services.put(name, state);
     }
@@ -154,27 +161,13 @@
   /** Whether it may go, or is to be refused, now. */
   private boolean isEligible(Exchange exchange, long now) {
     sender.resolve(exchange, now);
-    return exchange.resolution.refusal() != null || takeQuota(exchange, now);
-  }
-
-  private boolean takeQuota(Exchange exchange, long now) {
-    long cost = exchange.resolution.quotaCost(exchange.tokens);
-    if (cost == 0 || exchange.quotaTaken > 0) {
-      return true;
-    }
-    String tenant = exchange.resolution.tenantName();
-    if (!control.quota().take(tenant, cost, now)) {
-      exchange.quotaShort = true;
-      return false;
-    }
-    exchange.quotaTaken = cost;
-    exchange.quotaTenant = tenant;
-    return true;
+    return exchange.resolution.refusal() != null || quota.take(exchange, now);
   }
 
   // ---- What the control plane tells ----
 
   void routingChanged() {
+    quota.routingChanged();
     new ArrayList<>(services.values()).forEach(this::pump);
   }
 
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -20,7 +20,7 @@
  * The data plane of a door: takes requests from clients and passes them to backends, as the {@link ControlView} says. All of it
  * runs on one event loop; every method is to be called there unless it says otherwise.
  */
-public final class Router implements ClientConnection.Owner {
+public final class Router {
   private static final long TICK_MS = 250;
   private static final int BACKLOG = 1_024;
   /** For how long a draining door waits for requests on connections that stand idle before it closes them. */
@@ -34,6 +34,7 @@
   private final ControlView control;
   private final RequestDispatcher dispatcher;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private final Owner owner = new Owner();
   private boolean listening;
   private boolean draining;
 
@@ -62,7 +63,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel client) {
-                    ClientConnection.add(client.pipeline(), Router.this, limits());
+                    ClientConnection.add(client.pipeline(), owner, limits());
                   }
                 })
             .bind(host, port);
@@ -146,30 +147,31 @@
     return routing == null ? Limits.DEFAULT : routing.limits();
   }
 
-  // ---- For its connections ----
-
-  @Override
-  public Exchange arrived(ClientConnection connection, ClientRequest request) {
-    return dispatcher.exchange(connection, request);
-  }
+  /** What its connections need of it. */
+  private final class Owner implements ClientConnection.Owner {
+    @Override
+    public Exchange arrived(ClientConnection connection, ClientRequest request) {
+      return dispatcher.exchange(connection, request);
+    }
 
-  @Override
-  public void start(Exchange exchange) {
-    dispatcher.start(exchange);
-  }
+    @Override
+    public void start(Exchange exchange) {
+      dispatcher.start(exchange);
+    }
 
-  @Override
-  public boolean isDraining() {
-    return draining;
-  }
+    @Override
+    public boolean isDraining() {
+      return draining;
+    }
 
-  @Override
-  public void opened(ClientConnection connection) {
-    connections.add(connection);
-  }
+    @Override
+    public void opened(ClientConnection connection) {
+      connections.add(connection);
+    }
 
-  @Override
-  public void closed(ClientConnection connection) {
-    connections.remove(connection);
+    @Override
+    public void closed(ClientConnection connection) {
+      connections.remove(connection);
+    }
   }
 }
--- a/router/src/main/java/nettletrail/router/ServiceState.java
+++ b/router/src/main/java/nettletrail/router/ServiceState.java
@@ -1,5 +1,6 @@
 package nettletrail.router;
 
+import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.Service;
 import nettletrail.router.admission.AdmissionQueue;
 import nettletrail.router.admission.VirtualCounters;
@@ -21,11 +22,17 @@
   final ServiceBackends backends;
   final RetryBudget budget;
 
-  ServiceState(String name, RouterSettings settings, VirtualCounters counters) {
+  /** @param startedAt when the router began, ns: its retry budget grows from then on */
+  ServiceState(String name, RouterSettings settings, VirtualCounters counters, long startedAt) {
     this.name = name;
     queue = new AdmissionQueue<>(counters);
     backends = new ServiceBackends(settings.zone(), settings.seed() ^ name.hashCode());
-    budget = new RetryBudget(settings.retryRatio(), settings.retrySlack());
+    budget = 
+        new RetryBudget(
+            settings.retryRatio(),
+            settings.retrySlack(),
+            TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMs()),
+            startedAt);
   }
 
   /** Requests in flight, at most, from this door. */
--- a/router/src/main/java/nettletrail/router/balance/BackendLoad.java
+++ b/router/src/main/java/nettletrail/router/balance/BackendLoad.java
@@ -3,32 +3,21 @@
 import nettletrail.router.BackendEndpoint;
 
 /**
- * What this door knows of one incarnation of a backend from the requests that it sent there: how much is outstanding, and
- * how its last sends went.
- *
- * <p>Health is passive: {@link #FAILURES_TO_EJECT} failures in a row eject it for a pause that doubles each time; so does
- * silence of {@link #SILENCE_NANOS} while requests wait there. After the pause one request at a time tries it, until
- * something is heard.
+ * What this door knows of one incarnation of a backend from the requests that it sent there: how much is outstanding, how
+ * slow it is beside others, and how often it failed. Pure; {@code now} is in ns.
  */
 public final class BackendLoad {
-  static final int FAILURES_TO_EJECT = 3;
-  static final long FIRST_PAUSE_NANOS = 500_000_000L;
-  static final long LONGEST_PAUSE_NANOS = 8_000_000_000L;
-  static final long SILENCE_NANOS = 400_000_000L;
+  private static final double FAILURE_WEIGHT = 0.15;
+  private static final double FAILURE_HALF_LIFE_NANOS = 5e9;
 
   private final BackendEndpoint endpoint;
+  private final BackendHealth health = new BackendHealth();
+  private final LatencyEstimate latency = new LatencyEstimate();
   private int outstanding;
   private long prefillTokens;
   private long memoryTokens;
-  private int failures;
-  private long pauseNanos;
-  private long ejectedUntil;
-  private boolean ejected;
-  private boolean trial;
-  /** Since when something is awaited and nothing was heard. */
-  private long silentSince;
-  /** Whether it was ejected for its silence, so that a word from it is enough to come back. */
-  private boolean ejectedForSilence;
+  private double failureRate;
+  private long failureRateAt;
 
   BackendLoad(BackendEndpoint endpoint) {
     this.endpoint = endpoint;
@@ -39,12 +28,19 @@
     return endpoint;
   }
 
+  /** Its health, as its last sends tell. */
+  BackendHealth health() {
+    return health;
+  }
+
+  /** How slow it is beside the others. */
+  LatencyEstimate latency() {
+    return latency;
+  }
+
   /** A request is sent there. */
   public void sent(long prefill, long memory, long now) {
-    trial = ejected;
-    if (outstanding == 0 || trial) {
-      silentSince = now;
-    }
+    health.sent(outstanding == 0, now);
     outstanding++;
     prefillTokens += prefill;
     memoryTokens += memory;
@@ -63,63 +59,49 @@
 
   /** Bytes came from it. */
   public void heard(long now) {
-    silentSince = now;
-    if (ejectedForSilence) {
-      succeeded();
-    }
+    health.heard(now);
   }
 
-  /** It answered, be it that it is full. */
-  public void succeeded() {
-    failures = 0;
-    ejected = false;
-    ejectedForSilence = false;
-    trial = false;
-    pauseNanos = 0;
+  /** It answered a request as it should, be it that it is full. */
+  public void succeeded(long now) {
+    health.succeeded();
+    noteOutcome(0, now);
+  }
+
+  /** It answered that it failed to serve the request: it is there, but may be better avoided. */
+  public void served(boolean well, long now) {
+    health.succeeded();
+    noteOutcome(well ? 0 : 1, now);
   }
 
   /** A send to it failed in a way that tells of it: no connection, a break, something that is no answer. */
   public void failed(long now) {
-    failures++;
-    if (trial || failures >= FAILURES_TO_EJECT && !ejected) {
-      eject(now);
-    }
+    health.failed(now);
+    noteOutcome(1, now);
   }
 
   /** A request that waits there was given up. */
   public void gaveUp(long now) {
-    if (isSilent(now) && (trial || !ejected)) {
-      ejectedForSilence = true;
-      eject(now);
-    }
+    health.gaveUp(outstanding > 0, now);
   }
 
-  private void eject(long now) {
-    pauseNanos =
-        pauseNanos == 0 ? FIRST_PAUSE_NANOS : Math.min(LONGEST_PAUSE_NANOS, 2 * pauseNanos);
-    ejected = true;
-    trial = false;
-    ejectedUntil = now + pauseNanos;
+  private void noteOutcome(double failure, long now) {
+    double before = failureRate(now);
+    failureRate = before + FAILURE_WEIGHT * (failure - before);
+    failureRateAt = now;
   }
 
-  /** Ejects it if it has been silent for too long; whether it did. */
-  boolean ejectIfSilent(long now) {
-    if (ejected && !trial || !isSilent(now)) {
-      return false;
+  /** The part of its last requests that failed, from 0 to 1; what was seen fades. */
+  double failureRate(long now) {
+    if (failureRate == 0) {
+      return 0;
     }
-    ejectedForSilence = true;
-    eject(now);
-    return true;
-  }
-
-  /** Whether it should get requests. */
-  public boolean isHealthy(long now) {
-    return !ejected || !trial && now - ejectedUntil >= 0;
+    return failureRate * Math.pow(0.5, (now - failureRateAt) / FAILURE_HALF_LIFE_NANOS);
   }
 
   /** Whether it keeps requests waiting without a sign of life. */
   public boolean isSilent(long now) {
-    return outstanding > 0 && now - silentSince > SILENCE_NANOS;
+    return outstanding > 0 && health.isSilent(now);
   }
 
   /** Requests that were sent there and are not over. */
--- a/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -18,7 +18,10 @@
  * Weighed are all backends that may hold it and two others by chance, so that doors with the same old knowledge do
  * not all choose the same.
  *
- * <p>Other services: the less loaded of two by chance, of those in this door's zone unless they are fuller.
+ * <p>Other services: the less loaded of two by chance, or one of this door's zone if that is not fuller.
+ *
+ * <p>In both, a backend that has been slower than others counts as that much fuller, and one that failed requests is put
+ * behind by the part that failed.
  */
 public final class ServiceBackends {
   /** Backends that all doors prefer for a prefix, in this order. */
@@ -34,7 +37,16 @@
   /** Full of that share of its memory a backend begins to preempt requests. */
   static final double MEMORY_SHARE = 0.85;
 
+  /** What every answer of an engine takes before it begins, in tokens of prompt. */
+  static final double STEP_TOKENS = 3_500;
+
   private static final double FULL_TOKENS = 1e7;
+  /** What a backend costs more that fails all its requests: more than any prompt. */
+  private static final double FAILURE_TOKENS = 60_000;
+
+  private static final double FAILURE_LOAD = 4;
+  private static final double COLD_LOAD = 0.5;
+  private static final double USUAL_WEIGHT = 0.05;
   /** A plain backend in another zone must be less loaded by that, in requests for each slot. */
   static final double OTHER_ZONE_LOAD = 0.34;
 
@@ -44,6 +56,8 @@
   private final PrefixIndex prefixes = new PrefixIndex();
   private final List<String> ejected = new ArrayList<>();
   private List<BackendLoad> ready = List.of();
+  /** Time that the service's backends take for a unit of work, ns; 0 while unknown. */
+  private double usualNanosPerUnit;
 
   /** @param zone where this door stands */
   public ServiceBackends(String zone, long seed) {
@@ -123,8 +137,8 @@
     }
     BackendLoad chosen =
         engine == null
-            ? lessLoadedOfTwo(candidates)
-            : cheapest(candidates, request, engine, Math.max(1, doors));
+            ? lessLoadedOfTwo(candidates, now)
+            : cheapest(candidates, request, engine, Math.max(1, doors), now);
     if (request.prefix().key() != 0) {
       prefixes.sent(request.prefix().key(), chosen.endpoint().id());
     }
@@ -140,31 +154,34 @@
         continue;
       }
       untried.add(load);
-      if (load.ejectIfSilent(now)) {
+      if (load.outstanding() > 0 && load.health().ejectIfSilent(now)) {
         ejected.add(load.endpoint().id());
       }
-      if (load.isHealthy(now)) {
+      if (load.health().admits(now)) {
         healthy.add(load);
       }
     }
     return healthy.isEmpty() || 2 * healthy.size() < untried.size() ? untried : healthy;
   }
 
-  private BackendLoad lessLoadedOfTwo(List<BackendLoad> candidates) {
+  private BackendLoad lessLoadedOfTwo(List<BackendLoad> candidates, long now) {
     BackendLoad first = candidates.get(random.nextInt(candidates.size()));
     BackendLoad second = candidates.get(random.nextInt(candidates.size()));
-    BackendLoad best = plainCost(second) < plainCost(first) ? second : first;
+    BackendLoad best = plainCost(second, now) < plainCost(first, now) ? second : first;
     for (BackendLoad near : candidates) {
-      if (isNear(near) && plainCost(near) < plainCost(best)) {
+      if (isNear(near) && plainCost(near, now) < plainCost(best, now)) {
         best = near;
       }
     }
     return best;
   }
 
-  private double plainCost(BackendLoad load) {
-    double load1 = (double) load.outstanding() / load.endpoint().slots();
-    return load1 + (isNear(load) ? 0 : OTHER_ZONE_LOAD) + (load.endpoint().coldLeftMs() > 0 ? 0.5 : 0);
+  private double plainCost(BackendLoad load, long now) {
+    double fullness = (load.outstanding() + 0.5) / load.endpoint().slots();
+    return fullness * load.latency().factor(now)
+        + FAILURE_LOAD * load.failureRate(now)
+        + (isNear(load) ? 0 : OTHER_ZONE_LOAD)
+        + (load.endpoint().coldLeftMs() > 0 ? COLD_LOAD : 0);
   }
 
   private boolean isNear(BackendLoad load) {
@@ -172,7 +189,11 @@
   }
 
   private BackendLoad cheapest(
-      List<BackendLoad> candidates, BackendChoice request, Engine engine, int doors) {
+      List<BackendLoad> candidates,
+      BackendChoice request,
+      Engine engine,
+      int doors,
+      long now) {
     long prefix = request.prefix().key();
     BackendLoad[] preferred = preferred(candidates, prefix);
     int firstChance = random.nextInt(candidates.size());
@@ -187,7 +208,7 @@
         continue;
       }
       double miss = held ? 0 : rank < PREFERRED && prefix != 0 ? PREFERRED_MISS[rank] : 1;
-      double cost = engineCost(each, request, engine, doors, miss);
+      double cost = engineCost(each, request, engine, doors, miss, now);
       if (cost < least) {
         least = cost;
         best = each;
@@ -197,18 +218,48 @@
   }
 
   private double engineCost(
-      BackendLoad load, BackendChoice request, Engine engine, int doors, double miss) {
-    double readAgain = miss * request.prefix().tokens() * READ_AGAIN_WEIGHT;
+      BackendLoad load,
+      BackendChoice request,
+      Engine engine,
+      int doors,
+      double miss,
+      long now) {
+    double wait = load.prefillTokens() + RUNNING_TOKENS * load.outstanding() + STEP_TOKENS;
     double cost =
-        readAgain
-            + load.prefillTokens()
-            + RUNNING_TOKENS * load.outstanding()
+        miss * request.prefix().tokens() * READ_AGAIN_WEIGHT
+            + wait * load.latency().factor(now)
+            + FAILURE_TOKENS * load.failureRate(now)
             + (isNear(load) ? 0 : OTHER_ZONE_TOKENS);
     double memory = (double) load.memoryTokens() * doors + request.memoryTokens();
     boolean overMemory = engine.kvTokens() > 0 && memory > MEMORY_SHARE * engine.kvTokens();
     return overMemory ? cost + FULL_TOKENS * memory / engine.kvTokens() : cost;
   }
 
+  /**
+   * A backend's answer began.
+   *
+   * @param work what it had to do before, in tokens for engines, else any unit
+   * @param nanos that it took
+   */
+  public void answerBegan(BackendLoad load, double work, long nanos, long now) {
+    double perUnit = nanos / Math.max(1, work);
+    usualNanosPerUnit =
+        usualNanosPerUnit == 0
+            ? perUnit
+            : usualNanosPerUnit + USUAL_WEIGHT * (perUnit - usualNanosPerUnit);
+    load.latency().observe(perUnit / usualNanosPerUnit, now);
+  }
+
+  /** What a backend has to do before a request that is sent there now is answered, for {@link #answerBegan}. */
+  public static double workBefore(BackendLoad load, long promptTokens, Engine engine) {
+    return engine == null
+        ? 1 + (double) load.outstanding() / load.endpoint().slots()
+        : promptTokens
+            + load.prefillTokens()
+            + RUNNING_TOKENS * load.outstanding()
+            + STEP_TOKENS;
+  }
+
   /** The candidates that rendezvous hashing puts first and second; the second may be null. */
   private static BackendLoad[] preferred(List<BackendLoad> candidates, long prefix) {
     BackendLoad[] first = new BackendLoad[PREFERRED];
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
@@ -48,6 +48,9 @@
 
   private boolean skipped;
   private long idleSince;
+  /** For how long it had stood idle when its request came; -1 if that is its first, or once it is told. */
+  private long idleAge = -1;
+
   private long idleLimit = DEFAULT_IDLE_NANOS;
   private boolean resting;
   private long restEnd;
@@ -87,6 +90,7 @@
       return false;
     }
     decoder.expectAnswerTo(next.attempt.isHeadRequest());
+    idleAge = used ? System.nanoTime() - idleSince : -1;
     write = next.attempt.head().writeTo(wire, next.attempt.body(), channel.newPromise());
     write.addListener(this);
     return true;
@@ -176,7 +180,15 @@
     }
   }
 
+  private void tellIdleAge(boolean broke) {
+    if (idleAge >= 0) {
+      pool.idleAges().used(idleAge, broke, System.nanoTime());
+      idleAge = -1;
+    }
+  }
+
   private void answered() {
+    tellIdleAge(false);
     Ride ended = ride;
     HttpResponse answer = head;
     ride = null;
@@ -252,6 +264,9 @@
   void closed() {
     Ride broken = ride;
     boolean sent = isWritten();
+    if (broken != null && head == null && !decoder.hasMore()) {
+      tellIdleAge(true);
+    }
     ride = null;
     backend.closed(this);
     if (broken != null) {
@@ -292,7 +307,8 @@
   }
 
   boolean isFresh(long now) {
-    return now - idleSince < idleLimit;
+    long age = now - idleSince;
+    return age < idleLimit && (!used || age <= pool.idleAges().most(now));
   }
 
   void idleFrom(long now) {
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import nettletrail.router.BackendEndpoint;
+import nettletrail.upstream.IdleAges;
 import nettletrail.upstream.PeekingChannel;
 
 /**
@@ -45,6 +46,7 @@
   private final Map<String, BackendChannels> backends = new HashMap<>();
   /** Connections that rest, the first to have rested first; some of them may have closed since. */
   private final ArrayDeque<UpstreamConnection> resting = new ArrayDeque<>();
+  private final IdleAges idleAges = new IdleAges(System.nanoTime());
   private int connections;
 
   /**
@@ -107,6 +109,11 @@
     }
   }
 
+  /** What breaks of reused connections have taught. */
+  IdleAges idleAges() {
+    return idleAges;
+  }
+
   EventLoop loop() {
     return loop;
   }
