Router: a backend that reads a long prompt is not silent, prefixes keep their home

A door took a backend that read one long prompt for silent after 400 ms, ejected it, and sent the stream elsewhere a second time; so did the stall rule. Both allow for the prompts that the backend has to read now. Slowness follows the median and counts from 1.6 on; memory of other doors is estimated by the mean, not by this door's own times their count; the preferred backend is left less readily.

--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -173,7 +173,12 @@
   /** Whether its backend is silent for so long that it is better sent elsewhere. */
   boolean isStalled(long now) {
     return StallRule.isStalled(
-        now - heardAt, prefilled, route().gapMs(), route().targetMs(), backend.isSilent(now));
+        now - heardAt,
+        prefilled,
+        route().gapMs(),
+        route().targetMs(),
+        inputTokens(),
+        backend.isSilent(now));
   }
 
   // ---- What it holds ----
@@ -240,14 +245,14 @@
     currentSent = true;
     prefilled = false;
     heardAt = now;
-    backend.sent(prefillTokens(), tokens == null ? 0 : tokens.sum(), now);
+    backend.sent(inputTokens(), prefillTokens(), tokens == null ? 0 : tokens.sum(), now);
   }
 
   /** The prompt is read, or never will be. */
   void notePrefilled() {
     if (!prefilled) {
       prefilled = true;
-      backend.prefilled(prefillTokens());
+      backend.prefilled(inputTokens(), prefillTokens());
     }
   }
 
--- a/router/src/main/java/nettletrail/router/balance/BackendHealth.java
+++ b/router/src/main/java/nettletrail/router/balance/BackendHealth.java
@@ -9,7 +9,7 @@
   static final int FAILURES_TO_EJECT = 3;
   static final long FIRST_PAUSE_NANOS = 500_000_000L;
   static final long LONGEST_PAUSE_NANOS = 8_000_000_000L;
-  static final long SILENCE_NANOS = 400_000_000L;
+  static final long SILENCE_NANOS = 500_000_000L;
 
   private int failures;
   private long pauseNanos;
@@ -57,19 +57,13 @@
   }
 
   /**
-   * A request that waits there was given up.
+   * Ejects it if it has been silent for too long; to be called only while something is awaited from it.
    *
-   * @param awaited whether something was awaited from it
+   * @param allowance that it has beside, ns
+   * @return whether it did
    */
-  void gaveUp(boolean awaited, long now) {
-    if (awaited) {
-      ejectIfSilent(now);
-    }
-  }
-
-  /** Ejects it if something is awaited from it and it has been silent for too long; whether it did. */
-  boolean ejectIfSilent(long now) {
-    if (ejected && !trial || !isSilent(now)) {
+  boolean ejectIfSilent(long allowance, long now) {
+    if (ejected && !trial || !isSilent(allowance, now)) {
       return false;
     }
     ejectedForSilence = true;
@@ -91,7 +85,7 @@
   }
 
   /** Whether nothing was heard for long; means something only while something is awaited. */
-  boolean isSilent(long now) {
-    return now - silentSince > SILENCE_NANOS;
+  boolean isSilent(long allowance, long now) {
+    return now - silentSince > SILENCE_NANOS + allowance;
   }
 }
--- a/router/src/main/java/nettletrail/router/balance/BackendLoad.java
+++ b/router/src/main/java/nettletrail/router/balance/BackendLoad.java
@@ -14,6 +14,7 @@
   private final BackendHealth health = new BackendHealth();
   private final LatencyEstimate latency = new LatencyEstimate();
   private int outstanding;
+  private long promptTokens;
   private long prefillTokens;
   private long memoryTokens;
   private double failureRate;
@@ -38,16 +39,24 @@
     return latency;
   }
 
-  /** A request is sent there. */
-  public void sent(long prefill, long memory, long now) {
+  /**
+   * A request is sent there.
+   *
+   * @param prompt tokens of its prompt
+   * @param prefill those that the backend has to read, as far as is known
+   * @param memory tokens that it holds at most
+   */
+  public void sent(long prompt, long prefill, long memory, long now) {
     health.sent(outstanding == 0, now);
     outstanding++;
+    promptTokens += prompt;
     prefillTokens += prefill;
     memoryTokens += memory;
   }
 
   /** The prompt has been read: the first part of the answer came. */
-  public void prefilled(long prefill) {
+  public void prefilled(long prompt, long prefill) {
+    promptTokens -= prompt;
     prefillTokens -= prefill;
   }
 
@@ -82,7 +91,17 @@
 
   /** A request that waits there was given up. */
   public void gaveUp(long now) {
-    health.gaveUp(outstanding > 0, now);
+    ejectIfSilent(now);
+  }
+
+  /** Ejects it if it keeps requests waiting without a sign of life; whether it did. */
+  boolean ejectIfSilent(long now) {
+    return outstanding > 0 && health.ejectIfSilent(readingNanos(), now);
+  }
+
+  /** That it may take for the prompts that it was sent. */
+  private long readingNanos() {
+    return promptTokens * ReadingTime.MOST_NANOS_PER_TOKEN;
   }
 
   private void noteOutcome(double failure, long now) {
@@ -101,7 +120,7 @@
 
   /** Whether it keeps requests waiting without a sign of life. */
   public boolean isSilent(long now) {
-    return outstanding > 0 && health.isSilent(now);
+    return outstanding > 0 && health.isSilent(readingNanos(), now);
   }
 
   /** Requests that were sent there and are not over. */
--- a/router/src/main/java/nettletrail/router/balance/LatencyEstimate.java
+++ b/router/src/main/java/nettletrail/router/balance/LatencyEstimate.java
@@ -2,13 +2,17 @@
 
 /**
  * How slow a backend is beside the others of its service, by the time that its answers took to begin for what was asked of
- * it. An average that follows new observations, and returns to 1 while none come. Pure; {@code now} is in ns.
+ * it. It follows the median: each observation moves it by the same small step, so that a few answers that took very long
+ * for reasons of their own, as a prompt that had to be read anew, don't make a backend look slow. It returns to 1 while no
+ * observations come. Pure; {@code now} is in ns.
  */
 final class LatencyEstimate {
-  private static final double WEIGHT = 0.2;
+  private static final double STEP = 1.12;
   private static final double HALF_LIFE_NANOS = 5e9;
   private static final double LEAST = 0.5;
   private static final double MOST = 8;
+  /** Less is not told from chance. */
+  private static final double LEAST_SLOWDOWN = 1.6;
 
   private double factor = 1;
   private long updatedAt;
@@ -20,12 +24,18 @@
    */
   void observe(double ratio, long now) {
     double before = factor(now);
-    factor = before + WEIGHT * (Math.min(MOST, Math.max(LEAST, ratio)) - before);
+    double moved = ratio > before ? before * STEP : before / STEP;
+    factor = Math.min(MOST, Math.max(LEAST, moved));
     updatedAt = now;
   }
 
-  /** How many times as long as others it takes. */
-  double factor(long now) {
+  /** How many times as long as others it takes, if that is beyond what chance makes of it; else 1. */
+  double slowdown(long now) {
+    double current = factor(now);
+    return current < LEAST_SLOWDOWN ? 1 : current;
+  }
+
+  private double factor(long now) {
     if (factor == 1) {
       return 1;
     }
--- a/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -27,9 +27,9 @@
   /** Backends that all doors prefer for a prefix, in this order. */
   static final int PREFERRED = 2;
   /** Chance that a preferred backend lacks a prefix that this door has not sent there. */
-  private static final double[] PREFERRED_MISS = {0.25, 0.6};
+  private static final double[] PREFERRED_MISS = {0.05, 0.7};
   /** A shared part that is read again is priced beside the time that it takes. */
-  static final double READ_AGAIN_WEIGHT = 1.5;
+  static final double READ_AGAIN_WEIGHT = 2.5;
   /** What a running request costs the next one, in tokens of prompt. */
   static final double RUNNING_TOKENS = 40;
   /** What a backend in another zone costs more, in tokens of prompt: two ways of some ms. */
@@ -46,7 +46,7 @@
 
   private static final double FAILURE_LOAD = 4;
   private static final double COLD_LOAD = 0.5;
-  private static final double USUAL_WEIGHT = 0.05;
+  private static final double USUAL_STEP = 1.04;
   /** A plain backend in another zone must be less loaded by that, in requests for each slot. */
   static final double OTHER_ZONE_LOAD = 0.34;
 
@@ -56,7 +56,7 @@
   private final PrefixIndex prefixes = new PrefixIndex();
   private final List<String> ejected = new ArrayList<>();
   private List<BackendLoad> ready = List.of();
-  /** Time that the service's backends take for a unit of work, ns; 0 while unknown. */
+  /** Median time that the service's backends take for a unit of work, ns; 0 while unknown. */
   private double usualNanosPerUnit;
 
   /** @param zone where this door stands */
@@ -154,7 +154,7 @@
         continue;
       }
       untried.add(load);
-      if (load.outstanding() > 0 && load.health().ejectIfSilent(now)) {
+      if (load.ejectIfSilent(now)) {
         ejected.add(load.endpoint().id());
       }
       if (load.health().admits(now)) {
@@ -178,7 +178,7 @@
 
   private double plainCost(BackendLoad load, long now) {
     double fullness = (load.outstanding() + 0.5) / load.endpoint().slots();
-    return fullness * load.latency().factor(now)
+    return fullness * load.latency().slowdown(now)
         + FAILURE_LOAD * load.failureRate(now)
         + (isNear(load) ? 0 : OTHER_ZONE_LOAD)
         + (load.endpoint().coldLeftMs() > 0 ? COLD_LOAD : 0);
@@ -227,14 +227,23 @@
     double wait = load.prefillTokens() + RUNNING_TOKENS * load.outstanding() + STEP_TOKENS;
     double cost =
         miss * request.prefix().tokens() * READ_AGAIN_WEIGHT
-            + wait * load.latency().factor(now)
+            + wait * load.latency().slowdown(now)
             + FAILURE_TOKENS * load.failureRate(now)
             + (isNear(load) ? 0 : OTHER_ZONE_TOKENS);
-    double memory = (double) load.memoryTokens() * doors + request.memoryTokens();
+    double memory = expectedMemory(load, doors) + request.memoryTokens();
     boolean overMemory = engine.kvTokens() > 0 && memory > MEMORY_SHARE * engine.kvTokens();
     return overMemory ? cost + FULL_TOKENS * memory / engine.kvTokens() : cost;
   }
 
+  /** What this door has sent there, and what the others have, if they send to all backends as much as this one does. */
+  private double expectedMemory(BackendLoad load, int doors) {
+    long sum = 0;
+    for (BackendLoad each : ready) {
+      sum += each.memoryTokens();
+    }
+    return load.memoryTokens() + (doors - 1.0) * sum / ready.size();
+  }
+
   /**
    * A backend's answer began.
    *
@@ -243,10 +252,10 @@
    */
   public void answerBegan(BackendLoad load, double work, long nanos, long now) {
     double perUnit = nanos / Math.max(1, work);
-    usualNanosPerUnit =
-        usualNanosPerUnit == 0
-            ? perUnit
-            : usualNanosPerUnit + USUAL_WEIGHT * (perUnit - usualNanosPerUnit);
+    if (usualNanosPerUnit == 0) {
+      usualNanosPerUnit = perUnit;
+    }
+    usualNanosPerUnit *= perUnit > usualNanosPerUnit ? USUAL_STEP : 1 / USUAL_STEP;
     load.latency().observe(perUnit / usualNanosPerUnit, now);
   }
 
--- a/router/src/main/java/nettletrail/router/stream/StallRule.java
+++ b/router/src/main/java/nettletrail/router/stream/StallRule.java
@@ -1,6 +1,7 @@
 package nettletrail.router.stream;
 
 import java.util.concurrent.TimeUnit;
+import nettletrail.router.balance.ReadingTime;
 
 /**
  * When a request whose backend is silent is better sent elsewhere. Only for requests that may run again. Pure; times are in
@@ -14,7 +15,7 @@
   private static final double TARGETS = 2;
   private static final long LEAST_MS = 900;
   private static final double GAPS_OF_DARK = 2;
-  private static final long LEAST_OF_DARK_MS = 400;
+  private static final long LEAST_OF_DARK_MS = 500;
 
   private StallRule() {}
 
@@ -25,15 +26,22 @@
    * @param answered whether a part of the answer has come
    * @param gapMs longest pause between parts that is in time; 0 if there is none
    * @param targetMs in which the first part is due
+   * @param promptTokens that have to be read before the first part
    * @param backendSilent whether nothing has come from the backend for any request of late
    */
   public static boolean isStalled(
-      long silence, boolean answered, int gapMs, int targetMs, boolean backendSilent) {
+      long silence,
+      boolean answered,
+      int gapMs,
+      int targetMs,
+      long promptTokens,
+      boolean backendSilent) {
     double usual = answered && gapMs > 0 ? GAPS * gapMs : TARGETS * targetMs;
     double most = Math.max(LEAST_MS, usual);
     if (backendSilent) {
       most = Math.max(LEAST_OF_DARK_MS, gapMs > 0 ? GAPS_OF_DARK * gapMs : targetMs);
     }
-    return silence > most * TimeUnit.MILLISECONDS.toNanos(1);
+    double reading = answered ? 0 : promptTokens * (double) ReadingTime.MOST_NANOS_PER_TOKEN;
+    return silence > most * TimeUnit.MILLISECONDS.toNanos(1) + reading;
   }
 }
