Quota: waiting requests come before what doors hold ahead; a reserve

Needs and what is held ahead are now divided one after the other, a fifth of the bucket isn't held ahead, demand is averaged over 3 s, a door that has to give back says so at once, and one that was granted in full asks again at once. Doors send heartbeats every 100 ms while a shard's owner is unknown.

--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -33,15 +33,17 @@
 import org.apache.avro.specific.SpecificRecord;
 
 /**
- * A core process's part in the registry of backends, the feed to the doors, the doors' leases and the grants of quota.
+ * A core process's part in the registry of backends, the feed to the doors, the doors' leases and
+ * the grants of quota.
  *
- * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what has to be done. One thread.
- * Messages that don't concern these parts are ignored.
+ * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what
+ * has to be done. One thread. Messages that don't concern these parts are ignored.
  *
- * <p>Backends: a call that brings nothing new is answered at once and reaches other core processes only in digests. A change goes
- * to them as an update, kept as a hint until it is acknowledged, and to the doors through the feed. That a backend closes or is
- * gone is acknowledged once another core process has it and it was handed to all linked doors, or all live doors acknowledged it,
- * or there is no other core process.
+ * <p>Backends: a call that brings nothing new is answered at once and reaches other core processes
+ * only in digests. A change goes to them as an update, kept as a hint until it is acknowledged, and
+ * to the doors through the feed. That a backend closes or is gone is acknowledged once another core
+ * process has it and it was handed to all linked doors, or all live doors acknowledged it, or there
+ * is no other core process.
  */
 public final class CoreRegistry {
   private static final long MILLIS = 1_000_000L;
@@ -73,8 +75,8 @@
   }
 
   /**
-   * A backend called. {@code method} is PUT or DELETE; of a DELETE only the id counts. An {@link AnswerBackend} with the same
-   * number follows, now or within 800 ms.
+   * A backend called. {@code method} is PUT or DELETE; of a DELETE only the id counts. An {@link
+   * AnswerBackend} with the same number follows, now or within 800 ms.
    */
   public List<RegistryAction> backendCall(long call, String method, Backend record, long now) {
     Backend report = method.equals(DELETE) ? gone(record) : record;
@@ -154,8 +156,8 @@
   }
 
   /**
-   * A configuration is committed, as this process knows; one that is older than another told before is ignored.
-   * {@code limits}: the limits of all its tenants, also of those without one.
+   * A configuration is committed, as this process knows; one that is older than another told before
+   * is ignored. {@code limits}: the limits of all its tenants, also of those without one.
    */
   public List<RegistryAction> configuration(
       long sequence, long edition, byte[] document, Map<String, QuotaLimit> limits, long now) {
@@ -214,7 +216,10 @@
     feed.append(backend);
   }
 
-  /** A repeated call waits on its own; the report is told again, so that there is something to be acknowledged. */
+  /**
+   * A repeated call waits on its own; the report is told again, so that there is something to be
+   * acknowledged.
+   */
   private void acknowledgeLater(long call, Backend held, long now) {
     followMembers();
     peers.tell(held);
@@ -283,8 +288,7 @@
   private List<String> owners(long now) {
     List<String> owners = new ArrayList<>();
     for (int shard = 0; shard < ownership.shardCount(); shard++) {
-      owners.add(
-          ownership.owns(shard, now) ? settings.address() : ownership.ownerAddress(shard));
+      owners.add(ownership.owns(shard, now) ? settings.address() : ownership.ownerAddress(shard));
     }
     return owners;
   }
--- a/control/src/main/java/nettletrail/control/CoreRegistrySettings.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistrySettings.java
@@ -14,7 +14,8 @@
   /** Checks the ranges. */
   public CoreRegistrySettings {
     if (feed <= 0 || beatMs <= 0) {
-      throw new IllegalArgumentException("feed and beatMs must be above 0, not " + feed + ", " + beatMs);
+      throw new IllegalArgumentException(
+          "feed and beatMs must be above 0, not " + feed + ", " + beatMs);
     }
   }
 }
--- a/control/src/main/java/nettletrail/control/ShardMap.java
+++ b/control/src/main/java/nettletrail/control/ShardMap.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32C;
 
-/** Which shard a name belongs to: shard 0 holds the configuration, tenants and services hash to the shards above it. */
+/**
+ * Which shard a name belongs to: shard 0 holds the configuration, tenants and services hash to the
+ * shards above it.
+ */
 public final class ShardMap {
   /** The shard that holds the configuration. */
   public static final int CONFIGURATION_SHARD = 0;
@@ -16,7 +19,10 @@
 
   private ShardMap() {}
 
-  /** The shard of a tenant or service, 1 to {@link #NAMED_SHARDS}; the same in every process and release. */
+  /**
+   * The shard of a tenant or service, 1 to {@link #NAMED_SHARDS}; the same in every process and
+   * release.
+   */
   public static int shardOf(String name) {
     CRC32C checksum = new CRC32C();
     checksum.update(name.getBytes(StandardCharsets.UTF_8));
--- a/control/src/main/java/nettletrail/control/ShardOwnership.java
+++ b/control/src/main/java/nettletrail/control/ShardOwnership.java
@@ -5,12 +5,21 @@
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.Member;
 
-/** What the registry and the grants need to know of the replicated shards. Called on the control thread only. */
+/**
+ * What the registry and the grants need to know of the replicated shards. Called on the control
+ * thread only.
+ */
 public interface ShardOwnership {
-  /** Whether this process holds the owner's lease of the shard at {@code now} (steady clock, nanoseconds). */
+  /**
+   * Whether this process holds the owner's lease of the shard at {@code now} (steady clock,
+   * nanoseconds).
+   */
   boolean owns(int shard, long now);
 
-  /** The fencing token under which this process owns the shard; changes whenever the shard is won again. */
+  /**
+   * The fencing token under which this process owns the shard; changes whenever the shard is won
+   * again.
+   */
   Ballot token(int shard);
 
   /** The address of the shard's owner as this process knows it, empty where it knows none. */
@@ -23,8 +32,8 @@
   int shardCount();
 
   /**
-   * The steady instant, in nanoseconds, at which a majority confirmed that the committed configuration which this process
-   * holds is the newest; empty before the first time.
+   * The steady instant, in nanoseconds, at which a majority confirmed that the committed
+   * configuration which this process holds is the newest; empty before the first time.
    */
   OptionalLong confirmedAt();
 
--- a/control/src/main/java/nettletrail/control/door/BackendView.java
+++ b/control/src/main/java/nettletrail/control/door/BackendView.java
@@ -14,9 +14,10 @@
 /**
  * All backends as the door sees them, merged over the feeds of all core processes.
  *
- * <p>Of several reports about a backend the one that wins by {@link BackendOrder} counts, whoever sent it. A backend leaves when
- * it is gone, or when a core process lets it expire that no other linked one holds; a core process that is cut off or has
- * restarted removes nothing by that. What no linked core process holds any more leaves after a while, unless none is linked.
+ * <p>Of several reports about a backend the one that wins by {@link BackendOrder} counts, whoever
+ * sent it. A backend leaves when it is gone, or when a core process lets it expire that no other
+ * linked one holds; a core process that is cut off or has restarted removes nothing by that. What
+ * no linked core process holds any more leaves after a while, unless none is linked.
  */
 final class BackendView {
   private static final long MILLIS = 1_000_000L;
@@ -80,7 +81,10 @@
     }
   }
 
-  /** A core process's whole contents. {@code sameLife}: of a feed that was followed before, so what it lacks is expired. */
+  /**
+   * A core process's whole contents. {@code sameLife}: of a feed that was followed before, so what
+   * it lacks is expired.
+   */
   void snapshot(String core, List<Backend> contents, boolean sameLife, long now) {
     Set<String> ids = new HashSet<>();
     for (Backend backend : contents) {
--- a/control/src/main/java/nettletrail/control/door/CoreLink.java
+++ b/control/src/main/java/nettletrail/control/door/CoreLink.java
@@ -8,7 +8,8 @@
   private long namedAt;
   private long repliedAt;
   private boolean replied;
-  private long nextHeartbeat;
+  private long heartbeatAt;
+  private boolean greeted;
   private long feed;
   private long offset;
   private int doors;
@@ -30,7 +31,7 @@
   void linkUp(long now) {
     up = true;
     changedAt = now;
-    nextHeartbeat = now;
+    greeted = false;
   }
 
   void linkDown(long now) {
@@ -49,10 +50,11 @@
   }
 
   boolean heartbeatDue(long every, long now) {
-    if (!up || now - nextHeartbeat < 0) {
+    if (!up || greeted && now - heartbeatAt < every) {
       return false;
     }
-    nextHeartbeat = now + every;
+    greeted = true;
+    heartbeatAt = now;
     return true;
   }
 
--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -21,14 +21,16 @@
 import org.apache.avro.specific.SpecificRecord;
 
 /**
- * The door's view of the control plane: it dials all core processes, sends them heartbeats, follows their feeds and keeps the
- * newest configuration.
+ * The door's view of the control plane: it dials all core processes, sends them heartbeats, follows
+ * their feeds and keeps the newest configuration.
  *
- * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what has to be done. One thread.
+ * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what
+ * has to be done. One thread.
  */
 public final class DoorControl {
   private static final long MILLIS = 1_000_000L;
   private static final long HEARTBEAT_EVERY = 400 * MILLIS;
+  private static final long HEARTBEAT_WHEN_OWNER_MISSING = 100 * MILLIS;
   private static final long UNDIAL_AFTER = 30_000 * MILLIS;
   private static final long REACHABLE = 2_000 * MILLIS;
 
@@ -117,8 +119,9 @@
   /** What is due outside of the ticks: to be called after a request found too few quota tokens. */
   public List<DoorAction> poll(long now) {
     List<DoorAction> actions = new ArrayList<>();
+    long heartbeatEvery = grants.ownerMissing() ? HEARTBEAT_WHEN_OWNER_MISSING : HEARTBEAT_EVERY;
     for (CoreLink link : links.values()) {
-      if (link.heartbeatDue(HEARTBEAT_EVERY, now)) {
+      if (link.heartbeatDue(heartbeatEvery, now)) {
         actions.add(new DoorAction.SendToCore(link.address(), heartbeat(link, now)));
       }
     }
@@ -134,7 +137,10 @@
     return configurationSequence;
   }
 
-  /** The steady instant, nanoseconds, until which keys may be used and refused; empty when nothing was ever confirmed. */
+  /**
+   * The steady instant, nanoseconds, until which keys may be used and refused; empty when nothing
+   * was ever confirmed.
+   */
   public OptionalLong keysHeldUntil() {
     return keys.until();
   }
@@ -145,12 +151,18 @@
     return until.isPresent() && now - until.getAsLong() < 0;
   }
 
-  /** The backends of a service that aren't gone, ready and closing ones; the list isn't changed later. */
+  /**
+   * The backends of a service that aren't gone, ready and closing ones; the list isn't changed
+   * later.
+   */
   public List<Backend> backends(String service) {
     return backends.backends(service);
   }
 
-  /** How many doors there are, 0 while that isn't known; falls only after a while, for budgets that all doors share. */
+  /**
+   * How many doors there are, 0 while that isn't known; falls only after a while, for budgets that
+   * all doors share.
+   */
   public int doorCount() {
     return doorCount.count();
   }
@@ -205,8 +217,7 @@
     }
   }
 
-  private void snapshot(
-      CoreLink link, FeedSnapshot snapshot, List<DoorAction> actions, long now) {
+  private void snapshot(CoreLink link, FeedSnapshot snapshot, List<DoorAction> actions, long now) {
     boolean sameLife = link.feed() == snapshot.getFeed();
     backends.linked(link.address(), now);
     backends.snapshot(link.address(), snapshot.getBackends(), sameLife, now);
@@ -214,7 +225,10 @@
     acknowledge(link, actions);
   }
 
-  /** Events that don't join what was read are left: the next heartbeat tells the core process where the door stands. */
+  /**
+   * Events that don't join what was read are left: the next heartbeat tells the core process where
+   * the door stands.
+   */
   private void events(CoreLink link, FeedEvents events, List<DoorAction> actions, long now) {
     if (events.getFeed() != link.feed() || events.getFromOffset() > link.offset()) {
       return;
--- a/control/src/main/java/nettletrail/control/door/DoorCount.java
+++ b/control/src/main/java/nettletrail/control/door/DoorCount.java
@@ -2,7 +2,10 @@
 
 import java.util.Collection;
 
-/** How many doors there are: the most that any linked core process sees; falls only after it was lower for a while. */
+/**
+ * How many doors there are: the most that any linked core process sees; falls only after it was
+ * lower for a while.
+ */
 final class DoorCount {
   private static final long FALLS_AFTER = 10_000_000_000L;
 
--- a/control/src/main/java/nettletrail/control/door/GrantClient.java
+++ b/control/src/main/java/nettletrail/control/door/GrantClient.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,11 +19,13 @@
 import nettletrail.protocol.TenantUse;
 
 /**
- * The quota tokens that this door holds, and its requests for more to the owners of the tenants' shards.
+ * The quota tokens that this door holds, and its requests for more to the owners of the tenants'
+ * shards.
  *
- * <p>One request for each shard is under way at a time; its account tells what the door holds, and once it is given up its reply is
- * dropped, which the owner relies on. Tokens run out on this door's steady clock from before it asked. A reply with an older
- * fencing token than one seen for the shard is dropped. One thread.
+ * <p>One request for each shard is under way at a time; its account tells what the door holds, and
+ * once it is given up its reply is dropped, which the owner relies on. Tokens run out on this
+ * door's steady clock from before it asked. A reply with an older fencing token than one seen for
+ * the shard is dropped. One thread.
  */
 public final class GrantClient {
   private static final long MILLIS = 1_000_000L;
@@ -40,6 +43,7 @@
   private final Set<String> grown = new LinkedHashSet<>();
   private Map<String, QuotaLimit> limits = Map.of();
   private long lastRequest;
+  private boolean ownerMissing;
 
   /** Finds the owner of a shard among the core processes that can be reached. */
   interface OwnerLookup {
@@ -55,7 +59,7 @@
     long requestUnderWay;
     String askedAddress = "";
     long validMs = GrantTerms.USUAL_VALID_MS;
-    Map<String, Long> usedAtRequest = Map.of();
+    Set<String> tenantsAsked = Set.of();
   }
 
   GrantClient(String door, long life, OwnerLookup ownerLookup) {
@@ -64,15 +68,19 @@
     this.ownerLookup = ownerLookup;
   }
 
-  /** The limits of the configuration in force, by tenant. What was held of tenants without a limit is dropped. */
+  /**
+   * The limits of the configuration in force, by tenant. What was held of tenants without a limit
+   * is dropped.
+   */
   public void limits(Map<String, QuotaLimit> newLimits) {
     limits = Map.copyOf(newLimits);
     tenants.keySet().removeIf(tenant -> !limited(tenant));
   }
 
   /**
-   * Takes tokens for a request that is about to be sent; true for tenants that are unknown or without a limit. After false,
-   * {@link DoorControl#poll} should be called, so that the owner is asked at once.
+   * Takes tokens for a request that is about to be sent; true for tenants that are unknown or
+   * without a limit. After false, {@link DoorControl#poll} should be called, so that the owner is
+   * asked at once.
    */
   public boolean take(String tenant, long tokens, long now) {
     return !limited(tenant) || tokensOf(tenant, now).take(tokens, now);
@@ -119,6 +127,7 @@
 
   /** Requests that are due. */
   List<DoorAction> poll(long now) {
+    ownerMissing = false;
     List<DoorAction> actions = new ArrayList<>();
     Map<Integer, List<TenantTokens>> active = new HashMap<>();
     tenants.forEach(
@@ -131,6 +140,11 @@
     return actions;
   }
 
+  /** Whether the last poll had a request for an owner that isn't known. */
+  boolean ownerMissing() {
+    return ownerMissing;
+  }
+
   /** A reply came from a core process. */
   void received(GrantReply reply, long now) {
     ShardState shard = shards.get(reply.getShard());
@@ -158,11 +172,8 @@
   private void granted(
       TenantGrant grant, ShardState shard, long expiresAt, boolean newOwner, long now) {
     TenantTokens held = tenants.get(grant.getTenant());
-    Long usedAtRequest = shard.usedAtRequest.get(grant.getTenant());
-    if (!grant.getKnown() || held == null || usedAtRequest == null) {
-      return;
-    }
-    if (held.granted(grant, usedAtRequest, expiresAt, newOwner, now)) {
+    boolean asked = held != null && shard.tenantsAsked.contains(grant.getTenant());
+    if (asked && grant.getKnown() && held.granted(grant, expiresAt, newOwner, now)) {
       grown.add(grant.getTenant());
     }
   }
@@ -174,21 +185,22 @@
     }
     Optional<String> owner = ownerLookup.owner(number, now);
     if (owner.isEmpty()) {
+      ownerMissing = true;
       return Optional.empty();
     }
     List<TenantUse> uses = new ArrayList<>();
-    Map<String, Long> usedAtRequest = new HashMap<>();
+    Set<String> tenantsAsked = new HashSet<>();
     for (TenantTokens held : active) {
       TenantUse use = held.report(now);
       uses.add(use);
-      usedAtRequest.put(use.getTenant(), use.getUsedTotal());
+      tenantsAsked.add(use.getTenant());
     }
     lastRequest++;
     shard.requestUnderWay = lastRequest;
     shard.askedAt = now;
     shard.askedBefore = true;
     shard.askedAddress = owner.get();
-    shard.usedAtRequest = usedAtRequest;
+    shard.tenantsAsked = tenantsAsked;
     return Optional.of(
         new DoorAction.SendToCore(
             owner.get(), new GrantRequest(door, life, lastRequest, number, uses)));
@@ -204,11 +216,14 @@
     }
     boolean anyShort = false;
     boolean anyLow = false;
+    boolean anyShortAndMoreToBeHad = false;
     for (TenantTokens held : active) {
-      anyShort |= held.shortage(now) > 0;
+      anyShort |= held.shortage(now) > 0 || held.returnsTokens();
       anyLow |= held.low(now);
+      anyShortAndMoreToBeHad |= held.shortage(now) > 0 && held.grantedInFull();
     }
-    return sinceAsked >= Math.min(ASK_EVERY, shard.validMs * MILLIS / ASKS_A_VALIDITY)
+    return anyShortAndMoreToBeHad
+        || sinceAsked >= Math.min(ASK_EVERY, shard.validMs * MILLIS / ASKS_A_VALIDITY)
         || anyLow && sinceAsked >= ASK_AGAIN_WHEN_LOW
         || anyShort && sinceAsked >= ASK_AGAIN_WHEN_SHORT;
   }
--- a/control/src/main/java/nettletrail/control/door/KeyLease.java
+++ b/control/src/main/java/nettletrail/control/door/KeyLease.java
@@ -6,14 +6,18 @@
 /**
  * Until when the keys of the configuration that the door holds may be used.
  *
- * <p>A core process says that at some instant a majority knew no newer configuration than a sequence. Whatever is newer was
- * acknowledged after that instant, so a door that holds that sequence or a later one may use its keys for the revocation time from
- * then on. The instant is counted on the door's clock from before it asked. Times are steady nanoseconds.
+ * <p>A core process says that at some instant a majority knew no newer configuration than a
+ * sequence. Whatever is newer was acknowledged after that instant, so a door that holds that
+ * sequence or a later one may use its keys for the revocation time from then on. The instant is
+ * counted on the door's clock from before it asked. Times are steady nanoseconds.
  */
 final class KeyLease {
   private static final long MILLIS = 1_000_000L;
 
-  /** For clocks that run unlike each other, and for a request that has been let in and isn't sent yet. */
+  /**
+   * For clocks that run unlike each other, and for a request that has been let in and isn't sent
+   * yet.
+   */
   private static final long MARGIN_MS = 100;
 
   private final long lasts;
--- a/control/src/main/java/nettletrail/control/door/OwnerDirectory.java
+++ b/control/src/main/java/nettletrail/control/door/OwnerDirectory.java
@@ -36,7 +36,10 @@
     denials.keySet().removeIf(key -> key.address().equals(core));
   }
 
-  /** The owner to ask: one that says so itself before one that others name, the latest statement first. */
+  /**
+   * The owner to ask: one that says so itself before one that others name, the latest statement
+   * first.
+   */
   Optional<String> owner(int shard, Predicate<String> linked, long now) {
     String best = null;
     boolean bestSaysSo = false;
--- a/control/src/main/java/nettletrail/control/door/TenantTokens.java
+++ b/control/src/main/java/nettletrail/control/door/TenantTokens.java
@@ -9,11 +9,19 @@
   private static final double SECOND = 1e9;
 
   /** Demand is averaged over about this time, nanoseconds. */
-  private static final double DEMAND_SPAN = 1e9;
+  private static final double DEMAND_SPAN = 3e9;
 
   /** For how many seconds of demand tokens are held ahead. */
   private static final double PREFETCH_SECONDS = 0.8;
 
+  /**
+   * What is asked for beyond a shortage grows from request to request up to this multiple of it.
+   */
+  private static final int MOST_SURPLUS = 64;
+
+  /** It doesn't grow beyond a second of demand and so many requests of the usual size. */
+  private static final int MOST_SURPLUS_REQUESTS = 8;
+
   /** A shortage that isn't met or repeated is forgotten after this. */
   private static final long SHORTAGE_LASTS = 500 * MILLIS;
 
@@ -26,10 +34,14 @@
   private long usedTotal;
   private long reportedTotal;
   private double demand;
-  private double largest;
+  private double requests;
   private long demandAt;
   private long shortTokens;
   private long shortAt;
+  private int surplusFactor;
+  private TenantUse lastReport = new TenantUse("", 0L, 0L, 0L, 0L);
+  private boolean returnsTokens;
+  private boolean grantedInFull;
   private long queuedTokens;
   private double pressure;
   private int doorsServing;
@@ -77,8 +89,8 @@
   }
 
   /**
-   * Returns tokens of a request that never ran. Only what wasn't reported as used yet can be used again: the owner has refilled
-   * for the rest already.
+   * Returns tokens of a request that never ran. Only what wasn't reported as used yet can be used
+   * again: the owner has refilled for the rest already.
    */
   void giveBack(long tokens) {
     long returned = Math.min(tokens, usedTotal - reportedTotal);
@@ -95,26 +107,37 @@
   /** The account for a request to the owner; what it says as used can't be given back any more. */
   TenantUse report(long now) {
     reportedTotal = usedTotal;
-    return new TenantUse(tenant, usedTotal, wanted(now), usable(now), shortage(now));
+    surplusFactor =
+        shortage(now) > 0 ? Math.min(MOST_SURPLUS, 3 * surplusFactor + 1) : surplusFactor / 3;
+    returnsTokens = false;
+    grantedInFull = false;
+    lastReport = new TenantUse(tenant, usedTotal, wanted(now), usable(now), shortage(now));
+    return lastReport;
   }
 
   /**
-   * Takes a grant. {@code usedAtRequest}: what was used when the owner was asked; {@code newOwner}: the fencing token is a newer one.
-   * Returns whether there is more to use than before.
+   * Takes the grant that answers the last report. {@code newOwner}: the fencing token is a newer
+   * one. Returns whether there is more to use than before.
    */
-  boolean granted(TenantGrant grant, long usedAtRequest, long expiresAt, boolean newOwner, long now) {
+  boolean granted(TenantGrant grant, long expiresAt, boolean newOwner, long now) {
     long before = usable(now);
     if (newOwner) {
       formerOwnersLot = lot;
     }
-    long usedSince = Math.max(0, usedTotal - usedAtRequest);
+    long usedSince = Math.max(0, usedTotal - lastReport.getUsedTotal());
+    long keepable = Math.min(lastReport.getWantedTokens(), lastReport.getHeldTokens());
+    returnsTokens = grant.getTokens() < keepable;
+    grantedInFull = grant.getTokens() >= lastReport.getWantedTokens();
     lot = new Lot(Math.max(0, grant.getTokens() - usedSince), expiresAt);
     pressure = grant.getPressure();
     doorsServing = grant.getDoors();
     return usable(now) > before;
   }
 
-  /** What can be used now. A former owner's tokens last until they expire, but don't add to the new one's. */
+  /**
+   * What can be used now. A former owner's tokens last until they expire, but don't add to the new
+   * one's.
+   */
   long usable(long now) {
     return Math.max(lot.usable(now), formerOwnersLot.usable(now));
   }
@@ -122,8 +145,20 @@
   /** What the door wants to hold in all. */
   long wanted(long now) {
     double ahead = demandPerSecond(now) * PREFETCH_SECONDS;
-    double spare = ahead >= 1 ? Math.min(largest, ahead) + ahead : 0;
-    return (long) Math.ceil(spare) + Math.max(shortage(now), queuedTokens);
+    double spare = ahead >= 1 ? ahead + Math.min(ahead, demand / requests) : 0;
+    long waiting = Math.max(shortage(now) + surplus(now), queuedTokens);
+    return (long) Math.ceil(spare) + waiting;
+  }
+
+  /**
+   * For requests that may wait behind the first, while the shortage lasts from request to request.
+   */
+  private long surplus(long now) {
+    if (shortage(now) == 0 || requests == 0) {
+      return 0;
+    }
+    double usual = MOST_SURPLUS_REQUESTS * demand / requests + demandPerSecond(now);
+    return (long) Math.min((double) shortage(now) * surplusFactor, usual);
   }
 
   /** The size of the request that waits, or 0. */
@@ -139,8 +174,17 @@
     return usable(now) < LOW_PART * wanted(now);
   }
 
-  long usedTotal() {
-    return usedTotal;
+  /** Whether the owner gave all that was wanted last, so that there may be more. */
+  boolean grantedInFull() {
+    return grantedInFull;
+  }
+
+  /**
+   * Whether the owner took tokens back for others, who get them once this door says that it has let
+   * go of them.
+   */
+  boolean returnsTokens() {
+    return returnsTokens;
   }
 
   double pressure() {
@@ -160,7 +204,7 @@
   private void noteDemand(long tokens, long now) {
     decay(now);
     demand += tokens;
-    largest = Math.max(largest, tokens);
+    requests++;
   }
 
   private double demandPerSecond(long now) {
@@ -171,7 +215,7 @@
   private void decay(long now) {
     double kept = Math.exp(-(now - demandAt) / DEMAND_SPAN);
     demand *= kept;
-    largest *= Math.sqrt(Math.sqrt(kept));
+    requests *= kept;
     demandAt = now;
   }
 }
--- a/control/src/main/java/nettletrail/control/grant/GrantOwner.java
+++ b/control/src/main/java/nettletrail/control/grant/GrantOwner.java
@@ -14,9 +14,10 @@
 /**
  * Grants quota tokens to doors for all tenants of the shards that this process owns.
  *
- * <p>Each tenant has a bucket that begins empty whenever the process wins the shard, that is with each fencing token. The caller
- * asks only while the owner's lease runs. With {@link GrantTerms#capacity} this keeps the sum that all doors use in any window
- * within the bound, with doors or owners cut off, by what was granted alone.
+ * <p>Each tenant has a bucket that begins empty whenever the process wins the shard, that is with
+ * each fencing token. The caller asks only while the owner's lease runs. With {@link
+ * GrantTerms#capacity} this keeps the sum that all doors use in any window within the bound, with
+ * doors or owners cut off, by what was granted alone.
  */
 public final class GrantOwner {
   /** What a tenant without a limit is granted. */
@@ -35,8 +36,8 @@
   }
 
   /**
-   * The limits in force from here on, by tenant; tenants that aren't named are unknown. A tenant that is named anew begins
-   * with an empty bucket, also when it was known before.
+   * The limits in force from here on, by tenant; tenants that aren't named are unknown. A tenant
+   * that is named anew begins with an empty bucket, also when it was known before.
    */
   public void limits(Map<String, QuotaLimit> newLimits, long now) {
     limits = Map.copyOf(newLimits);
@@ -48,7 +49,10 @@
         });
   }
 
-  /** This process owns the shard under this token at {@code now}. Buckets fill from the first time that is said. */
+  /**
+   * This process owns the shard under this token at {@code now}. Buckets fill from the first time
+   * that is said.
+   */
   public void owned(int number, Ballot token, long now) {
     Shard known = shards.get(number);
     if (known == null || !known.token().equals(token)) {
@@ -62,8 +66,7 @@
   public GrantReply answer(String sender, GrantRequest request, Ballot token, long now) {
     owned(request.getShard(), token, now);
     Shard shard = shards.get(request.getShard());
-    TenantBucket.Holder holder =
-        new TenantBucket.Holder(request.getDoor(), request.getLife());
+    TenantBucket.Holder holder = new TenantBucket.Holder(request.getDoor(), request.getLife());
     List<TenantGrant> grants = new ArrayList<>();
     long validMs = terms.validMs();
     for (TenantUse use : request.getTenants()) {
@@ -92,7 +95,8 @@
         shard.buckets().computeIfAbsent(tenant, name -> new TenantBucket(terms, limit, now));
     long tokens = bucket.ask(holder, request, use, now);
     long granted = limit.limited() ? Math.max(0, tokens) : UNLIMITED;
-    return new TenantGrant(tenant, granted, bucket.pressure(now), bucket.doorsServing(now), tokens >= 0);
+    return new TenantGrant(
+        tenant, granted, bucket.pressure(now), bucket.doorsServing(now), tokens >= 0);
   }
 
   private void openBuckets(int number, Shard shard, long now) {
--- a/control/src/main/java/nettletrail/control/grant/GrantTerms.java
+++ b/control/src/main/java/nettletrail/control/grant/GrantTerms.java
@@ -9,7 +9,10 @@
  * @param validMs how long a grant holds, on the holder's clock from before it asked
  */
 public record GrantTerms(double windowSeconds, double overPart, double slackTokens, long validMs) {
-  /** What a grant holds for when nothing else is said, in milliseconds. */
+  /**
+   * How long a grant usually holds, in milliseconds. Each second more takes the rate of a second
+   * off what the bound leaves.
+   */
   public static final long USUAL_VALID_MS = 1_000;
 
   /** Part of what the bound leaves that is used; the rest is for requests on their way. */
@@ -23,8 +26,8 @@
   private static final double MILLIS_A_SECOND = 1_000;
 
   /**
-   * How long a grant of this tenant holds, in milliseconds: {@link #validMs}, or less where the bound leaves too little for a
-   * change of owner otherwise.
+   * How long a grant of this tenant holds, in milliseconds: {@link #validMs}, or less where the
+   * bound leaves too little for a change of owner otherwise.
    */
   public long validMs(QuotaLimit limit) {
     if (!limit.limited()) {
@@ -35,14 +38,18 @@
     return Math.max(SHORTEST_VALID_MS, Math.min(validMs, (long) valid));
   }
 
-  /** How long the giver counts a grant of this tenant as outstanding after it answered, in milliseconds. */
+  /**
+   * How long the giver counts a grant of this tenant as outstanding after it answered, in
+   * milliseconds.
+   */
   public long outstandingMs(QuotaLimit limit) {
     return (long) Math.ceil(validMs(limit) * (1 + CLOCK_DRIFT)) + EXPIRY_MARGIN_MS;
   }
 
   /**
-   * Most that level and outstanding grants of a tenant may come to. In any window at most this and rate x window can be used
-   * under one owner; a change of owner adds what the new one refills while old grants last, which is taken off beforehand.
+   * Most that level and outstanding grants of a tenant may come to. In any window at most this and
+   * rate x window can be used under one owner; a change of owner adds what the new one refills
+   * while old grants last, which is taken off beforehand.
    */
   public double capacity(QuotaLimit limit) {
     double change = limit.ratePerSecond() * outstandingMs(limit) / MILLIS_A_SECOND;
--- a/control/src/main/java/nettletrail/control/grant/MaxMinShare.java
+++ b/control/src/main/java/nettletrail/control/grant/MaxMinShare.java
@@ -6,7 +6,10 @@
 final class MaxMinShare {
   private MaxMinShare() {}
 
-  /** The common share when {@code supply} is divided among wants that come to more than that. */
+  /**
+   * The common share when {@code supply} is divided among these wants; no bound when it is enough
+   * for all. Sorts the wants.
+   */
   static double of(double[] wants, double supply) {
     Arrays.sort(wants);
     double left = supply;
--- a/control/src/main/java/nettletrail/control/grant/TenantBucket.java
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -10,13 +10,16 @@
 /**
  * One tenant's token bucket at the owner of its shard.
  *
- * <p>{@code level + outstanding <= capacity} always holds, and only refilling at the rate adds to the sum. Outstanding is what
- * doors may still use: at each request a door says what it holds and promises to drop replies that it hasn't got; what it
- * neither used nor holds is credited. A door that stays away keeps its tokens counted until they have surely run out; those are
- * not credited, since it may have used them.
+ * <p>{@code level + outstanding <= capacity} always holds, and only refilling at the rate adds to
+ * the sum. Outstanding is what doors may still use: at each request a door says what it holds and
+ * promises to drop replies that it hasn't got; what it neither used nor holds is credited. A door
+ * that stays away keeps its tokens counted until they have surely run out; those are not credited,
+ * since it may have used them.
  *
- * <p>When doors want more than there is, it is divided max-min: nobody gets more than a common share, small wants are met
- * whole. The door whose first waiting request waits longest may go beyond the share, so that a large request is reached.
+ * <p>Requests that wait come before what doors want to hold ahead of need; each of the two is
+ * divided max-min, so that small wants are met whole. The door whose first request waits longest
+ * may go beyond its share, so that a large request is reached. A part of the capacity isn't held
+ * ahead, so that a request that finds too little at its door is served at once.
  */
 final class TenantBucket {
   private static final double SECOND = 1e9;
@@ -28,10 +31,21 @@
   /** A waiting door that didn't ask for this long isn't waited for. */
   private static final long WAITING = 300 * MILLIS;
 
-  /** While a door waits for a large request, others get at most this part of the level at a time. */
+  /**
+   * While a door waits for a large request, others get at most this part of the level at a time.
+   */
   private static final double PART_BESIDE_FIRST = 0.5;
 
-  /** Above this part of the capacity in doors' hands, doors that can't use what they hold give it back. */
+  /**
+   * This part of the capacity is only for requests that wait, not for what doors want to hold
+   * ahead.
+   */
+  private static final double RESERVED_PART = 0.2;
+
+  /**
+   * Above this part of the capacity in doors' hands, doors that can't use what they hold give it
+   * back.
+   */
   private static final double CROWDED = 0.9;
 
   private final GrantTerms terms;
@@ -55,6 +69,10 @@
     long askedAt;
     long waitingSince;
     boolean waiting;
+
+    double ahead() {
+      return wanted - least;
+    }
   }
 
   TenantBucket(GrantTerms terms, QuotaLimit limit, long now) {
@@ -70,8 +88,8 @@
   }
 
   /**
-   * Enters a door's account and returns what it may use from that request on, what it holds included; -1 for a request that is
-   * older than one already seen.
+   * Enters a door's account and returns what it may use from that request on, what it holds
+   * included; -1 for a request that is older than one already seen.
    */
   long ask(Holder holder, long request, TenantUse use, long now) {
     refill(now);
@@ -113,7 +131,10 @@
     return holding;
   }
 
-  /** Settles what the door used and dropped since its last request; returns what it surely still holds of this bucket. */
+  /**
+   * Settles what the door used and dropped since its last request; returns what it surely still
+   * holds of this bucket.
+   */
   private double account(Holding holding, TenantUse use, long now) {
     long used = Math.max(0, use.getUsedTotal() - holding.usedTotal);
     holding.usedTotal = Math.max(holding.usedTotal, use.getUsedTotal());
@@ -133,28 +154,46 @@
     holding.waiting = waits;
   }
 
+  /**
+   * What the door may use: first what the waiting requests of all doors need, the rest for what
+   * doors want ahead, each divided max-min. So what others hold ahead makes way for a request that
+   * waits.
+   */
   private double share(Holding holding, double held) {
-    double supply = level + outstanding();
     double available = held + level;
     List<Holding> wanting = wanting(holding.askedAt);
     Holding first = firstWaiting(wanting, holding.askedAt);
-    double most = Math.min(holding.wanted, available);
-    if (first != null && first != holding) {
-      most = Math.min(most, held + level * PART_BESIDE_FIRST);
-    }
-    double wantedInAll = 0;
-    for (Holding other : wanting) {
-      wantedInAll += other.wanted;
-    }
-    double granted =
-        wantedInAll <= supply ? most : Math.min(most, MaxMinShare.of(wants(wanting), supply));
     if (holding.waiting && first == holding) {
-      return Math.max(granted, Math.min(holding.least, available));
+      double ahead = aheadShare(holding, wanting, held);
+      return Math.min(available, holding.least + ahead);
     }
+    if (first != null) {
+      available = held + level * PART_BESIDE_FIRST;
+    }
+    double needed = Math.min(holding.least, MaxMinShare.of(needs(wanting), supply()));
+    double granted = Math.min(available, needed + aheadShare(holding, wanting, held));
     boolean useless = holding.waiting && granted < holding.least;
     return useless && crowded() ? 0 : granted;
   }
 
+  private double aheadShare(Holding holding, List<Holding> wanting, double held) {
+    double[] needs = needs(wanting);
+    double left = supply();
+    for (double need : needs) {
+      left -= need;
+    }
+    if (left <= 0) {
+      return 0;
+    }
+    double share = Math.min(holding.ahead(), MaxMinShare.of(aheads(wanting), left));
+    double unreserved = Math.max(0, level - RESERVED_PART * terms.capacity(limit));
+    return Math.min(share, Math.max(0, held - holding.least) + unreserved);
+  }
+
+  private double supply() {
+    return level + outstanding();
+  }
+
   private boolean crowded() {
     return level + outstanding() >= CROWDED * terms.capacity(limit);
   }
@@ -169,8 +208,12 @@
     return wanting;
   }
 
-  private static double[] wants(List<Holding> wanting) {
-    return wanting.stream().mapToDouble(holding -> holding.wanted).toArray();
+  private static double[] needs(List<Holding> wanting) {
+    return wanting.stream().mapToDouble(holding -> holding.least).toArray();
+  }
+
+  private static double[] aheads(List<Holding> wanting) {
+    return wanting.stream().mapToDouble(Holding::ahead).toArray();
   }
 
   private static Holding firstWaiting(List<Holding> wanting, long now) {
--- a/control/src/main/java/nettletrail/control/registry/BackendOrder.java
+++ b/control/src/main/java/nettletrail/control/registry/BackendOrder.java
@@ -4,8 +4,9 @@
 import nettletrail.protocol.BackendState;
 
 /**
- * The order in which reports about one backend replace each other, the same in every process: GONE is final, then the higher
- * call sequence wins, then the later state of the life cycle. Commutative, so reports may arrive in any order.
+ * The order in which reports about one backend replace each other, the same in every process: GONE
+ * is final, then the higher call sequence wins, then the later state of the life cycle.
+ * Commutative, so reports may arrive in any order.
  */
 public final class BackendOrder {
   private BackendOrder() {}
@@ -24,7 +25,10 @@
     return candidate.getState().ordinal() > current.getState().ordinal();
   }
 
-  /** Whether two reports say the same but for their call sequence and the time that the backend stays slow. */
+  /**
+   * Whether two reports say the same but for their call sequence and the time that the backend
+   * stays slow.
+   */
   public static boolean sameContent(Backend one, Backend other) {
     return one.getState() == other.getState()
         && one.getSlots() == other.getSlots()
--- a/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
+++ b/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
@@ -10,12 +10,15 @@
 import nettletrail.protocol.BackendFreshness;
 
 /**
- * All backends that this core process knows, each with the time at which any core process last heard of it.
+ * All backends that this core process knows, each with the time at which any core process last
+ * heard of it.
  *
- * <p>Deleted backends stay as tombstones for a while, bounded in count and age, so that a late report doesn't bring them back.
- * A backend that nobody heard of for the expiry time is marked expired; it is live again as soon as it is heard. Expiry needs
- * evidence that hearing works: it is counted from the time since which a part of the live backends was heard all along, so a
- * process that just started, or a core that was cut off as a whole, expires nobody in a wave. Times are steady nanoseconds.
+ * <p>Deleted backends stay as tombstones for a while, bounded in count and age, so that a late
+ * report doesn't bring them back. A backend that nobody heard of for the expiry time is marked
+ * expired; it is live again as soon as it is heard. Expiry needs evidence that hearing works: it is
+ * counted from the time since which a part of the live backends was heard all along, so a process
+ * that just started, or a core that was cut off as a whole, expires nobody in a wave. Times are
+ * steady nanoseconds.
  */
 public final class BackendRegistry {
   private static final long MILLIS = 1_000_000L;
@@ -24,7 +27,10 @@
   private static final long EXPIRY_EXTRA = 1_000 * MILLIS;
   private static final int EXPIRY_BEATS = 4;
 
-  /** Of the live backends, one in so many has to be heard within {@link #HEARING_BEATS} for expiry to go on. */
+  /**
+   * Of the live backends, one in so many has to be heard within {@link #HEARING_BEATS} for expiry
+   * to go on.
+   */
   private static final int HEARING_PART = 3;
 
   private static final int HEARING_BEATS = 2;
@@ -33,7 +39,9 @@
   private final long beat;
   private long hearingSince;
 
-  /** One backend; {@code directlyHeardAt} is 0 unless it called this process since the last digest. */
+  /**
+   * One backend; {@code directlyHeardAt} is 0 unless it called this process since the last digest.
+   */
   private static final class Entry {
     Backend backend;
     long lastHeardAt;
@@ -87,7 +95,8 @@
   }
 
   /**
-   * Another core process heard of this backend {@code ageMs} ago. Returns whether it was expired here and is back by that.
+   * Another core process heard of this backend {@code ageMs} ago. Returns whether it was expired
+   * here and is back by that.
    */
   public boolean heardElsewhere(BackendFreshness freshness, long now) {
     Entry entry = entries.get(freshness.getId());
@@ -103,7 +112,10 @@
     return back;
   }
 
-  /** The backends that called this process since the last time this was asked, with the ages of their calls. */
+  /**
+   * The backends that called this process since the last time this was asked, with the ages of
+   * their calls.
+   */
   public List<BackendFreshness> takeDigest(long now) {
     List<BackendFreshness> digest = new ArrayList<>();
     for (Entry entry : entries.values()) {
@@ -122,7 +134,9 @@
     hearingSince = now;
   }
 
-  /** Marks and returns the ids of backends that nobody heard of for too long; drops old tombstones. */
+  /**
+   * Marks and returns the ids of backends that nobody heard of for too long; drops old tombstones.
+   */
   public List<String> expire(long now) {
     if (!hearingWorks(now)) {
       hearingSince = now;
@@ -147,7 +161,10 @@
     return entry == null ? null : entry.backend;
   }
 
-  /** Everything that a new reader has to know: live backends and tombstones, without the expired ones. */
+  /**
+   * Everything that a new reader has to know: live backends and tombstones, without the expired
+   * ones.
+   */
   public List<Backend> contents() {
     List<Backend> contents = new ArrayList<>(entries.size());
     for (Entry entry : entries.values()) {
--- a/control/src/main/java/nettletrail/control/registry/CorePeers.java
+++ b/control/src/main/java/nettletrail/control/registry/CorePeers.java
@@ -31,14 +31,19 @@
     this.self = self;
   }
 
-  /** Follows the membership: hints are kept for members, others are forgotten once they can't be reached. */
+  /**
+   * Follows the membership: hints are kept for members, others are forgotten once they can't be
+   * reached.
+   */
   public void members(Collection<String> addresses) {
     for (String address : addresses) {
       if (!address.equals(self)) {
         peer(address);
       }
     }
-    peers.entrySet().removeIf(entry -> !entry.getValue().reachable && !addresses.contains(entry.getKey()));
+    peers
+        .entrySet()
+        .removeIf(entry -> !entry.getValue().reachable && !addresses.contains(entry.getKey()));
   }
 
   /** A link to a peer is up; it is told everything, since it may have lost what it acknowledged. */
@@ -67,7 +72,8 @@
           if (peer.reachable) {
             Optional<RegistryUpdate> first = peer.hints.unsent(now);
             Optional<RegistryUpdate> update = first.isPresent() ? first : peer.hints.due(now);
-            update.ifPresent(message -> actions.add(new RegistryAction.SendToCore(address, message)));
+            update.ifPresent(
+                message -> actions.add(new RegistryAction.SendToCore(address, message)));
           }
         });
     return actions;
--- a/control/src/main/java/nettletrail/control/registry/DoorSession.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -2,7 +2,10 @@
 
 import nettletrail.protocol.DoorHeartbeat;
 
-/** What this core process knows of one door: its lease, and how far it has read the feed. Times are steady nanoseconds. */
+/**
+ * What this core process knows of one door: its lease, and how far it has read the feed. Times are
+ * steady nanoseconds.
+ */
 final class DoorSession {
   private static final long MILLIS = 1_000_000L;
 
--- a/control/src/main/java/nettletrail/control/registry/DoorSessions.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -9,7 +9,10 @@
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.FeedAck;
 
-/** The doors that talk to this core process: their leases, and what has to be pushed to each of them. */
+/**
+ * The doors that talk to this core process: their leases, and what has to be pushed to each of
+ * them.
+ */
 public final class DoorSessions {
   private static final long FORGET_AFTER = 60_000_000_000L;
 
@@ -24,7 +27,9 @@
     this.registry = registry;
   }
 
-  /** A link to the door is up; nothing is pushed before its first heartbeat tells where it stands. */
+  /**
+   * A link to the door is up; nothing is pushed before its first heartbeat tells where it stands.
+   */
   public void linkUp(String door, long now) {
     session(door, now).linkUp();
   }
--- a/control/src/main/java/nettletrail/control/registry/Feed.java
+++ b/control/src/main/java/nettletrail/control/registry/Feed.java
@@ -13,8 +13,9 @@
 import nettletrail.protocol.FeedSnapshot;
 
 /**
- * The journal, in memory, of changes of the registry. Offsets count entries from 1; a reader at offset n has read all entries up
- * to n. The feed's id is new for each life of the process. The journal is bounded; a reader that is behind its start gets a snapshot.
+ * The journal, in memory, of changes of the registry. Offsets count entries from 1; a reader at
+ * offset n has read all entries up to n. The feed's id is new for each life of the process. The
+ * journal is bounded; a reader that is behind its start gets a snapshot.
  */
 public final class Feed {
   private static final int MOST_ENTRIES = 4_096;
@@ -68,7 +69,10 @@
     return feed == id && readOffset <= offset && readOffset >= offset - journal.size();
   }
 
-  /** All entries after {@code fromOffset}, of which {@link #holdsAfter} has to be true; the last one for each backend. */
+  /**
+   * All entries after {@code fromOffset}, of which {@link #holdsAfter} has to be true; the last one
+   * for each backend.
+   */
   public FeedEvents eventsAfter(long fromOffset) {
     Map<String, Backend> reported = new LinkedHashMap<>();
     Set<String> expired = new LinkedHashSet<>();
--- a/control/src/main/java/nettletrail/control/registry/HintedHandoff.java
+++ b/control/src/main/java/nettletrail/control/registry/HintedHandoff.java
@@ -10,8 +10,8 @@
 import nettletrail.protocol.RegistryUpdateReply;
 
 /**
- * What one other core process hasn't acknowledged yet: the newest report for each backend, bounded, sent again with a growing
- * pause and as soon as the peer is back.
+ * What one other core process hasn't acknowledged yet: the newest report for each backend, bounded,
+ * sent again with a growing pause and as soon as the peer is back.
  */
 public final class HintedHandoff {
   private static final long MILLIS = 1_000_000L;
--- a/control/src/main/java/nettletrail/control/registry/PendingCalls.java
+++ b/control/src/main/java/nettletrail/control/registry/PendingCalls.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import nettletrail.protocol.Backend;
 
-/** Calls of backends that are answered once enough others know what they said, or refused after a while. */
+/**
+ * Calls of backends that are answered once enough others know what they said, or refused after a
+ * while.
+ */
 public final class PendingCalls {
   private static final long MILLIS = 1_000_000L;
 
--- a/control/src/main/java/nettletrail/control/registry/package-info.java
+++ b/control/src/main/java/nettletrail/control/registry/package-info.java
@@ -1,2 +1,5 @@
-/** The core's registry of backends: merging, expiry, hinted handoff between core processes, the feed that doors tail. Pure. */
+/**
+ * The core's registry of backends: merging, expiry, hinted handoff between core processes, the feed
+ * that doors tail. Pure.
+ */
 package nettletrail.control.registry;
