--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -78,36 +78,23 @@
       long now) {
     this(
         settings,
-        self,
-        seedAddresses,
-        firstRun,
-        shardCount,
-        stored,
+        new CoreStart(self, seedAddresses, firstRun, shardCount, stored),
         seed,
         now,
         new DocumentRules());
   }
 
   /** As the other constructor, with other rules for documents. */
-  public CoreShards(
-      ShardSettings settings,
-      Member self,
-      List<String> seedAddresses,
-      boolean firstRun,
-      int shardCount,
-      Map<Integer, StoredShard> stored,
-      long seed,
-      long now,
-      ConfigurationRules rules) {
+  CoreShards(
+      ShardSettings settings, CoreStart start, long seed, long now, ConfigurationRules rules) {
     this.settings = settings;
-    this.self = self;
+    this.self = start.self();
     this.startedAt = now;
     this.outbox = new Outbox(self.getAddress());
-    this.addressBook = new AddressBook(seedAddresses);
+    this.addressBook = new AddressBook(start.seedAddresses());
     SplittableRandom random = new SplittableRandom(seed);
-    for (int shard = 0; shard < shardCount; shard++) {
-      StoredShard content = stored.getOrDefault(shard, new StoredShard(null, null, List.of()));
-      replicas.add(startReplica(shard, content, firstRun, seedAddresses, random.split(), now));
+    for (int shard = 0; shard < start.shardCount(); shard++) {
+      replicas.add(startReplica(shard, start, random.split(), now));
     }
     this.configurationReplica = replicas.get(CONFIGURATION_SHARD);
     this.register = new ConfigurationRegister(configurationReplica, rules, settings, outbox);
@@ -118,18 +105,12 @@
     this.joinDueAt = now + settings.join();
   }
 
-  private ShardReplica startReplica(
-      int shard,
-      StoredShard content,
-      boolean firstRun,
-      List<String> seedAddresses,
-      SplittableRandom random,
-      long now) {
-    boolean founding = firstRun && content.isEmpty();
+  private ShardReplica startReplica(int shard, CoreStart start, SplittableRandom random, long now) {
+    boolean founding = start.firstRun() && start.shard(shard).isEmpty();
     long promisesFrom = founding ? now : now + settings.lease();
     ShardReplica replica =
-        new ShardReplica(shard, self, settings, content, outbox, random, promisesFrom);
-    List<Member> founders = seedAddresses.stream().map(NodeIdentity::founding).toList();
+        new ShardReplica(shard, self, settings, start.shard(shard), outbox, random, promisesFrom);
+    List<Member> founders = start.seedAddresses().stream().map(NodeIdentity::founding).toList();
     if (founding && founders.contains(self)) {
       ShardVersion initial = new ShardVersion(Ballots.ZERO, 0L, founders, ByteBuffer.allocate(0));
       replica.bootstrap(initial, now);
--- a/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
+++ b/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
@@ -96,23 +96,13 @@
    * that should stand first for its election. Each shard orders the members differently.
    */
   int rendezvousRank(int shard, String address) {
-    long own = rendezvousHash(shard, address);
+    long own = RendezvousHash.weight(shard, address);
     int rank = 0;
     for (Member member : members) {
-      if (rendezvousHash(shard, member.getAddress()) > own) {
+      if (RendezvousHash.weight(shard, member.getAddress()) > own) {
         rank++;
       }
     }
     return rank;
   }
-
-  private static long rendezvousHash(int shard, String address) {
-    long hash = 0xcbf29ce484222325L ^ shard;
-    for (int index = 0; index < address.length(); index++) {
-      hash = (hash ^ address.charAt(index)) * 0x100000001b3L;
-    }
-    hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
-    hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
-    return hash ^ (hash >>> 31);
-  }
 }
--- a/control/src/main/java/nettletrail/control/shard/ShardSettings.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardSettings.java
@@ -36,6 +36,21 @@
     long orderTimeout,
     int orderQueue) {
 
+  private static final long LEASE_MS = 1_200;
+  private static final long LEASE_MARGIN_MS = 50;
+  private static final long HEARTBEAT_MS = 250;
+  private static final long ELECTION_STAGGER_MS = 150;
+  private static final long ELECTION_TIMEOUT_MS = 500;
+  private static final long RESEND_MS = 500;
+  private static final long CONFIRM_MS = 250;
+  private static final long JOIN_MS = 500;
+  private static final long JOINER_FRESH_MS = 1_500;
+  private static final long REPLACE_AFTER_MS = 2_500;
+  private static final long REMOVE_AFTER_MS = 3_000;
+  private static final long ORDER_HOLD_MS = 700;
+  private static final long ORDER_TIMEOUT_MS = 900;
+  private static final int ORDER_QUEUE = 64;
+
   /** Checks that a lease outlasts some heartbeats and its margin. */
   public ShardSettings {
     if (heartbeat <= 0 || lease < 2 * heartbeat || leaseMargin < 0 || leaseMargin >= lease / 2) {
@@ -49,20 +64,20 @@
   /** The values that the design note names. */
   public static ShardSettings defaults() {
     return new ShardSettings(
-        millis(1200),
-        millis(50),
-        millis(250),
-        millis(150),
-        millis(500),
-        millis(500),
-        millis(250),
-        millis(500),
-        millis(1500),
-        millis(2500),
-        millis(3000),
-        millis(700),
-        millis(900),
-        64);
+        millis(LEASE_MS),
+        millis(LEASE_MARGIN_MS),
+        millis(HEARTBEAT_MS),
+        millis(ELECTION_STAGGER_MS),
+        millis(ELECTION_TIMEOUT_MS),
+        millis(RESEND_MS),
+        millis(CONFIRM_MS),
+        millis(JOIN_MS),
+        millis(JOINER_FRESH_MS),
+        millis(REPLACE_AFTER_MS),
+        millis(REMOVE_AFTER_MS),
+        millis(ORDER_HOLD_MS),
+        millis(ORDER_TIMEOUT_MS),
+        ORDER_QUEUE);
   }
 
   private static long millis(long value) {
--- a/control/src/test/java/nettletrail/control/shard/ExploredShard.java
+++ b/control/src/test/java/nettletrail/control/shard/ExploredShard.java
@@ -33,13 +33,17 @@
   private static final int REPLICAS = 3;
   private static final int SHARD = 0;
   private static final int REORDERED = 3;
-  private static final int PERIODS = Integer.getInteger("shard.periods", 2);
   private static final ShardSettings SETTINGS = ShardSettings.defaults();
 
   /** Something that will happen: a message that arrives, or a storage operation that ends. */
   private record Pending(int from, int to, int life, SpecificRecord message, CoreAction storage) {}
 
+  /** In place of the number of a replica that is cut off. */
+  static final int NOBODY = -1;
+
   private final ChoiceSequence choices;
+  private final List<Integer> cutOffByPeriod;
+  private int cutOff = NOBODY;
   private final List<Member> members = new ArrayList<>();
   private final ShardReplica[] replicas = new ShardReplica[REPLICAS];
   private final Outbox[] outboxes = new Outbox[REPLICAS];
@@ -50,8 +54,10 @@
   private final Map<Long, String> committed = new TreeMap<>();
   private long now = SETTINGS.lease();
 
-  ExploredShard(ChoiceSequence choices) {
+  /** In each period, which is an election and the writes after it, one replica may be cut off. */
+  ExploredShard(ChoiceSequence choices, List<Integer> cutOffByPeriod) {
     this.choices = choices;
+    this.cutOffByPeriod = cutOffByPeriod;
     for (int index = 0; index < REPLICAS; index++) {
       members.add(new Member("n" + index + "#0", "n" + index));
     }
@@ -65,7 +71,8 @@
 
   /** Plays one run; the count of versions committed. */
   int run() {
-    for (int period = 0; period < PERIODS; period++) {
+    for (int replica : cutOffByPeriod) {
+      cutOff = replica;
       passTime();
       while (!pending.isEmpty()) {
         step();
@@ -137,12 +144,16 @@
         disks[index].apply(next.storage());
         replicas[index].onStored(ticket(next.storage()), StoreOutcome.STORED);
       }
-    } else {
+    } else if (carries(next.from(), index)) {
       receive(members.get(next.from()), replicas[index], next.message());
     }
     afterEvent(index);
   }
 
+  private boolean carries(int from, int to) {
+    return from == to || from != cutOff && to != cutOff;
+  }
+
   private void receive(Member from, ShardReplica replica, SpecificRecord message) {
     String address = from.getAddress();
     if (message instanceof PreVote request) {
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
@@ -70,11 +70,7 @@
     shards =
         new CoreShards(
             cluster.settings(),
-            disk.identity,
-            seeds,
-            firstRun,
-            SHARDS,
-            disk.shards(),
+            new CoreStart(disk.identity, seeds, firstRun, SHARDS, disk.shards()),
             seed,
             localNow(),
             new TextRules());
--- a/store/src/main/java/nettletrail/store/VersionStore.java
+++ b/store/src/main/java/nettletrail/store/VersionStore.java
@@ -28,6 +28,7 @@
   /** How many versions stay on disk. */
   public static final int KEPT_VERSIONS = 4;
 
+  private static final int HEXADECIMAL = 16;
   private static final String PROMISE_FILE = "promise";
   private static final String VERSION_PREFIX = "version-";
 
@@ -105,7 +106,7 @@
 
   private void addVersionFile(String name, List<String> damaged) {
     try {
-      long number = Long.parseUnsignedLong(name.substring(VERSION_PREFIX.length()), 16);
+      long number = Long.parseUnsignedLong(name.substring(VERSION_PREFIX.length()), HEXADECIMAL);
       versionFiles.put(number, name);
       lastNumber = Math.max(lastNumber, number);
     } catch (NumberFormatException notOurs) {
