Quota: pressure is above 100 only while the tenant's bucket is nearly spent

Cause: on the grown site a tenant's requests (17,000 tokens on the mean, up to 93,000) are large beside a second of its rate (47,000), so one second in some read as 200 % of the rate, and the companion of 66 doors refused at random although the bucket was full (Companion.advance, share = a x 100 / p). Ruled out: the grants (the bucket had level), the wait for them. Change: TenantBucket.pressure is at most 100 while the level is above the reserve. Two tests; the first fails without it.

--- a/control/src/main/java/nettletrail/control/grant/TenantBucket.java
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -42,6 +42,8 @@
    */
   private static final double RESERVED_PART = 0.2;
 
+  private static final double PER_CENT = 100;
+
   /**
    * Above this part of the capacity in doors' hands, doors that can't use what they hold give it
    * back.
@@ -111,9 +113,15 @@
     return granted;
   }
 
-  /** Use of the limit over the last period, in per cent of the rate. */
+  /**
+   * Use of the limit over the last period, in per cent of the rate; at most 100 while the bucket
+   * holds more than its reserve. Requests are large beside a second's rate, so a period over the
+   * rate doesn't tell by itself that a tenant asks for more than it has.
+   */
   double pressure(long now) {
-    return pressure.percentOf(limit.ratePerSecond(), now);
+    double percent = pressure.percentOf(limit.ratePerSecond(), now);
+    boolean spent = level < RESERVED_PART * terms.capacity(limit);
+    return spent ? percent : Math.min(percent, PER_CENT);
   }
 
   /** How many doors serve the tenant. */
--- a/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
+++ b/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
@@ -108,6 +108,25 @@
     assertEquals(2, bucket.doorsServing(now));
   }
 
+  @Test
+  void givenALargeRequestWhenTheBucketStillHoldsItsReserveThenPressureIsNotAboveTheRate() {
+    after(60_000);
+    ask(ONE, 0, 15_000, 0);
+    ask(ONE, 15_000, 0, 0);
+    after(1_100);
+    assertEquals(100, bucket.pressure(now), 0.01);
+  }
+
+  @Test
+  void givenASpentBucketWhenUseIsAboveTheRateThenPressureSaysSo() {
+    after(60_000);
+    ask(ONE, 0, 10 * CAPACITY, 0);
+    ask(ONE, CAPACITY, 10 * CAPACITY, 0);
+    after(1_100);
+    ask(ONE, CAPACITY, 10 * CAPACITY, 0);
+    assertTrue(bucket.pressure(now) > 100);
+  }
+
   @Test
   void givenScarceTokensWhenSmallAndLargeWantsMeetThenTheSmallOneIsMetWhole() {
     after(60_000);
