An owner that ends in good order gives its leases back

Need: a core machine that is replaced after SIGTERM left its shards without an owner, and so the doors without grants, for a lease. Change: CoreShards.release sends LeaseRelease (an additive message) with the ballot of each lease, after the ownership was dropped; a voter ends the lease only if it was granted under that ballot, so a late message can't end a later lease. Ruled out: naming the successor, which a voter would have to trust. Left: the core's process has to call release at SIGTERM.

--- a/control/src/main/java/nettletrail/control/shard/Acceptor.java
+++ b/control/src/main/java/nettletrail/control/shard/Acceptor.java
@@ -40,7 +40,7 @@
   private Ballot promised;
   private ShardVersion accepted;
 
-  private String leaseHolder = "";
+  private Ballot leaseBallot = Ballots.ZERO;
   private long leaseUntil = Long.MIN_VALUE;
 
   private WaitingPrepare waitingPrepare;
@@ -82,7 +82,7 @@
     if (now < promisesFrom) {
       return true;
     }
-    return now < leaseUntil && !leaseHolder.equals(node);
+    return now < leaseUntil && !leaseBallot.getNode().equals(node);
   }
 
   /** Stores the version that the whole system starts from. */
@@ -145,7 +145,7 @@
   ShardBeatReply onBeat(ShardBeat beat, long now) {
     boolean granted = !Ballots.above(promised, beat.getBallot());
     if (granted) {
-      leaseHolder = beat.getBallot().getNode();
+      leaseBallot = beat.getBallot();
       leaseUntil = Math.max(leaseUntil, now + settings.lease());
     }
     return new ShardBeatReply(
@@ -156,6 +156,15 @@
         accepted == null ? 0L : accepted.getSequence());
   }
 
+  /** Ends the lease that was granted under this ballot; false if another one runs. */
+  boolean onRelease(Ballot ballot, long now) {
+    if (!leaseBallot.equals(ballot)) {
+      return false;
+    }
+    leaseUntil = Math.min(leaseUntil, now);
+    return true;
+  }
+
   /**
    * Takes the outcome of the storage operation under way; false if the ticket is not of this
    * replica.
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -12,6 +12,7 @@
 import nettletrail.protocol.ConfirmQuery;
 import nettletrail.protocol.ConfirmReply;
 import nettletrail.protocol.JoinRequest;
+import nettletrail.protocol.LeaseRelease;
 import nettletrail.protocol.Member;
 import nettletrail.protocol.OrderForward;
 import nettletrail.protocol.OrderForwardReply;
@@ -164,6 +165,15 @@
     return finish(now);
   }
 
+  /**
+   * Gives back all leases before the process ends, so that others own the shards without waiting
+   * for them to run out.
+   */
+  public List<CoreAction> release(long now) {
+    replicas.forEach(ShardReplica::release);
+    return finish(now);
+  }
+
   // Views
 
   /**
@@ -241,6 +251,8 @@
       replicas.get(request.getShard()).onAccept(peer, request, now);
     } else if (message instanceof AcceptReply reply) {
       replicas.get(reply.getShard()).onAcceptReply(reply, now);
+    } else if (message instanceof LeaseRelease release) {
+      replicas.get(release.getShard()).onRelease(release, now);
     } else if (message instanceof JoinRequest request) {
       replicas.get(request.getShard()).onJoinRequest(request.getMember(), now);
     } else {
--- a/control/src/main/java/nettletrail/control/shard/ShardReplica.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -6,6 +6,7 @@
 import nettletrail.protocol.Accept;
 import nettletrail.protocol.AcceptReply;
 import nettletrail.protocol.Ballot;
+import nettletrail.protocol.LeaseRelease;
 import nettletrail.protocol.Member;
 import nettletrail.protocol.PreVote;
 import nettletrail.protocol.PreVoteReply;
@@ -42,6 +43,7 @@
   private long ownerHeardAt;
   private long electionDueAt;
   private boolean heartbeatRequested;
+  private boolean released;
 
   /** Starts as a follower; promisesFrom is the instant before which it promises nothing. */
   ShardReplica(
@@ -178,6 +180,28 @@
     }
   }
 
+  /** The owner ends in good order: another may be elected at once. */
+  void onRelease(LeaseRelease release, long now) {
+    if (isForSelf(release.getRecipient()) && acceptor.onRelease(release.getBallot(), now)) {
+      ownerId = "";
+      electionDueAt = now + stagger();
+    }
+  }
+
+  /** Gives back the lease, if this process owns the shard, and stands for no election any more. */
+  void release() {
+    released = true;
+    election = null;
+    heartbeatRequested = false;
+    if (ownership == null) {
+      return;
+    }
+    for (Member member : ownership.members()) {
+      outbox.send(member.getAddress(), new LeaseRelease(shard, member.getId(), ownership.ballot()));
+    }
+    ownership = null;
+  }
+
   boolean onStored(long ticket, StoreOutcome outcome) {
     return acceptor.onStored(ticket, outcome);
   }
@@ -215,7 +239,8 @@
   }
 
   private void standForElection(long now) {
-    boolean eligible = group().contains(self.getId()) && !acceptor.boundToOther(self.getId(), now);
+    boolean eligible =
+        !released && group().contains(self.getId()) && !acceptor.boundToOther(self.getId(), now);
     if (!eligible) {
       postponeElection(now);
       return;
--- a/control/src/test/java/nettletrail/control/shard/AcceptorTest.java
+++ b/control/src/test/java/nettletrail/control/shard/AcceptorTest.java
@@ -141,6 +141,33 @@
     onlyStored();
   }
 
+  @Test
+  void givenLease_whenItsHolderReleasesIt_thenAnotherMayPrepare() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onBeat(beat(ballot(1, OWNER)), 100);
+    assertTrue(acceptor.onRelease(ballot(1, OWNER), 200));
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 200);
+    onlyStored();
+  }
+
+  @Test
+  void givenLaterLeaseOfTheSameNode_whenALateReleaseComes_thenTheLeaseStays() {
+    Acceptor acceptor = acceptor(0);
+    acceptor.onBeat(beat(ballot(3, OWNER)), 100);
+    assertFalse(acceptor.onRelease(ballot(1, OWNER), 200));
+    acceptor.onPrepare("c:1", prepare(ballot(4, CANDIDATE)), 200);
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+  }
+
+  @Test
+  void givenJustStarted_whenALeaseIsReleased_thenStillNoPromiseForAWholeLease() {
+    Acceptor acceptor = acceptor(LEASE);
+    acceptor.onBeat(beat(ballot(1, OWNER)), 100);
+    acceptor.onRelease(ballot(1, OWNER), 200);
+    acceptor.onPrepare("c:1", prepare(ballot(2, CANDIDATE)), 300);
+    assertFalse(onlySent(PrepareReply.class).getGranted());
+  }
+
   @Test
   void givenPromiseUnderWay_whenAnOlderOwnerBeats_thenNoLease() {
     Acceptor acceptor = acceptor(0);
--- a/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
+++ b/control/src/test/java/nettletrail/control/shard/CoreShardsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
@@ -289,6 +290,20 @@
     assertTrue(cluster.now() - before >= millis(1100), "a lease was forgotten");
   }
 
+  @Test
+  void givenReleasedLeases_whenTheProcessRunsOn_thenItOwnsNothingAndStandsForNoElection() {
+    SimulatedCluster cluster = settled(19);
+    SimulatedCore ending = cluster.owner(0);
+    ending.release();
+    for (int shard = 0; shard < SimulatedCore.SHARDS; shard++) {
+      assertFalse(ending.owns(shard));
+    }
+    assertTrue(cluster.runUntil(cluster::allShardsOwned, millis(1000)));
+    cluster.cores().stream().filter(core -> core != ending).forEach(SimulatedCore::release);
+    cluster.runFor(millis(5000));
+    assertNull(cluster.owner(0));
+  }
+
   @Test
   void givenIsolatedOwner_whenItReturns_thenItFollowsTheNewOne() {
     SimulatedCluster cluster = settled(15);
--- a/control/src/test/java/nettletrail/control/shard/FailoverTimeTest.java
+++ b/control/src/test/java/nettletrail/control/shard/FailoverTimeTest.java
@@ -59,6 +59,20 @@
     assertTrue(waits.getMax() <= 2000, "at most " + waits.getMax());
   }
 
+  @Test
+  void givenOwnerEndsInGoodOrder_whenOthersTakeOver_thenWithinAThirdOfALease() {
+    LongSummaryStatistics waits =
+        measure(
+            "owner ended in good order",
+            cluster -> {
+              SimulatedCore owner = cluster.owner(0);
+              owner.terminate();
+              return owner;
+            });
+    assertTrue(waits.getAverage() <= 400, "in the mean " + waits.getAverage());
+    assertTrue(waits.getMax() <= 1000, "at most " + waits.getMax());
+  }
+
   @Test
   void givenOwnerIsCutOff_whenOthersTakeOver_thenWithinTwoSeconds() {
     LongSummaryStatistics waits =
--- a/control/src/test/java/nettletrail/control/shard/RandomFaults.java
+++ b/control/src/test/java/nettletrail/control/shard/RandomFaults.java
@@ -124,7 +124,11 @@
 
   private void crash(SimulatedCore core, long duration) {
     if (core.running()) {
-      core.crash();
+      if (!core.frozen() && random.nextInt(3) == 0) {
+        core.terminate();
+      } else {
+        core.crash();
+      }
       cluster.after(duration, () -> restart(core));
     }
   }
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCore.java
@@ -86,6 +86,16 @@
     life++;
   }
 
+  /** Ends the process in good order. */
+  void terminate() {
+    release();
+    crash();
+  }
+
+  void release() {
+    perform(shards.release(localNow()));
+  }
+
   void loseDisk() {
     disk = new SimulatedDisk();
   }
