Router: outages are told of with a late Retry-After; bounds on what is held

Cause: after a restart of all processes no backend and no grant is known for a second or two, and a client that was told to come again after 250 to 500 ms used up its one further try within that. Refusals for want of keys, grants or backends now name a third of the time left, which is what clients wait at most; requests wait for the first backend after a start. Bytes of requests that are held are bounded, and the oldest idle connection goes when there are too many. The test of a backend that takes no connection keeps its port bound: on a busy machine another process could get it (seen once: no request came to b1 in 10 s); as strict as before. Ruled out: holding requests until grants come back, since the old ones would take the tokens of those still in time.

--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -393,15 +393,16 @@
     }
   }
 
-  /** Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a request. */
-  void closeIfIdle() {
+  /**
+   * Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a request.
+   *
+   * @return whether it did
+   */
+  boolean closeIfIdle() {
     if (isIdle() && look() && isIdle()) {
       channel.close();
+      return true;
     }
-  }
-
-  /** Closes it whatever it is at. */
-  void close() {
-    channel.close();
+    return false;
   }
 }
--- a/router/src/main/java/nettletrail/router/Completion.java
+++ b/router/src/main/java/nettletrail/router/Completion.java
@@ -14,42 +14,58 @@
  * 504 at its deadline.
  */
 final class Completion {
-  private static final long RETRY_AFTER_MS = 250;
-  private static final int RETRY_AFTER_SPREAD_MS = 250;
-
   private final EventLoop loop;
   private final QuotaGate quota;
   private final VirtualCounters counters;
   private final SplittableRandom random;
+  private final long mostBytes;
   private final Consumer<ServiceState> slotFreed;
+  private long heldBytes;
 
-  /** @param slotFreed told, in a turn of its own, of a service whose queue is not empty and that has a free slot */
+  /**
+   * @param mostBytes of requests that are held at once
+   * @param slotFreed told, in a turn of its own, of a service whose queue is not empty and that has a free slot
+   */
   Completion(
       EventLoop loop,
       QuotaGate quota,
       VirtualCounters counters,
       SplittableRandom random,
+      long mostBytes,
       Consumer<ServiceState> slotFreed) {
     this.loop = loop;
     this.quota = quota;
     this.counters = counters;
     this.random = random;
+    this.mostBytes = mostBytes;
     this.slotFreed = slotFreed;
   }
 
+  /** A request is held from now on; false if that is more than this door may hold. */
+  boolean holds(Exchange exchange) {
+    heldBytes += exchange.body().readableBytes();
+    return heldBytes <= mostBytes;
+  }
+
   /** No backend will answer it. */
   void unserved(Exchange exchange) {
-    refuse(exchange, Refusal.unavailable(retryAfterMs()));
+    refuse(exchange, Refusal.unavailable(RetryAfter.whenFullMs(random)));
+  }
+
+  /** No backend of the service is known. */
+  void withoutBackends(Exchange exchange) {
+    refuse(exchange, Refusal.unavailable(afterOutageMs(exchange)));
   }
 
-  /** The tenant's quota is spent. */
-  void overQuota(Exchange exchange) {
-    refuse(exchange, Refusal.overQuota(retryAfterMs()));
+  /** The tenant's quota is spent, or its tokens don't come. */
+  void withoutTokens(Exchange exchange) {
+    boolean outage = quota.isStarved(exchange, System.nanoTime());
+    long retryAfter = outage ? afterOutageMs(exchange) : RetryAfter.whenFullMs(random);
+    refuse(exchange, Refusal.overQuota(retryAfter));
   }
 
-  /** Spread, so that clients that were refused together don't come back together. */
-  private long retryAfterMs() {
-    return RETRY_AFTER_MS + random.nextInt(RETRY_AFTER_SPREAD_MS);
+  private static long afterOutageMs(Exchange exchange) {
+    return RetryAfter.afterOutageMs(exchange.timeLeftMs(System.nanoTime()));
   }
 
   /** Ends it with this answer if no backend can have run it, else in a way that promises nothing. */
@@ -62,7 +78,7 @@
     cancelSend(exchange);
     end(
         exchange,
-        exchange.mayHaveRun() ? Refusal.GATEWAY_TIMEOUT : Refusal.unavailable(retryAfterMs()));
+        exchange.mayHaveRun() ? Refusal.GATEWAY_TIMEOUT : Refusal.unavailable(RetryAfter.whenFullMs(random)));
   }
 
   private void end(Exchange exchange, Refusal refusal) {
@@ -113,6 +129,7 @@
       quota.giveBack(exchange, now);
     }
     settle(exchange, now);
+    heldBytes -= exchange.body().readableBytes();
     exchange.request.release();
     if (hadSlot) {
       releaseSlot(exchange.service);
--- a/router/src/main/java/nettletrail/router/QuotaGate.java
+++ b/router/src/main/java/nettletrail/router/QuotaGate.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.Tenant;
 import nettletrail.router.admission.Companion;
 
@@ -10,8 +11,14 @@
  * which requests beyond the rate are refused at once. On the event loop.
  */
 final class QuotaGate {
+  /** A tenant that asks and gets nothing for so long lacks its grants, not its quota. */
+  static final long STARVED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private final ControlView control;
   private final long seed;
+  /** When each tenant last got tokens that it asked for. */
+  private final Map<String, Long> lastTaken = new HashMap<>();
+
   private final Map<String, Companion> companions = new HashMap<>();
 
   QuotaGate(ControlView control, long seed) {
@@ -55,12 +62,19 @@
       exchange.quotaShort = true;
       return false;
     }
+    lastTaken.put(tenant, now);
     companion(exchange.resolution.tenant(), now).used(cost);
     exchange.quotaTaken = cost;
     exchange.quotaTenant = tenant;
     return true;
   }
 
+  /** Whether nobody grants tokens to the tenant: a request beyond its quota is refused while others get theirs. */
+  boolean isStarved(Exchange exchange, long now) {
+    Long last = lastTaken.get(exchange.tenantName);
+    return last == null || now - last > STARVED_NANOS;
+  }
+
   /** Returns what the exchange took: no backend has run it. */
   void giveBack(Exchange exchange, long now) {
     if (exchange.quotaTaken > 0) {
@@ -73,6 +87,7 @@
   void routingChanged() {
     if (control.routing() != null) {
       companions.keySet().removeIf(name -> control.routing().tenant(name) == null);
+      lastTaken.keySet().removeIf(name -> control.routing().tenant(name) == null);
     }
   }
 }
--- a/router/src/main/java/nettletrail/router/Refusal.java
+++ b/router/src/main/java/nettletrail/router/Refusal.java
@@ -9,17 +9,16 @@
  * @param retryAfterMs when the client may come again; 0 if that is not told
  */
 record Refusal(HttpResponseStatus status, long retryAfterMs) {
-  /** No configuration has come yet. */
-  static final Refusal NO_ROUTING = new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, 300);
-
-  /** Keys were not confirmed lately enough. */
-  static final Refusal KEYS_UNCONFIRMED = new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, 300);
-
   static final Refusal NO_ROUTE = new Refusal(HttpResponseStatus.NOT_FOUND, 0);
   static final Refusal UNKNOWN_KEY = new Refusal(HttpResponseStatus.UNAUTHORIZED, 0);
   static final Refusal BAD_GATEWAY = new Refusal(HttpResponseStatus.BAD_GATEWAY, 0);
   static final Refusal GATEWAY_TIMEOUT = new Refusal(HttpResponseStatus.GATEWAY_TIMEOUT, 0);
 
+  /** What the control plane has not told yet, or not confirmed of late, may come within a part of the time left. */
+  static Refusal controlPlaneMissing(ClientRequest request) {
+    return unavailable(RetryAfter.afterOutageMs(request.timeLeftMs()));
+  }
+
   /** No backend can run it now. */
   static Refusal unavailable(long retryAfterMs) {
     return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
--- a/router/src/main/java/nettletrail/router/RequestDispatcher.java
+++ b/router/src/main/java/nettletrail/router/RequestDispatcher.java
@@ -20,6 +20,14 @@
   /** The part of a request's target that it may wait here before it is refused: a refusal is worth more soon. */
   static final double MOST_WAIT_OF_TARGET = 0.22;
 
+  /**
+   * The part of its time that a request may wait for the first backend of its service after a start: these are heard of within
+   * a beat, and a late answer is worth more than none.
+   */
+  private static final double MOST_WAIT_OF_TIME_AT_START = 0.3;
+
+  private static final long STARTING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private final EventLoop loop;
   private final ControlView control;
   private final RouterSettings settings;
@@ -41,7 +49,9 @@
     this.pool = pool;
     random = new SplittableRandom(settings.seed());
     quota = new QuotaGate(control, settings.seed());
-    completion = new Completion(loop, quota, counters, random, this::pump);
+    completion = 
+        new Completion(
+            loop, quota, counters, random, settings.mostBufferedBytes(), this::pump);
     sender = new AttemptSender(loop, control, pool, counters, completion, this::requeue);
     answers = new AnswerHandler(sender, completion);
   }
@@ -54,13 +64,17 @@
 
   void start(Exchange exchange) {
     long now = System.nanoTime();
+    if (!completion.holds(exchange)) {
+      completion.unserved(exchange);
+      return;
+    }
     sender.resolve(exchange, now);
     if (exchange.resolution.refusal() != null) {
       completion.refuse(exchange, exchange.resolution.refusal());
       return;
     }
     if (!quota.admits(exchange, now)) {
-      completion.overQuota(exchange);
+      completion.withoutTokens(exchange);
       return;
     }
     await(exchange, now);
@@ -78,9 +92,16 @@
     }
   }
 
-  private static long waitEnd(Exchange exchange) {
-    double most = exchange.route().targetMs() * MOST_WAIT_OF_TARGET;
-    return exchange.request.arrivedAt() + (long) (most * TimeUnit.MILLISECONDS.toNanos(1));
+  private long waitEnd(Exchange exchange) {
+    double mostMs = exchange.route().targetMs() * MOST_WAIT_OF_TARGET;
+    long usual = (long) (mostMs * TimeUnit.MILLISECONDS.toNanos(1));
+    boolean starting = exchange.request.arrivedAt() - startedAt < STARTING_NANOS;
+    if (!starting || exchange.service.backends.size() > 0) {
+      return exchange.request.arrivedAt() + usual;
+    }
+    long all = exchange.deadline() - exchange.request.arrivedAt();
+    return exchange.request.arrivedAt()
+        + Math.max(usual, (long) (all * MOST_WAIT_OF_TIME_AT_START));
   }
 
   /** The routing has moved it to another service before it was sent: it begins anew there. */
@@ -118,8 +139,10 @@
       return;
     }
     exchange.service.queue.remove(exchange);
-    if (exchange.quotaShort) {
-      completion.overQuota(exchange);
+    if (exchange.service.backends.size() == 0) {
+      completion.withoutBackends(exchange);
+    } else if (exchange.quotaShort) {
+      completion.withoutTokens(exchange);
     } else {
       completion.unserved(exchange);
     }
--- a/router/src/main/java/nettletrail/router/Resolution.java
+++ b/router/src/main/java/nettletrail/router/Resolution.java
@@ -28,7 +28,7 @@
   static Resolution of(
       RoutingTable routing, ClientRequest request, boolean keysConfirmed, double draw) {
     if (routing == null) {
-      return refused(-1, Refusal.NO_ROUTING);
+      return refused(-1, Refusal.controlPlaneMissing(request));
     }
     Route route = routing.match(request.host(), request.path());
     if (route == null) {
@@ -36,7 +36,7 @@
     }
     boolean keyNeeded = routing.keysRequired() && !route.open();
     if (keyNeeded && !keysConfirmed) {
-      return refused(routing.edition(), Refusal.KEYS_UNCONFIRMED);
+      return refused(routing.edition(), Refusal.controlPlaneMissing(request));
     }
     String key = request.key();
     Tenant tenant = key == null || !keysConfirmed ? null : routing.tenantOfKey(key);
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -34,6 +34,7 @@
   private final ControlView control;
   private final RequestDispatcher dispatcher;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private final int mostClients;
   private final Owner owner = new Owner();
   private boolean listening;
   private boolean draining;
@@ -45,6 +46,7 @@
   public Router(EventLoop loop, RouterSettings settings, ControlView control) {
     this.loop = loop;
     this.control = control;
+    mostClients = settings.mostConnections() / 2;
     UpstreamPool pool =
         new UpstreamPool(loop, settings.connectTimeoutMs(), settings.mostConnections() / 2);
     dispatcher = new RequestDispatcher(loop, settings, control, pool);
@@ -142,6 +144,15 @@
     dispatcher.quotaGranted(tenants);
   }
 
+  /** Makes room for a connection: the oldest that is idle goes. */
+  private void closeOneIdle() {
+    for (ClientConnection connection : new ArrayList<>(connections)) {
+      if (connection.closeIfIdle()) {
+        return;
+      }
+    }
+  }
+
   private Limits limits() {
     RoutingTable routing = control.routing();
     return routing == null ? Limits.DEFAULT : routing.limits();
@@ -167,6 +178,9 @@
     @Override
     public void opened(ClientConnection connection) {
       connections.add(connection);
+      if (connections.size() > mostClients) {
+        closeOneIdle();
+      }
     }
 
     @Override
--- a/router/src/test/java/nettletrail/router/RouterFixture.java
+++ b/router/src/test/java/nettletrail/router/RouterFixture.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
@@ -20,6 +21,7 @@
 
 /** A router on loopback with a control plane whose word the test sets. */
 final class RouterFixture {
+  static final int MOST_BUFFERED_BYTES = 1 << 20;
   static final String KEY = "X-Key: key-1";
 
   /** Read and written on the router's loop only. */
@@ -97,7 +99,7 @@
   RouterFixture(String configuration) throws Exception {
     configure(configuration);
     RouterSettings settings =
-        new RouterSettings("zone-a", 0.2, 0, 1_000, 16 << 20, 400, 1);
+        new RouterSettings("zone-a", 0.2, 0, 1_000, MOST_BUFFERED_BYTES, 400, 1);
     router = new Router(loop, settings, control);
     address =
         (InetSocketAddress) router.listen("127.0.0.1", 0).sync().channel().localAddress();
@@ -171,6 +173,11 @@
     return client;
   }
 
+  /** Runs it on the router's loop. */
+  Future<?> submit(Callable<?> task) {
+    return loop.submit(task);
+  }
+
   /** Runs it on the router's loop and waits for it. */
   <T> T onLoop(Callable<T> task) throws Exception {
     return loop.submit(task).get(10, TimeUnit.SECONDS);
--- a/router/src/test/java/nettletrail/router/RouterTest.java
+++ b/router/src/test/java/nettletrail/router/RouterTest.java
@@ -6,7 +6,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -402,7 +408,7 @@
     TestClient client = fixture.client();
     client.post("/once/x", "id-1", "", KEY);
     ScriptedBackend.Received request = backend.take();
-    var done = new java.util.concurrent.CountDownLatch(1);
+    var done = new CountDownLatch(1);
     fixture.onLoop(
         () -> {
           fixture.router.drain(2_000, done::countDown);
@@ -419,7 +425,7 @@
     assertTrue(client.isEnded());
     lateRequest.answer("200 OK", "two");
     assertEquals("two", late.read().body());
-    assertTrue(done.await(5, java.util.concurrent.TimeUnit.SECONDS));
+    assertTrue(done.await(5, TimeUnit.SECONDS));
   }
 
   @Test
@@ -446,9 +452,11 @@
 
   @Test
   void aBackendThatTakesNoConnectionIsPassedByWithoutCost() throws Exception {
-    ScriptedBackend gone = new ScriptedBackend("b0");
-    BackendEndpoint dead = gone.endpoint();
-    gone.close();
+    Socket reserved = new Socket(); // bound and not listening: no other process can get its port
+    reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    BackendEndpoint dead =
+        new BackendEndpoint(
+            "b0", (InetSocketAddress) reserved.getLocalSocketAddress(), "zone-a", 4, 0);
     ScriptedBackend backend = new ScriptedBackend("b1");
     fixture.backends("s", List.of(dead, backend.endpoint()));
     TestClient client = fixture.client();
@@ -458,5 +466,115 @@
       assertEquals(200, client.read().status());
     }
     backend.close();
+    reserved.close();
+  }
+
+  @Test
+  void whatIsTooLargeToHoldIsRefusedAndNothingIsSent() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "x".repeat(RouterFixture.MOST_BUFFERED_BYTES + 1), KEY);
+    TestClient.Answer answer = client.read();
+    assertEquals(503, answer.status());
+    assertNotNull(answer.header("Retry-After"));
+    client.post("/once/x", "id-2", "small", KEY);
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    assertEquals(0, backend.untaken());
+  }
+
+  @Test
+  void aBodyBeyondTheLimitIsRefusedAndTheConnectionEnds() throws Exception {
+    TestClient client = fixture.client();
+    client.write(
+        "POST /once/x HTTP/1.1\r\nHost: a.example\r\n" + KEY
+            + "\r\nContent-Length: 4194305\r\n\r\n");
+    assertEquals(413, client.read().status());
+    assertTrue(client.isEnded());
+  }
+
+  @Test
+  void aClientThatExpectsAContinueGetsIt() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.write(
+        "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-1\r\n" + KEY
+            + "\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    assertEquals(100, client.readHead().status());
+    client.write("ab");
+    ScriptedBackend.Received request = backend.take();
+    assertEquals("ab", request.body);
+    assertNull(request.header("Expect"));
+    request.answer("200 OK", "");
+    assertEquals(200, client.read().status());
+  }
+
+  @Test
+  void aConnectionThatIsIdleForTooLongIsClosedUnlessARequestLiesUnread() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    long later = System.nanoTime() + TimeUnit.SECONDS.toNanos(16);
+    CountDownLatch held = new CountDownLatch(1);
+    Future<?> sweep =
+        fixture.submit(
+            () -> {
+              held.await(); // the loop reads nothing meanwhile
+              fixture.router.tick(later);
+              return null;
+            });
+    client.post("/once/x", "id-2", "", KEY);
+    held.countDown();
+    sweep.get();
+    backend.take().answer("200 OK", "two");
+    assertEquals("two", client.read().body());
+    fixture.onLoop(
+        () -> {
+          fixture.router.tick(later + TimeUnit.SECONDS.toNanos(16));
+          return null;
+        });
+    assertTrue(client.isEnded());
+  }
+
+  @Test
+  void halfARequestIsEndedWith408() throws Exception {
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(1);
+    client.post("/once/x", "id-1", "", "X-Key: unknown");
+    asked.await();
+    assertEquals(401, client.read().status());
+    client.write("POST /once/x HTTP/1.1\r\nHost: a.");
+    long later = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    TestClient.Answer answer = null;
+    while (answer == null) { // until the router has read the half
+      fixture.onLoop(
+          () -> {
+            fixture.router.tick(later);
+            return null;
+          });
+      answer = client.readIfThere();
+    }
+    assertEquals(408, answer.status());
+  }
+
+  @Test
+  void aRequestWaitsForTheFirstBackendAfterAStart() throws Exception {
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(1);
+    client.post("/once/x", "id-1", "", KEY);
+    asked.await();
+    ScriptedBackend backend = fixture.backend("b1");
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+  }
+
+  @Test
+  void anOutageIsToldWithTheLongestTimeThatAClientWaits() throws Exception {
+    fixture.onLoop(() -> fixture.control.confirmed = false);
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY, "X-Time-Left: 4500");
+    assertEquals("1.5", client.read().header("Retry-After"));
   }
 }
--- a/router/src/test/java/nettletrail/router/TestClient.java
+++ b/router/src/test/java/nettletrail/router/TestClient.java
@@ -68,6 +68,11 @@
         body.length == length);
   }
 
+  /** The answer, or null if nothing of one has come yet. */
+  Answer readIfThere() throws IOException {
+    return in.available() > 0 ? read() : null;
+  }
+
   Answer readHead() throws IOException {
     String start = line();
     if (start == null) {
