--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -6,9 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -44,7 +42,6 @@
           RequestHeaders.PROMPT_PREFIX,
           RequestHeaders.LAST_EVENT_ID);
   private static final long MOST_DEAF_AT_END_NANOS = TimeUnit.SECONDS.toNanos(3);
-  private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
 
   /** What a connection needs of the router. */
   interface Owner {
@@ -66,10 +63,8 @@
   private final Owner owner;
   private final RequestDecoder decoder;
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
-  private final ChunkWriter chunks = new ChunkWriter();
   private Channel channel;
-  /** From where on there are only bytes. */
-  private ChannelHandlerContext wire;
+  private ResponseWriter writer;
 
   private Exchange open;
   /** The client asked for the end of the connection, or sent what can't be read. */
@@ -78,10 +73,6 @@
   private boolean ended;
 
   private boolean handling;
-  /** The answer to the request in hand is chunked and its head is written. */
-  private boolean streaming;
-
-  private boolean closesAfterStream;
   private boolean readSomething;
   private int waitingBytes;
   private long idleSince;
@@ -104,7 +95,7 @@
         new RequestAggregator(limits.bodyBytes(), connection::bodyTooLarge);
     // The encoder is the aggregator's, for its 100 Continue; answers are written from before it.
     pipeline.addLast(connection.decoder, new HttpResponseEncoder(), aggregator, connection);
-    connection.wire = pipeline.context(RequestDecoder.class);
+    connection.writer = new ResponseWriter(pipeline.context(RequestDecoder.class));
   }
 
   @Override
@@ -124,7 +115,7 @@
     for (Waiting next = waiting.pollFirst(); next != null; next = waiting.pollFirst()) {
       next.request().release();
     }
-    chunks.drop();
+    writer.drop();
     Exchange left = open;
     open = null;
     if (left != null) {
@@ -264,25 +255,15 @@
   }
 
   private void finish(HeadBytes head, ByteBuf body, boolean last) {
-    if (!channel.isActive()) {
-      open = null;
-      return;
-    }
-    if (last) {
-      ended = true;
-      Farewell.stopReading(channel.pipeline());
-      head.writeTo(wire, body, channel.newPromise())
-          .addListener(written -> Farewell.end((SocketChannel) channel));
-      answered();
-    } else {
-      head.writeTo(wire, body, channel.voidPromise());
-      answered();
+    if (channel.isActive()) {
+      writer.write(head, body, last);
     }
+    answered(last);
   }
 
-  private void answered() {
+  private void answered(boolean last) {
+    ended |= last;
     open = null;
-    streaming = false;
     partSince = 0;
     idleSince = System.nanoTime();
     handleNext();
@@ -295,55 +276,34 @@
 
   /** Whether the head of a streamed answer is written. */
   boolean isStreaming() {
-    return streaming;
+    return writer.isStreaming();
   }
 
   /** Begins an answer whose body comes in parts. */
   void beginStream(HttpResponse answer) {
-    streaming = true;
-    closesAfterStream = isLast();
-    ResponseHead.of(answer, ResponseHead.LENGTH_CHUNKED, closesAfterStream)
-        .writeTo(wire, Unpooled.EMPTY_BUFFER, channel.voidPromise());
+    writer.beginStream(answer, isLast());
   }
 
   /** Adds bytes to the body; they go out with {@link #flushStream}. */
   void streamBytes(ByteBuf source, int from, int length) {
-    if (channel.isActive()) {
-      chunks.add(channel.alloc(), source, from, length);
-    }
+    writer.streamBytes(source, from, length);
   }
 
   /** Sends what was added. */
   void flushStream() {
-    ByteBuf chunk = chunks.take();
-    if (chunk != null) {
-      wire.writeAndFlush(chunk, channel.voidPromise());
-    }
+    writer.flushStream();
   }
 
   /** The streamed answer is whole. */
   void endStream() {
-    flushStream();
-    ByteBuf end = Unpooled.wrappedBuffer(LAST_CHUNK);
-    if (closesAfterStream) {
-      ended = true;
-      Farewell.stopReading(channel.pipeline());
-      wire.writeAndFlush(end, channel.newPromise())
-          .addListener(written -> Farewell.end((SocketChannel) channel));
-    } else {
-      wire.writeAndFlush(end, channel.voidPromise());
-    }
-    answered();
+    answered(writer.endStream());
   }
 
   /** The streamed answer will not be whole: the connection ends without its last chunk. */
   void breakStream() {
-    flushStream();
     ended = true;
     open = null;
-    streaming = false;
-    wire.writeAndFlush(Unpooled.EMPTY_BUFFER, channel.newPromise())
-        .addListener(written -> channel.close());
+    writer.breakStream();
   }
 
   ByteBufAllocator allocator() {
@@ -354,7 +314,7 @@
 
   /** Whether no request is in hand, waits or is in part here. */
   private boolean isIdle() {
-    return !ended && open == null && waiting.isEmpty() && partSince == 0 && unwritten() == 0;
+    return !ended && open == null && waiting.isEmpty() && partSince == 0 && writer.unwritten() == 0;
   }
 
   /** Whether a part of a request lies here and none is in hand. */
@@ -362,14 +322,9 @@
     return !ended && open == null && waiting.isEmpty() && partSince != 0;
   }
 
-  private long unwritten() {
-    ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-    return out == null ? 0 : out.totalPendingWriteBytes();
-  }
-
   /** Whether it has taken nothing of its answers for so long. */
   private boolean isDeaf(long now, long mostNanos) {
-    long left = unwritten();
+    long left = writer.unwritten();
     if (left == 0 || left != unwrittenBefore) {
       unwrittenBefore = left;
       unwrittenSince = now;
