--- a/router/src/main/java/nettletrail/router/AnswerRelay.java
+++ b/router/src/main/java/nettletrail/router/AnswerRelay.java
@@ -10,7 +10,10 @@
   /** All that was decoded of one read has been told. */
   void flush();
 
-  /** The event after which a further backend is to go on, or -1 if it is to begin as the first one did. */
+  /**
+   * The event after which a further backend is to go on, or -1 if it is to begin as the first one
+   * did.
+   */
   long resumeAfter();
 
   /** Whether something of the answer has been sent to the client. */
--- a/router/src/main/java/nettletrail/router/AnswerRules.java
+++ b/router/src/main/java/nettletrail/router/AnswerRules.java
@@ -26,8 +26,9 @@
   }
 
   /**
-   * Whether an answer of a backend that ran the request may reach the client. A success needs its seal and the request's
-   * id. A status that promises that the request has not run would be a lie, unless the backend itself has sealed it.
+   * Whether an answer of a backend that ran the request may reach the client. A success needs its
+   * seal and the request's id. A status that promises that the request has not run would be a lie,
+   * unless the backend itself has sealed it.
    */
   static boolean mayPass(HttpResponse head, String attemptId) {
     if (head.status().codeClass() == HttpStatusClass.SUCCESS) {
--- a/router/src/main/java/nettletrail/router/AttemptSender.java
+++ b/router/src/main/java/nettletrail/router/AttemptSender.java
@@ -13,8 +13,8 @@
 import nettletrail.router.upstream.UpstreamPool;
 
 /**
- * Sends an exchange to a backend, and to another one where that is safe and the route, the retry budget and the time left
- * allow it. On the event loop.
+ * Sends an exchange to a backend, and to another one where that is safe and the route, the retry
+ * budget and the time left allow it. On the event loop.
  */
 final class AttemptSender {
   private static final int MOST_CONNECT_FAILURES = 3;
@@ -26,12 +26,16 @@
   private final VirtualCounters counters;
   private final Completion completion;
   private final Consumer<Exchange> requeue;
+
   /** Those that may be sent elsewhere if their backend falls silent. */
   private final Set<Exchange> watched = new LinkedHashSet<>();
 
   private boolean checkScheduled;
 
-  /** @param requeue takes an exchange that the routing has moved to another service before it was sent */
+  /**
+   * @param requeue takes an exchange that the routing has moved to another service before it was
+   *     sent
+   */
   AttemptSender(
       EventLoop loop,
       ControlView control,
@@ -75,7 +79,9 @@
     }
   }
 
-  /** Directly before the first byte: all that may have changed while it waited is looked at again. */
+  /**
+   * Directly before the first byte: all that may have changed while it waited is looked at again.
+   */
   boolean confirmSend(Exchange exchange) {
     exchange.confirming = true;
     try {
--- a/router/src/main/java/nettletrail/router/ChunkWriter.java
+++ b/router/src/main/java/nettletrail/router/ChunkWriter.java
@@ -5,9 +5,15 @@
 
 /** Gathers bytes of a body and frames them as one chunk (RFC 9112 section 7.1), in one buffer. */
 final class ChunkWriter {
-  private static final byte[] HEX = "0123456789abcdef".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+  private static final byte[] HEX =
+      "0123456789abcdef".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+
+  private static final int DIGIT_MASK = 0xF;
+  private static final int DIGIT_BITS = 4;
+
   /** Room for the size in hex and its line end. */
   private static final int SIZE_LINE_BYTES = 10;
+
   private static final int END_BYTES = 2;
 
   private ByteBuf buffer;
@@ -37,8 +43,8 @@
     chunk.setByte(--at, '\n');
     chunk.setByte(--at, '\r');
     do {
-      chunk.setByte(--at, HEX[left & 0xF]);
-      left >>>= 4;
+      chunk.setByte(--at, HEX[left & DIGIT_MASK]);
+      left >>>= DIGIT_BITS;
     } while (left > 0);
     chunk.readerIndex(at);
     chunk.writeByte('\r').writeByte('\n');
--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -27,8 +27,9 @@
 import nettletrail.upstream.HeadBytes;
 
 /**
- * One connection of a client. Its requests are answered one at a time, in the order in which they came; what comes meanwhile
- * waits, up to a bound, beyond which nothing more is read until it is answered.
+ * One connection of a client. Its requests are answered one at a time, in the order in which they
+ * came; what comes meanwhile waits, up to a bound, beyond which nothing more is read until it is
+ * answered.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final int MOST_WAITING = 16;
@@ -67,8 +68,10 @@
   private ResponseWriter writer;
 
   private Exchange open;
+
   /** The client asked for the end of the connection, or sent what can't be read. */
   private boolean leaving;
+
   /** The last answer is on its way: nothing more is handled. */
   private boolean ended;
 
@@ -76,10 +79,15 @@
   private boolean readSomething;
   private int waitingBytes;
   private long idleSince;
-  /** Bytes of answers that the client had not taken at the last sweep, and since when it has taken none of them. */
+
+  /**
+   * Bytes of answers that the client had not taken at the last sweep, and since when it has taken
+   * none of them.
+   */
   private long unwrittenBefore;
 
   private long unwrittenSince;
+
   /** Since when a part of a request lies here; 0 if none does. */
   private long partSince;
 
@@ -139,7 +147,10 @@
     }
   }
 
-  /** Requests are taken up here: not while bytes are being decoded, so that the socket may be looked at. */
+  /**
+   * Requests are taken up here: not while bytes are being decoded, so that the socket may be looked
+   * at.
+   */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     boolean came = decoder.tookBytes();
@@ -164,7 +175,9 @@
     channel.close();
   }
 
-  /** In a loop: what is answered at once would otherwise bring up the next ever deeper on the stack. */
+  /**
+   * In a loop: what is answered at once would otherwise bring up the next ever deeper on the stack.
+   */
   private void handleNext() {
     if (handling) {
       return;
@@ -203,7 +216,10 @@
     owner.start(exchange);
   }
 
-  /** What is left of Transfer-Encoding here is no chunks, so the body's end was guessed; nor has a GET a body. */
+  /**
+   * What is left of Transfer-Encoding here is no chunks, so the body's end was guessed; nor has a
+   * GET a body.
+   */
   private static boolean isOdd(FullHttpRequest request) {
     return request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
         || request.method().equals(HttpMethod.GET) && request.content().isReadable();
@@ -220,7 +236,8 @@
   }
 
   /**
-   * Looks whether the client is still there: reads all that has come. Not while its bytes are being decoded.
+   * Looks whether the client is still there: reads all that has come. Not while its bytes are being
+   * decoded.
    *
    * @return whether it is
    */
@@ -239,7 +256,7 @@
   /** The router's own answer. */
   void answer(Refusal refusal) {
     boolean last = isLast();
-    finish(ResponseHead.of(refusal, last), Unpooled.EMPTY_BUFFER, last);
+    finish(ResponseHead.ofRefusal(refusal, last), Unpooled.EMPTY_BUFFER, last);
   }
 
   /**
@@ -349,7 +366,8 @@
   }
 
   /**
-   * Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a request.
+   * Closes it if nobody is owed anything on it: what lies unread is read first, for it may be a
+   * request.
    *
    * @return whether it did
    */
--- a/router/src/main/java/nettletrail/router/ClientRequest.java
+++ b/router/src/main/java/nettletrail/router/ClientRequest.java
@@ -6,10 +6,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import nettletrail.router.balance.PromptPrefix;
+import nettletrail.router.text.DecimalNumber;
 
-/** One try of a client, whole, as its headers tell. It holds the request's buffers until {@link #release}. */
+/**
+ * One try of a client, whole, as its headers tell. It holds the request's buffers until {@link
+ * #release}.
+ */
 final class ClientRequest {
-  private static final int MOST_DIGITS = 12;
   private static final String MODEL = "X-Model";
 
   private final FullHttpRequest request;
@@ -76,12 +79,12 @@
 
   /** How long the client waits, ms; -1 if it does not say. */
   long timeLeftMs() {
-    return number(request.headers().get(RequestHeaders.TIME_LEFT));
+    return DecimalNumber.parse(request.headers().get(RequestHeaders.TIME_LEFT));
   }
 
   /** The id of the last event that the client has; -1 if it names none. */
   long lastEventId() {
-    return number(request.headers().get(RequestHeaders.LAST_EVENT_ID));
+    return DecimalNumber.parse(request.headers().get(RequestHeaders.LAST_EVENT_ID));
   }
 
   /** Tokens of its prompt, and the most that are to be generated; null if it does not say. */
@@ -98,20 +101,4 @@
   void release() {
     request.release();
   }
-
-  /** The whole number that the text is; -1 if it is absent or is none. */
-  static long number(String text) {
-    if (text == null || text.isEmpty() || text.length() > MOST_DIGITS) {
-      return -1;
-    }
-    long value = 0;
-    for (int i = 0; i < text.length(); i++) {
-      int digit = text.charAt(i) - '0';
-      if (digit < 0 || digit > 9) {
-        return -1;
-      }
-      value = value * 10 + digit;
-    }
-    return value;
-  }
 }
--- a/router/src/main/java/nettletrail/router/Completion.java
+++ b/router/src/main/java/nettletrail/router/Completion.java
@@ -7,11 +7,11 @@
 import nettletrail.router.upstream.UpstreamPool;
 
 /**
- * How an exchange ends: with an answer of the router's own, at its deadline, or because its client has left. What it held
- * is given back here. On the event loop.
+ * How an exchange ends: with an answer of the router's own, at its deadline, or because its client
+ * has left. What it held is given back here. On the event loop.
  *
- * <p>429 and 503 are given only if no backend can have run the request; one that may have run and has no answer gets 502, or
- * 504 at its deadline.
+ * <p>429 and 503 are given only if no backend can have run the request; one that may have run and
+ * has no answer gets 502, or 504 at its deadline.
  */
 final class Completion {
   private final EventLoop loop;
@@ -24,7 +24,8 @@
 
   /**
    * @param mostBytes of requests that are held at once
-   * @param slotFreed told, in a turn of its own, of a service whose queue is not empty and that has a free slot
+   * @param slotFreed told, in a turn of its own, of a service whose queue is not empty and that has
+   *     a free slot
    */
   Completion(
       EventLoop loop,
@@ -68,7 +69,9 @@
     return RetryAfter.afterOutageMs(exchange.timeLeftMs(System.nanoTime()));
   }
 
-  /** Ends it with this answer if no backend can have run it, else in a way that promises nothing. */
+  /**
+   * Ends it with this answer if no backend can have run it, else in a way that promises nothing.
+   */
   void refuse(Exchange exchange, Refusal refusal) {
     end(exchange, exchange.mayHaveRun() ? Refusal.BAD_GATEWAY : refusal);
   }
@@ -78,7 +81,9 @@
     cancelSend(exchange);
     end(
         exchange,
-        exchange.mayHaveRun() ? Refusal.GATEWAY_TIMEOUT : Refusal.unavailable(RetryAfter.whenFullMs(random)));
+        exchange.mayHaveRun()
+            ? Refusal.GATEWAY_TIMEOUT
+            : Refusal.unavailable(RetryAfter.whenFullMs(random)));
   }
 
   private void end(Exchange exchange, Refusal refusal) {
--- a/router/src/main/java/nettletrail/router/ControlView.java
+++ b/router/src/main/java/nettletrail/router/ControlView.java
@@ -4,23 +4,26 @@
 import nettletrail.configuration.RoutingTable;
 
 /**
- * What the control plane has told this door, as the router sees it. All methods are called on the router's event loop
- * and return at once. The implementation tells the router of changes by {@link Router#routingChanged}, {@link
- * Router#backendsChanged} and {@link Router#quotaGranted}.
+ * What the control plane has told this door, as the router sees it. All methods are called on the
+ * router's event loop and return at once. The implementation tells the router of changes by {@link
+ * Router#routingChanged}, {@link Router#backendsChanged} and {@link Router#quotaGranted}.
  */
 public interface ControlView {
   /** The routing in force, or null while none is known. */
   RoutingTable routing();
 
   /**
-   * Whether keys may be used: the routing was confirmed to be the newest so lately that no key which it holds can have
-   * been revoked for longer than the deployment allows.
+   * Whether keys may be used: the routing was confirmed to be the newest so lately that no key
+   * which it holds can have been revoked for longer than the deployment allows.
    *
    * @param nowNanos the steady clock
    */
   boolean keysConfirmed(long nowNanos);
 
-  /** The backends of a service that are ready for requests; empty if there are none. Not to be changed. */
+  /**
+   * The backends of a service that are ready for requests; empty if there are none. Not to be
+   * changed.
+   */
   List<BackendEndpoint> backends(String service);
 
   /** Doors that serve, this one included; at least 1. */
--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -22,8 +22,8 @@
 import nettletrail.upstream.HeadBytes;
 
 /**
- * One try of a client from its arrival to its answer: what it waits for, where it was sent, and what that proves. The
- * decisions are {@link RequestDispatcher}'s.
+ * One try of a client from its arrival to its answer: what it waits for, where it was sent, and
+ * what that proves. The decisions are {@link RequestDispatcher}'s.
  */
 final class Exchange implements Attempt, AdmissionQueue.Entry {
   /** How far it is. */
@@ -42,6 +42,7 @@
   final ClientRequest request;
   final TokenCount tokens;
   final PromptPrefix prefix;
+
   /** Which of a route's services it goes to; the same however often it is looked up. */
   final double draw;
 
@@ -63,6 +64,7 @@
 
   BackendLoad backend;
   UpstreamPool.Ticket ticket;
+
   /** Grows with each send that is begun, so that a late return knows that it is late. */
   int attemptNumber;
 
@@ -75,6 +77,7 @@
   private long sentAt;
   private double workBefore;
   private boolean prefilled;
+
   /** An earlier send may have run. */
   boolean mayHaveRunBefore;
 
@@ -86,6 +89,7 @@
   boolean confirming;
   boolean charged;
   AnswerRelay relay;
+
   /** What a further backend answers in the middle of a stream, if it can't go on with it. */
   BufferedAnswer rejected;
 
--- a/router/src/main/java/nettletrail/router/QuotaGate.java
+++ b/router/src/main/java/nettletrail/router/QuotaGate.java
@@ -7,8 +7,8 @@
 import nettletrail.router.admission.Companion;
 
 /**
- * What of its tenant's quota an exchange may use: tokens of the hard grants, and before these the companion's estimate, by
- * which requests beyond the rate are refused at once. On the event loop.
+ * What of its tenant's quota an exchange may use: tokens of the hard grants, and before these the
+ * companion's estimate, by which requests beyond the rate are refused at once. On the event loop.
  */
 final class QuotaGate {
   /** A tenant that asks and gets nothing for so long lacks its grants, not its quota. */
@@ -16,6 +16,7 @@
 
   private final ControlView control;
   private final long seed;
+
   /** When each tenant last got tokens that it asked for. */
   private final Map<String, Long> lastTaken = new HashMap<>();
 
@@ -43,8 +44,7 @@
     if (companion == null) {
       int doors = control.quota().doorsServing(tenant.name());
       long seedOfTenant = seed ^ tenant.name().hashCode();
-      companion =
-          new Companion(tenant.ratePerSecond(), tenant.burst(), doors, seedOfTenant, now);
+      companion = new Companion(tenant.ratePerSecond(), tenant.burst(), doors, seedOfTenant, now);
       companions.put(tenant.name(), companion);
     }
     companion.limit(tenant.ratePerSecond(), tenant.burst());
@@ -69,7 +69,10 @@
     return true;
   }
 
-  /** Whether nobody grants tokens to the tenant: a request beyond its quota is refused while others get theirs. */
+  /**
+   * Whether nobody grants tokens to the tenant: a request beyond its quota is refused while others
+   * get theirs.
+   */
   boolean isStarved(Exchange exchange, long now) {
     Long last = lastTaken.get(exchange.tenantName);
     return last == null || now - last > STARVED_NANOS;
--- a/router/src/main/java/nettletrail/router/ReadyServer.java
+++ b/router/src/main/java/nettletrail/router/ReadyServer.java
@@ -57,7 +57,8 @@
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
     if (request.uri().equals(PATH)) {
-      status = ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+      status =
+          ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
     }
     boolean keepAlive = HttpUtil.isKeepAlive(request);
     DefaultFullHttpResponse answer =
--- a/router/src/main/java/nettletrail/router/Refusal.java
+++ b/router/src/main/java/nettletrail/router/Refusal.java
@@ -14,7 +14,10 @@
   static final Refusal BAD_GATEWAY = new Refusal(HttpResponseStatus.BAD_GATEWAY, 0);
   static final Refusal GATEWAY_TIMEOUT = new Refusal(HttpResponseStatus.GATEWAY_TIMEOUT, 0);
 
-  /** What the control plane has not told yet, or not confirmed of late, may come within a part of the time left. */
+  /**
+   * What the control plane has not told yet, or not confirmed of late, may come within a part of
+   * the time left.
+   */
   static Refusal controlPlaneMissing(ClientRequest request) {
     return unavailable(RetryAfter.afterOutageMs(request.timeLeftMs()));
   }
--- a/router/src/main/java/nettletrail/router/RequestDispatcher.java
+++ b/router/src/main/java/nettletrail/router/RequestDispatcher.java
@@ -13,16 +13,20 @@
 import nettletrail.router.upstream.UpstreamPool;
 
 /**
- * Takes each request from its arrival through the queue of its service to its sending: looks it up, has it wait for a slot, for
- * tokens of its tenant's quota and for a backend, and refuses it soon if they don't come. On one event loop.
+ * Takes each request from its arrival through the queue of its service to its sending: looks it up,
+ * has it wait for a slot, for tokens of its tenant's quota and for a backend, and refuses it soon
+ * if they don't come. On one event loop.
  */
 final class RequestDispatcher {
-  /** The part of a request's target that it may wait here before it is refused: a refusal is worth more soon. */
+  /**
+   * The part of a request's target that it may wait here before it is refused: a refusal is worth
+   * more soon.
+   */
   static final double MOST_WAIT_OF_TARGET = 0.22;
 
   /**
-   * The part of its time that a request may wait for the first backend of its service after a start: these are heard of within
-   * a beat, and a late answer is worth more than none.
+   * The part of its time that a request may wait for the first backend of its service after a
+   * start: these are heard of within a beat, and a late answer is worth more than none.
    */
   private static final double MOST_WAIT_OF_TIME_AT_START = 0.3;
 
@@ -49,9 +53,8 @@
     this.pool = pool;
     random = new SplittableRandom(settings.seed());
     quota = new QuotaGate(control, settings.seed());
-    completion = 
-        new Completion(
-            loop, quota, counters, random, settings.mostBufferedBytes(), this::pump);
+    completion =
+        new Completion(loop, quota, counters, random, settings.mostBufferedBytes(), this::pump);
     sender = new AttemptSender(loop, control, pool, counters, completion, this::requeue);
     answers = new AnswerHandler(sender, completion);
   }
--- a/router/src/main/java/nettletrail/router/RequestHead.java
+++ b/router/src/main/java/nettletrail/router/RequestHead.java
@@ -10,6 +10,10 @@
 /** Writes a request's head as a backend gets it. */
 final class RequestHead {
   private static final int EXPECTED_BYTES = 640;
+
+  /** Priorities are digits, 0 the most urgent. */
+  private static final int LEAST_URGENT = 9;
+
   private static final byte[] SPACE = HeadBytes.constant(" ");
   private static final byte[] VERSION = HeadBytes.constant(" HTTP/1.1\r\n");
   private static final byte[] COLON = HeadBytes.constant(": ");
@@ -26,7 +30,8 @@
   /**
    * @param backendId of the incarnation that may run it
    * @param timeLeftMs what is left of the time that it may take
-   * @param resumeAfter the event after which the backend is to go on, or -1 for what the client said
+   * @param resumeAfter the event after which the backend is to go on, or -1 for what the client
+   *     said
    */
   static HeadBytes write(
       ClientRequest request,
@@ -41,7 +46,9 @@
     if (resolution.tenant() != null) {
       head.add(SENDER).add(resolution.tenantName()).add(LINE_END);
     }
-    head.add(PRIORITY).add(Math.min(9, Math.max(0, resolution.priority()))).add(LINE_END);
+    head.add(PRIORITY)
+        .add(Math.min(LEAST_URGENT, Math.max(0, resolution.priority())))
+        .add(LINE_END);
     head.add(TIME_LEFT).add(timeLeftMs).add(LINE_END);
     if (resumeAfter >= 0) {
       head.add(LAST_EVENT_ID).add(resumeAfter).add(LINE_END);
@@ -59,14 +66,16 @@
     while (all.hasNext()) {
       Map.Entry<CharSequence, CharSequence> header = all.next();
       CharSequence name = header.getKey();
-      boolean dropped =
-          RequestHeaders.isHopByHop(name)
-              || RequestHeaders.isReplaced(name)
-              || resumed && RequestHeaders.LAST_EVENT_ID.contentEqualsIgnoreCase(name)
-              || !listed.isEmpty() && listed.contains(name.toString().toLowerCase(Locale.ROOT));
-      if (!dropped) {
+      boolean named =
+          !listed.isEmpty() && listed.contains(name.toString().toLowerCase(Locale.ROOT));
+      boolean replaced = RequestHeaders.isReplaced(name) || resumed && isLastEventId(name);
+      if (!named && !replaced && !RequestHeaders.isHopByHop(name)) {
         head.add(name.toString()).add(COLON).add(header.getValue().toString()).add(LINE_END);
       }
     }
   }
+
+  private static boolean isLastEventId(CharSequence name) {
+    return RequestHeaders.LAST_EVENT_ID.contentEqualsIgnoreCase(name);
+  }
 }
--- a/router/src/main/java/nettletrail/router/RequestHeaders.java
+++ b/router/src/main/java/nettletrail/router/RequestHeaders.java
@@ -7,7 +7,10 @@
 import java.util.Locale;
 import java.util.Set;
 
-/** Names of the headers that the router reads or writes, and which of them concern one connection only. */
+/**
+ * Names of the headers that the router reads or writes, and which of them concern one connection
+ * only.
+ */
 final class RequestHeaders {
   static final AsciiString ATTEMPT_ID = AsciiString.cached("X-Attempt-Id");
   static final AsciiString KEY = AsciiString.cached("X-Key");
@@ -40,7 +43,10 @@
 
   private RequestHeaders() {}
 
-  /** Whether a header concerns one connection only, or the framing, which is written anew (RFC 9110 section 7.6.1). */
+  /**
+   * Whether a header concerns one connection only, or the framing, which is written anew (RFC 9110
+   * section 7.6.1).
+   */
   static boolean isHopByHop(CharSequence name) {
     return contains(HOP_BY_HOP, name);
   }
--- a/router/src/main/java/nettletrail/router/Resolution.java
+++ b/router/src/main/java/nettletrail/router/Resolution.java
@@ -8,8 +8,8 @@
 import nettletrail.configuration.Tenant;
 
 /**
- * What the routing in force says of a request: its route, the service that the request goes to, and the tenant that its key
- * stands for, or why it is refused. Pure.
+ * What the routing in force says of a request: its route, the service that the request goes to, and
+ * the tenant that its key stands for, or why it is refused. Pure.
  *
  * @param edition of the routing
  * @param route null if refused
@@ -23,7 +23,8 @@
    *
    * @param routing null if none is known
    * @param keysConfirmed whether keys may be used, and refused, now
-   * @param draw from 0 to below 1: which of the route's services the request goes to by their weights
+   * @param draw from 0 to below 1: which of the route's services the request goes to by their
+   *     weights
    */
   static Resolution of(
       RoutingTable routing, ClientRequest request, boolean keysConfirmed, double draw) {
--- a/router/src/main/java/nettletrail/router/ResponseHead.java
+++ b/router/src/main/java/nettletrail/router/ResponseHead.java
@@ -58,7 +58,7 @@
   }
 
   /** An answer of the router's own, without a body. */
-  static HeadBytes of(Refusal refusal, boolean close) {
+  static HeadBytes ofRefusal(Refusal refusal, boolean close) {
     HeadBytes head = new HeadBytes(EXPECTED_BYTES);
     head.add(VERSION).add(refusal.status().code()).add(SPACE);
     head.add(refusal.status().reasonPhrase()).add(LINE_END);
--- a/router/src/main/java/nettletrail/router/ResponseWriter.java
+++ b/router/src/main/java/nettletrail/router/ResponseWriter.java
@@ -11,13 +11,15 @@
 import nettletrail.upstream.HeadBytes;
 
 /**
- * Writes answers to one client's connection: whole ones, or such whose body comes in parts. An answer that is the last one ends
- * the connection in a way that lets the client read it. On the event loop.
+ * Writes answers to one client's connection: whole ones, or such whose body comes in parts. An
+ * answer that is the last one ends the connection in a way that lets the client read it. On the
+ * event loop.
  */
 final class ResponseWriter {
   private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
 
   private final Channel channel;
+
   /** From where on there are only bytes. */
   private final ChannelHandlerContext wire;
 
@@ -59,7 +61,10 @@
         .writeTo(wire, Unpooled.EMPTY_BUFFER, channel.voidPromise());
   }
 
-  /** Adds bytes to the body; they go out with {@link #flushStream}. The source's indices are not moved. */
+  /**
+   * Adds bytes to the body; they go out with {@link #flushStream}. The source's indices are not
+   * moved.
+   */
   void streamBytes(ByteBuf source, int from, int length) {
     if (channel.isActive()) {
       chunks.add(channel.alloc(), source, from, length);
--- a/router/src/main/java/nettletrail/router/RetryAfter.java
+++ b/router/src/main/java/nettletrail/router/RetryAfter.java
@@ -6,6 +6,7 @@
 final class RetryAfter {
   private static final long LEAST_MS = 250;
   private static final int SPREAD_MS = 250;
+
   /** Clients wait no longer than that part of the time that they have left. */
   private static final long MOST_PART_OF_TIME_LEFT = 3;
 
@@ -14,14 +15,17 @@
 
   private RetryAfter() {}
 
-  /** Where it is only full: soon, and spread, so that clients that were refused together don't come back together. */
+  /**
+   * Where it is only full: soon, and spread, so that clients that were refused together don't come
+   * back together.
+   */
   static long whenFullMs(SplittableRandom random) {
     return LEAST_MS + random.nextInt(SPREAD_MS);
   }
 
   /**
-   * Where it is the control plane or all backends that are missing: those take a second or so to come back, and most
-   * clients come again but once. So it is as late as a client will wait.
+   * Where it is the control plane or all backends that are missing: those take a second or so to
+   * come back, and most clients come again but once. So it is as late as a client will wait.
    *
    * @param timeLeftMs of the client; negative if it does not say
    */
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -17,16 +17,22 @@
 import nettletrail.router.upstream.UpstreamPool;
 
 /**
- * The data plane of a door: takes requests from clients and passes them to backends, as the {@link ControlView} says. All of it
- * runs on one event loop; every method is to be called there unless it says otherwise.
+ * The data plane of a door: takes requests from clients and passes them to backends, as the {@link
+ * ControlView} says. All of it runs on one event loop; every method is to be called there unless it
+ * says otherwise.
  */
 public final class Router {
   private static final long TICK_MS = 250;
   private static final int BACKLOG = 1_024;
-  /** For how long a draining door waits for requests on connections that stand idle before it closes them. */
+
+  /**
+   * For how long a draining door waits for requests on connections that stand idle before it closes
+   * them.
+   */
   private static final long DRAIN_IDLE_MS = 2_500;
 
   private static final long DRAIN_CHECK_MS = 100;
+
   /** Before the process is killed: what is still open then is left to its fate. */
   private static final long DRAIN_MARGIN_MS = 300;
 
@@ -75,7 +81,10 @@
     return bound;
   }
 
-  /** Answers {@code GET /nettletrail/ready} on another address: 200 if {@link #ready}. May be called from any thread. */
+  /**
+   * Answers {@code GET /nettletrail/ready} on another address: 200 if {@link #ready}. May be called
+   * from any thread.
+   */
   public ChannelFuture listenForProbes(String host, int port) {
     return ReadyServer.listen(loop, host, port, this::ready);
   }
@@ -90,8 +99,8 @@
   }
 
   /**
-   * Ends the router without losing a request that was read: it calls itself unready, goes on to accept and serve, tells
-   * clients to close, and after some seconds closes what is idle.
+   * Ends the router without losing a request that was read: it calls itself unready, goes on to
+   * accept and serve, tells clients to close, and after some seconds closes what is idle.
    *
    * @param graceMs until the process is killed
    * @param done run once no connection is left, or shortly before the grace ends
@@ -116,8 +125,7 @@
       done.run();
       return;
     }
-    loop.schedule(
-        () -> checkDrain(idleFrom, end, done), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> checkDrain(idleFrom, end, done), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Ends what has stood too long. Called by the router itself; harmless if called more often. */
--- a/router/src/main/java/nettletrail/router/RouterSettings.java
+++ b/router/src/main/java/nettletrail/router/RouterSettings.java
@@ -4,7 +4,8 @@
  * What the router is told at its start.
  *
  * @param zone where this door stands
- * @param retryRatio further sends that all doors may make for each request to a service, from 0 to 1
+ * @param retryRatio further sends that all doors may make for each request to a service, from 0 to
+ *     1
  * @param retrySlack further sends that all doors may make beside, in a window
  * @param retryWindowMs of these two
  * @param mostConnections sockets to clients and backends together, at most
@@ -50,7 +51,8 @@
   /** Checks the ranges. */
   public RouterSettings {
     if (retryRatio < 0 || retryRatio > 1 || retrySlack < 0) {
-      throw new IllegalArgumentException("retries: the ratio is from 0 to 1, the slack not negative");
+      throw new IllegalArgumentException(
+          "retries: the ratio is from 0 to 1, the slack not negative");
     }
     if (retryWindowMs < 1 || mostConnections < 2 || mostBufferedBytes < 1 || connectTimeoutMs < 1) {
       throw new IllegalArgumentException("bounds of the router must be positive");
--- a/router/src/main/java/nettletrail/router/ServiceState.java
+++ b/router/src/main/java/nettletrail/router/ServiceState.java
@@ -9,11 +9,15 @@
 
 /** All that the router keeps about one service. */
 final class ServiceState {
-  /** Requests in flight for each slot of the service, shared out among the doors: what waits at backends is included. */
+  /**
+   * Requests in flight for each slot of the service, shared out among the doors: what waits at
+   * backends is included.
+   */
   private static final double ENGINE_HEADROOM = 4;
 
   private static final double PLAIN_HEADROOM = 6;
   private static final int LEAST_BOUND = 8;
+
   /** A door's share of a backend's connections; the rest is for doors that count too few others. */
   private static final double CONNECTION_SHARE = 0.9;
 
@@ -22,12 +26,14 @@
   final ServiceBackends backends;
   final RetryBudget budget;
 
-  /** @param startedAt when the router began, ns: its retry budget grows from then on */
+  /**
+   * @param startedAt when the router began, ns: its retry budget grows from then on
+   */
   ServiceState(String name, RouterSettings settings, VirtualCounters counters, long startedAt) {
     this.name = name;
     queue = new AdmissionQueue<>(counters);
     backends = new ServiceBackends(settings.zone(), settings.seed() ^ name.hashCode());
-    budget = 
+    budget =
         new RetryBudget(
             settings.retryRatio(),
             settings.retrySlack(),
--- a/router/src/main/java/nettletrail/router/StreamAnswer.java
+++ b/router/src/main/java/nettletrail/router/StreamAnswer.java
@@ -6,9 +6,9 @@
 import nettletrail.router.stream.EventParser;
 
 /**
- * An event stream that is passed on event by event. Where the route allows it, the stream is taken up at another backend
- * inside the same answer: the head stays that of the first backend, and of the new one only the events that follow the last
- * one without a gap are passed on.
+ * An event stream that is passed on event by event. Where the route allows it, the stream is taken
+ * up at another backend inside the same answer: the head stays that of the first backend, and of
+ * the new one only the events that follow the last one without a gap are passed on.
  */
 final class StreamAnswer implements AnswerRelay, EventParser.Sink {
   private static final long UNKNOWN = -1;
@@ -17,6 +17,7 @@
   private final boolean resumable;
   private final EventParser parser;
   private final HttpResponse head;
+
   /** The last event that the client has; {@link #UNKNOWN} if it has none. */
   private long lastId;
 
@@ -24,7 +25,9 @@
   private boolean gap;
   private long events;
 
-  /** @param lastId the event that the client has already, or -1 */
+  /**
+   * @param lastId the event that the client has already, or -1
+   */
   StreamAnswer(
       ClientConnection client,
       HttpResponse head,
@@ -68,7 +71,10 @@
     client.streamBytes(source, from, length);
   }
 
-  /** Whether the event is the one that is due; one that is ahead of it means that another is missing. */
+  /**
+   * Whether the event is the one that is due; one that is ahead of it means that another is
+   * missing.
+   */
   private boolean follows(long id) {
     if (lastId == UNKNOWN) {
       return id >= 0;
--- a/router/src/main/java/nettletrail/router/TokenCount.java
+++ b/router/src/main/java/nettletrail/router/TokenCount.java
@@ -1,5 +1,7 @@
 package nettletrail.router;
 
+import nettletrail.router.text.DecimalNumber;
+
 /**
  * The size of a generation, as a client states it.
  *
@@ -16,8 +18,8 @@
     if (comma < 0) {
       return null;
     }
-    long input = ClientRequest.number(header.substring(0, comma).trim());
-    long output = ClientRequest.number(header.substring(comma + 1).trim());
+    long input = DecimalNumber.parse(header.substring(0, comma).trim());
+    long output = DecimalNumber.parse(header.substring(comma + 1).trim());
     return input < 0 || output < 0 ? null : new TokenCount(input, output);
   }
 
--- a/router/src/main/java/nettletrail/router/admission/AdmissionQueue.java
+++ b/router/src/main/java/nettletrail/router/admission/AdmissionQueue.java
@@ -8,8 +8,9 @@
 import java.util.function.Predicate;
 
 /**
- * The requests for one service that wait at this door, and the bound on those in flight. A free slot goes to the most
- * urgent priority that waits; within it to the tenant with the lowest virtual counter; of its requests to the oldest.
+ * The requests for one service that wait at this door, and the bound on those in flight. A free
+ * slot goes to the most urgent priority that waits; within it to the tenant with the lowest virtual
+ * counter; of its requests to the oldest.
  *
  * @param <E> a request
  */
@@ -28,7 +29,9 @@
   private int size;
   private int inFlight;
 
-  /** @param counters shared by the queues of all services */
+  /**
+   * @param counters shared by the queues of all services
+   */
   public AdmissionQueue(VirtualCounters counters) {
     this.counters = counters;
   }
@@ -76,8 +79,8 @@
    * Takes the request that goes next.
    *
    * @param bound requests in flight, at most
-   * @param eligible asked of the oldest request of a tenant; one that is not lets other tenants go first. It must not
-   *     change this queue
+   * @param eligible asked of the oldest request of a tenant; one that is not lets other tenants go
+   *     first. It must not change this queue
    * @return null if none may go
    */
   public E poll(int bound, Predicate<E> eligible) {
@@ -108,8 +111,7 @@
     while (!open.isEmpty()) {
       E least = null;
       for (E each : open) {
-        if (least == null
-            || counters.of(each.tenantName()) < counters.of(least.tenantName())) {
+        if (least == null || counters.of(each.tenantName()) < counters.of(least.tenantName())) {
           least = each;
         }
       }
--- a/router/src/main/java/nettletrail/router/admission/Companion.java
+++ b/router/src/main/java/nettletrail/router/admission/Companion.java
@@ -3,14 +3,17 @@
 import java.util.SplittableRandom;
 
 /**
- * Refuses early what a tenant asks beyond its rate, by this door's estimate of the tenant's global store of tokens. It works
- * inside the hard grants: whatever it lets in must still find tokens there.
+ * Refuses early what a tenant asks beyond its rate, by this door's estimate of the tenant's global
+ * store of tokens. It works inside the hard grants: whatever it lets in must still find tokens
+ * there.
  *
- * <p>The store begins at {@code burst / n}, where {@code n} is the number of doors that serve the tenant, and fills at
- * {@code rate / n} until the first reading. After that each reading {@code p}, the use of all doors in percent of the rate,
- * adds {@code (100 - p)%} of a period's {@code rate / n}, up to {@code burst}; the door's own use is in it. While the store is spent, the admission
- * share {@code a}, at first 1, becomes {@code min(1, a * 100 / p)} at each reading, or 1 if {@code p} is 0, and a request
- * is refused with chance {@code 1 - a}. Pure and seeded; {@code now} is in ns.
+ * <p>The store begins at {@code burst / n}, where {@code n} is the number of doors that serve the
+ * tenant, and fills at {@code rate / n} until the first reading. After that each reading {@code p},
+ * the use of all doors in percent of the rate, adds {@code (100 - p)%} of a period's {@code rate /
+ * n}, up to {@code burst}; the door's own use is in it. While the store is spent, the admission
+ * share {@code a}, at first 1, becomes {@code min(1, a * 100 / p)} at each reading, or 1 if {@code
+ * p} is 0, and a request is refused with chance {@code 1 - a}. Pure and seeded; {@code now} is in
+ * ns.
  */
 public final class Companion {
   /** From one reading to the next. */
@@ -19,6 +22,7 @@
   /** The least share: with less, a tenant whose demand has ended would hardly be let in again. */
   static final double LEAST_SHARE = 0.05;
 
+  private static final double WHOLE_PERCENT = 100;
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final SplittableRandom random;
@@ -79,12 +83,12 @@
     double periods = Math.floor((double) (now - touchedAt) / PERIOD_NANOS);
     touchedAt = now;
     double period = periods * PERIOD_NANOS / NANOS_PER_SECOND;
-    double left = (100 - pressurePercent) / 100;
+    double left = (WHOLE_PERCENT - pressurePercent) / WHOLE_PERCENT;
     store = Math.min(burst, Math.max(-burst, store + left * period * ratePerSecond / doors));
     if (store > 0 || pressurePercent <= 0) {
       share = 1;
     } else {
-      share = Math.max(LEAST_SHARE, Math.min(1, share * 100 / pressurePercent));
+      share = Math.max(LEAST_SHARE, Math.min(1, share * WHOLE_PERCENT / pressurePercent));
     }
   }
 
--- a/router/src/main/java/nettletrail/router/admission/VirtualCounters.java
+++ b/router/src/main/java/nettletrail/router/admission/VirtualCounters.java
@@ -7,19 +7,24 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The service that each tenant has had, as one number: the virtual counter of VTC (Sheng et al., "Fairness in Serving Large
- * Language Models") with a charge that is quadratic in the prompt. The waiting tenant with the lowest counter goes next.
+ * The service that each tenant has had, as one number: the virtual counter of VTC (Sheng et al.,
+ * "Fairness in Serving Large Language Models") with a charge that is quadratic in the prompt. The
+ * waiting tenant with the lowest counter goes next.
  *
- * <p>Sending a request with a prompt of {@code l} tokens charges {@code INPUT_WEIGHT * l + INPUT_WEIGHT * l * l / d}; what
- * the answer shows is settled: {@link #OUTPUT_WEIGHT} for each token that was generated, the charge back if the request did
- * not run. A tenant that returns is lifted to the least counter among those that wait, so that nobody saves up turns while
- * away. Counters of tenants that were idle for {@link #FORGET_NANOS} are forgotten.
+ * <p>Sending a request with a prompt of {@code l} tokens charges {@code INPUT_WEIGHT * l +
+ * INPUT_WEIGHT * l * l / d}; what the answer shows is settled: {@link #OUTPUT_WEIGHT} for each
+ * token that was generated, the charge back if the request did not run. A tenant that returns is
+ * lifted to the least counter among those that wait, so that nobody saves up turns while away.
+ * Counters of tenants that were idle for {@link #FORGET_NANOS} are forgotten.
  */
 public final class VirtualCounters {
   static final double INPUT_WEIGHT = 1;
   static final double OUTPUT_WEIGHT = 2;
 
-  /** The prompt whose quadratic part is as much as its linear one: a long prompt of the sites that are known. */
+  /**
+   * The prompt whose quadratic part is as much as its linear one: a long prompt of the sites that
+   * are known.
+   */
   static final double QUADRATIC_SCALE_TOKENS = 32_768;
 
   static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(30);
--- a/router/src/main/java/nettletrail/router/balance/BackendHealth.java
+++ b/router/src/main/java/nettletrail/router/balance/BackendHealth.java
@@ -1,9 +1,10 @@
 package nettletrail.router.balance;
 
 /**
- * Passive health of one backend, from its sends alone. {@link #FAILURES_TO_EJECT} failures in a row eject it for a pause that
- * doubles each time; so does silence of {@link #SILENCE_NANOS} while requests wait there. After the pause one request at a time
- * tries it, until something is heard. Pure; {@code now} is in ns.
+ * Passive health of one backend, from its sends alone. {@link #FAILURES_TO_EJECT} failures in a row
+ * eject it for a pause that doubles each time; so does silence of {@link #SILENCE_NANOS} while
+ * requests wait there. After the pause one request at a time tries it, until something is heard.
+ * Pure; {@code now} is in ns.
  */
 final class BackendHealth {
   static final int FAILURES_TO_EJECT = 3;
@@ -15,15 +16,19 @@
   private long pauseNanos;
   private long ejectedUntil;
   private boolean ejected;
+
   /** Whether it was ejected for its silence, so that a word from it is enough to come back. */
   private boolean ejectedForSilence;
 
   /** Whether a request tries it after its pause. */
   private boolean trial;
+
   /** Since when something is awaited and nothing was heard. */
   private long silentSince;
 
-  /** @param first whether nothing was awaited before */
+  /**
+   * @param first whether nothing was awaited before
+   */
   void sent(boolean first, long now) {
     trial = ejected;
     if (first || trial) {
@@ -57,7 +62,8 @@
   }
 
   /**
-   * Ejects it if it has been silent for too long; to be called only while something is awaited from it.
+   * Ejects it if it has been silent for too long; to be called only while something is awaited from
+   * it.
    *
    * @param allowance that it has beside, ns
    * @return whether it did
--- a/router/src/main/java/nettletrail/router/balance/BackendLoad.java
+++ b/router/src/main/java/nettletrail/router/balance/BackendLoad.java
@@ -3,12 +3,12 @@
 import nettletrail.router.BackendEndpoint;
 
 /**
- * What this door knows of one incarnation of a backend from the requests that it sent there: how much is outstanding, how
- * slow it is beside others, and how often it failed. Pure; {@code now} is in ns.
+ * What this door knows of one incarnation of a backend from the requests that it sent there: how
+ * much is outstanding, how slow it is beside others, and how often it failed. Pure; {@code now} is
+ * in ns.
  */
 public final class BackendLoad {
   private static final double FAILURE_WEIGHT = 0.15;
-  private static final double FAILURE_HALF_LIFE_NANOS = 5e9;
 
   private final BackendEndpoint endpoint;
   private final BackendHealth health = new BackendHealth();
@@ -83,7 +83,10 @@
     noteOutcome(well ? 0 : 1, now);
   }
 
-  /** A send to it failed in a way that tells of it: no connection, a break, something that is no answer. */
+  /**
+   * A send to it failed in a way that tells of it: no connection, a break, something that is no
+   * answer.
+   */
   public void failed(long now) {
     health.failed(now);
     noteOutcome(1, now);
@@ -112,10 +115,7 @@
 
   /** The part of its last requests that failed, from 0 to 1; what was seen fades. */
   double failureRate(long now) {
-    if (failureRate == 0) {
-      return 0;
-    }
-    return failureRate * Math.pow(0.5, (now - failureRateAt) / FAILURE_HALF_LIFE_NANOS);
+    return failureRate == 0 ? 0 : failureRate * Fading.kept(now - failureRateAt);
   }
 
   /** Whether it keeps requests waiting without a sign of life. */
--- a/router/src/main/java/nettletrail/router/balance/LatencyEstimate.java
+++ b/router/src/main/java/nettletrail/router/balance/LatencyEstimate.java
@@ -1,16 +1,17 @@
 package nettletrail.router.balance;
 
 /**
- * How slow a backend is beside the others of its service, by the time that its answers took to begin for what was asked of
- * it. It follows the median: each observation moves it by the same small step, so that a few answers that took very long
- * for reasons of their own, as a prompt that had to be read anew, don't make a backend look slow. It returns to 1 while no
- * observations come. Pure; {@code now} is in ns.
+ * How slow a backend is beside the others of its service, by the time that its answers took to
+ * begin for what was asked of it. It follows the median: each observation moves it by the same
+ * small step, so that a few answers that took very long for reasons of their own, as a prompt that
+ * had to be read anew, don't make a backend look slow. It returns to 1 while no observations come.
+ * Pure; {@code now} is in ns.
  */
 final class LatencyEstimate {
   private static final double STEP = 1.12;
-  private static final double HALF_LIFE_NANOS = 5e9;
   private static final double LEAST = 0.5;
   private static final double MOST = 8;
+
   /** Less is not told from chance. */
   private static final double LEAST_SLOWDOWN = 1.6;
 
@@ -20,7 +21,8 @@
   /**
    * An answer began.
    *
-   * @param ratio of the time that it took to the time that the service's backends usually take for as much
+   * @param ratio of the time that it took to the time that the service's backends usually take for
+   *     as much
    */
   void observe(double ratio, long now) {
     double before = factor(now);
@@ -29,7 +31,9 @@
     updatedAt = now;
   }
 
-  /** How many times as long as others it takes, if that is beyond what chance makes of it; else 1. */
+  /**
+   * How many times as long as others it takes, if that is beyond what chance makes of it; else 1.
+   */
   double slowdown(long now) {
     double current = factor(now);
     return current < LEAST_SLOWDOWN ? 1 : current;
@@ -39,7 +43,6 @@
     if (factor == 1) {
       return 1;
     }
-    double kept = Math.pow(0.5, Math.max(0, now - updatedAt) / HALF_LIFE_NANOS);
-    return 1 + (factor - 1) * kept;
+    return 1 + (factor - 1) * Fading.kept(now - updatedAt);
   }
 }
--- a/router/src/main/java/nettletrail/router/balance/PrefixIndex.java
+++ b/router/src/main/java/nettletrail/router/balance/PrefixIndex.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Which backends this door has lately sent each shared prefix to. Holds a bounded number of prefixes, the latest used. */
+/**
+ * Which backends this door has lately sent each shared prefix to. Holds a bounded number of
+ * prefixes, the latest used.
+ */
 final class PrefixIndex {
   private static final int MOST_PREFIXES = 4_096;
   private static final int MOST_BACKENDS = 3;
--- a/router/src/main/java/nettletrail/router/balance/PromptPrefix.java
+++ b/router/src/main/java/nettletrail/router/balance/PromptPrefix.java
@@ -1,8 +1,10 @@
 package nettletrail.router.balance;
 
+import nettletrail.router.text.DecimalNumber;
+
 /**
- * The parts of a prompt that it shares with other requests, as one key: every part but the last, which is the request's
- * own.
+ * The parts of a prompt that it shares with other requests, as one key: every part but the last,
+ * which is the request's own.
  *
  * @param key of all shared parts in their order; 0 if there are none
  * @param tokens of the shared parts together
@@ -12,11 +14,12 @@
   public static final PromptPrefix NONE = new PromptPrefix(0, 0);
 
   private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
-  private static final int MOST_DIGITS = 9;
+  private static final int MIX_SHIFT = 29;
+  private static final long MOST_TOKENS = 1_000_000_000;
 
   /**
-   * Reads {@code ID:TOKENS,ID:TOKENS,...}. What can't be read counts as no shared part: it guides the choice of a backend
-   * only.
+   * Reads {@code ID:TOKENS,ID:TOKENS,...}. What can't be read counts as no shared part: it guides
+   * the choice of a backend only.
    *
    * @param header may be null
    * @param model may be null; parts of different models have nothing in common
@@ -38,8 +41,8 @@
       if (colon < 0 || colon > comma) {
         return NONE;
       }
-      long part = number(header, colon + 1, comma);
-      if (part < 0) {
+      long part = DecimalNumber.parse(header, colon + 1, comma);
+      if (part < 0 || part > MOST_TOKENS) {
         return NONE;
       }
       for (int i = at; i < colon; i++) {
@@ -52,21 +55,6 @@
   }
 
   private static long mix(long key, int next) {
-    return (key ^ next) * MULTIPLIER + (key >>> 29);
-  }
-
-  private static long number(String text, int from, int to) {
-    if (to - from > MOST_DIGITS || from == to) {
-      return -1;
-    }
-    long value = 0;
-    for (int i = from; i < to; i++) {
-      int digit = text.charAt(i) - '0';
-      if (digit < 0 || digit > 9) {
-        return -1;
-      }
-      value = value * 10 + digit;
-    }
-    return value;
+    return (key ^ next) * MULTIPLIER + (key >>> MIX_SHIFT);
   }
 }
--- a/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -11,29 +11,39 @@
 /**
  * Chooses a backend for each request to one service.
  *
- * <p>Services with an engine: the cost of a backend is what a prompt would wait for there, in tokens to be read: the prompts
- * that this door sent there and that are not read yet, the part of this prompt that the backend does not hold, and a share
- * for each running request, which slows every step. Whether it holds the shared prefix is told by what this door sent
- * there, else guessed: all doors prefer the same few backends for a prefix, those that rendezvous hashing puts first.
- * Weighed are all backends that may hold it and two others by chance, so that doors with the same old knowledge do
- * not all choose the same.
+ * <p>Services with an engine: the cost of a backend is what a prompt would wait for there, in
+ * tokens to be read: the prompts that this door sent there and that are not read yet, the part of
+ * this prompt that the backend does not hold, and a share for each running request, which slows
+ * every step. Whether it holds the shared prefix is told by what this door sent there, else
+ * guessed: all doors prefer the same few backends for a prefix, those that rendezvous hashing puts
+ * first. Weighed are all backends that may hold it and two others by chance, so that doors with the
+ * same old knowledge do not all choose the same.
  *
- * <p>Other services: the less loaded of two by chance, or one of this door's zone if that is not fuller.
+ * <p>Other services: the less loaded of two by chance, or one of this door's zone if that is not
+ * fuller.
  *
- * <p>In both, a backend that has been slower than others counts as that much fuller, and one that failed requests is put
- * behind by the part that failed.
+ * <p>In both, a backend that has been slower than others counts as that much fuller, and one that
+ * failed requests is put behind by the part that failed.
  */
 public final class ServiceBackends {
-  /** Backends that all doors prefer for a prefix, in this order. */
-  static final int PREFERRED = 2;
-  /** Chance that a preferred backend lacks a prefix that this door has not sent there. */
-  private static final double[] PREFERRED_MISS = {0.05, 0.7};
+
+  /**
+   * Chance that the first and the second of a prefix's backends lack it, if this door has not sent
+   * it there.
+   */
+  private static final double FIRST_MISS = 0.05;
+
+  private static final double SECOND_MISS = 0.7;
+
   /** A shared part that is read again is priced beside the time that it takes. */
   static final double READ_AGAIN_WEIGHT = 2.5;
+
   /** What a running request costs the next one, in tokens of prompt. */
   static final double RUNNING_TOKENS = 40;
+
   /** What a backend in another zone costs more, in tokens of prompt: two ways of some ms. */
   static final double OTHER_ZONE_TOKENS = 150;
+
   /** Full of that share of its memory a backend begins to preempt requests. */
   static final double MEMORY_SHARE = 0.85;
 
@@ -41,12 +51,21 @@
   static final double STEP_TOKENS = 3_500;
 
   private static final double FULL_TOKENS = 1e7;
+
   /** What a backend costs more that fails all its requests: more than any prompt. */
   private static final double FAILURE_TOKENS = 60_000;
 
   private static final double FAILURE_LOAD = 4;
+
+  /**
+   * Of the request that is to be sent, so that slots and slowness count where nothing is
+   * outstanding.
+   */
+  private static final double OWN_LOAD = 0.5;
+
   private static final double COLD_LOAD = 0.5;
   private static final double USUAL_STEP = 1.04;
+
   /** A plain backend in another zone must be less loaded by that, in requests for each slot. */
   static final double OTHER_ZONE_LOAD = 0.34;
 
@@ -56,10 +75,13 @@
   private final PrefixIndex prefixes = new PrefixIndex();
   private final List<String> ejected = new ArrayList<>();
   private List<BackendLoad> ready = List.of();
+
   /** Median time that the service's backends take for a unit of work, ns; 0 while unknown. */
   private double usualNanosPerUnit;
 
-  /** @param zone where this door stands */
+  /**
+   * @param zone where this door stands
+   */
   public ServiceBackends(String zone, long seed) {
     this.zone = zone;
     random = new SplittableRandom(seed);
@@ -177,7 +199,7 @@
   }
 
   private double plainCost(BackendLoad load, long now) {
-    double fullness = (load.outstanding() + 0.5) / load.endpoint().slots();
+    double fullness = (load.outstanding() + OWN_LOAD) / load.endpoint().slots();
     return fullness * load.latency().slowdown(now)
         + FAILURE_LOAD * load.failureRate(now)
         + (isNear(load) ? 0 : OTHER_ZONE_LOAD)
@@ -189,25 +211,19 @@
   }
 
   private BackendLoad cheapest(
-      List<BackendLoad> candidates,
-      BackendChoice request,
-      Engine engine,
-      int doors,
-      long now) {
+      List<BackendLoad> candidates, BackendChoice request, Engine engine, int doors, long now) {
     long prefix = request.prefix().key();
-    BackendLoad[] preferred = preferred(candidates, prefix);
+    BackendLoad[] preferred = RendezvousHash.firstTwo(candidates, prefix);
     int firstChance = random.nextInt(candidates.size());
     int secondChance = random.nextInt(candidates.size());
     BackendLoad best = null;
     double least = Double.POSITIVE_INFINITY;
     for (int i = 0; i < candidates.size(); i++) {
       BackendLoad each = candidates.get(i);
-      int rank = each == preferred[0] ? 0 : each == preferred[1] ? 1 : PREFERRED;
-      boolean held = prefix != 0 && prefixes.wasSent(prefix, each.endpoint().id());
-      if (!held && rank == PREFERRED && i != firstChance && i != secondChance) {
+      double miss = missChance(each, preferred, prefix);
+      if (miss == 1 && i != firstChance && i != secondChance) {
         continue;
       }
-      double miss = held ? 0 : rank < PREFERRED && prefix != 0 ? PREFERRED_MISS[rank] : 1;
       double cost = engineCost(each, request, engine, doors, miss, now);
       if (cost < least) {
         least = cost;
@@ -217,13 +233,19 @@
     return best;
   }
 
+  /** The chance that a backend does not hold the prefix. */
+  private double missChance(BackendLoad load, BackendLoad[] preferred, long prefix) {
+    if (prefix == 0) {
+      return 1;
+    }
+    if (prefixes.wasSent(prefix, load.endpoint().id())) {
+      return 0;
+    }
+    return load == preferred[0] ? FIRST_MISS : load == preferred[1] ? SECOND_MISS : 1;
+  }
+
   private double engineCost(
-      BackendLoad load,
-      BackendChoice request,
-      Engine engine,
-      int doors,
-      double miss,
-      long now) {
+      BackendLoad load, BackendChoice request, Engine engine, int doors, double miss, long now) {
     double wait = load.prefillTokens() + RUNNING_TOKENS * load.outstanding() + STEP_TOKENS;
     double cost =
         miss * request.prefix().tokens() * READ_AGAIN_WEIGHT
@@ -235,7 +257,10 @@
     return overMemory ? cost + FULL_TOKENS * memory / engine.kvTokens() : cost;
   }
 
-  /** What this door has sent there, and what the others have, if they send to all backends as much as this one does. */
+  /**
+   * What this door has sent there, and what the others have, if they send to all backends as much
+   * as this one does.
+   */
   private double expectedMemory(BackendLoad load, int doors) {
     long sum = 0;
     for (BackendLoad each : ready) {
@@ -259,39 +284,13 @@
     load.latency().observe(perUnit / usualNanosPerUnit, now);
   }
 
-  /** What a backend has to do before a request that is sent there now is answered, for {@link #answerBegan}. */
+  /**
+   * What a backend has to do before a request that is sent there now is answered, for {@link
+   * #answerBegan}.
+   */
   public static double workBefore(BackendLoad load, long promptTokens, Engine engine) {
     return engine == null
         ? 1 + (double) load.outstanding() / load.endpoint().slots()
-        : promptTokens
-            + load.prefillTokens()
-            + RUNNING_TOKENS * load.outstanding()
-            + STEP_TOKENS;
-  }
-
-  /** The candidates that rendezvous hashing puts first and second; the second may be null. */
-  private static BackendLoad[] preferred(List<BackendLoad> candidates, long prefix) {
-    BackendLoad[] first = new BackendLoad[PREFERRED];
-    long highest = 0;
-    long second = 0;
-    for (BackendLoad each : candidates) {
-      long score = score(prefix, each.endpoint().id());
-      if (first[0] == null || score > highest) {
-        first[1] = first[0];
-        second = highest;
-        first[0] = each;
-        highest = score;
-      } else if (first[1] == null || score > second) {
-        first[1] = each;
-        second = score;
-      }
-    }
-    return first;
-  }
-
-  private static long score(long prefix, String backendId) {
-    long mixed = (prefix ^ backendId.hashCode() * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
-    mixed = (mixed ^ mixed >>> 31) * 0x94D049BB133111EBL;
-    return mixed ^ mixed >>> 29;
+        : promptTokens + load.prefillTokens() + RUNNING_TOKENS * load.outstanding() + STEP_TOKENS;
   }
 }
--- a/router/src/main/java/nettletrail/router/retry/RetryBudget.java
+++ b/router/src/main/java/nettletrail/router/retry/RetryBudget.java
@@ -1,16 +1,19 @@
 package nettletrail.router.retry;
 
 /**
- * How many further sends this door may make to one service, so that the sum over all doors stays within the
- * deployment's bound without any talk between them. In each window, the further sends are at most {@link #SHARE} of what
- * the ratio allows for the first sends of the same window, and this door's {@link #SHARE} of the slack.
+ * How many further sends this door may make to one service, so that the sum over all doors stays
+ * within the deployment's bound without any talk between them. In each window, the further sends
+ * are at most {@link #SHARE} of what the ratio allows for the first sends of the same window, and
+ * this door's {@link #SHARE} of the slack.
  *
- * <p>The deployment counts the requests of one of two windows that lie side by side, whichever has more, and this class those
- * of a window that overlaps both: they are at most twice as many, which is why the share is a half. A process begins
- * without slack, and has all of it after one window, so that one that is killed and comes back earns nothing by that.
+ * <p>The deployment counts the requests of one of two windows that lie side by side, whichever has
+ * more, and this class those of a window that overlaps both: they are at most twice as many, which
+ * is why the share is a half. A process begins without slack, and has all of it after one window,
+ * so that one that is killed and comes back earns nothing by that.
  *
- * <p>Time is kept in {@link #SLICES} slices of a window. Further sends are counted for a slice longer than a window, first
- * sends for a slice less, so that both errors are on the safe side. Pure; {@code now} is in ns.
+ * <p>Time is kept in {@link #SLICES} slices of a window. Further sends are counted for a slice
+ * longer than a window, first sends for a slice less, so that both errors are on the safe side.
+ * Pure; {@code now} is in ns.
  */
 public final class RetryBudget {
   /** Of what the deployment allows all doors together. */
--- a/router/src/main/java/nettletrail/router/stream/EventParser.java
+++ b/router/src/main/java/nettletrail/router/stream/EventParser.java
@@ -2,17 +2,21 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import nettletrail.router.text.DecimalNumber;
 
 /**
- * Cuts a backend's event stream ({@code text/event-stream}) into whole events. What came of an event that is not yet whole
- * is kept here until its end comes; if the backend breaks off, it is dropped and never reaches the client.
+ * Cuts a backend's event stream ({@code text/event-stream}) into whole events. What came of an
+ * event that is not yet whole is kept here until its end comes; if the backend breaks off, it is
+ * dropped and never reaches the client.
  *
- * <p>An event ends with an empty line, whose line ends may be LF, CRLF or CR LF mixed. Not for several threads.
+ * <p>An event ends with an empty line, whose line ends may be LF, CRLF or CR LF mixed. Not for
+ * several threads.
  */
 public final class EventParser implements AutoCloseable {
   /** An event that is larger is no event of ours: what comes is not kept beyond that. */
   static final int MOST_EVENT_BYTES = 256 << 10;
 
+  private static final int LEAST_BUFFER_BYTES = 256;
   private static final byte LF = '\n';
   private static final byte CR = '\r';
   private static final byte[] ID = {'i', 'd', ':'};
@@ -23,7 +27,8 @@
      * One whole event, its empty line included.
      *
      * @param id the number in its id field, or -1 if it has none
-     * @param source holds the event's bytes; the callee does not release it and does not move its indices
+     * @param source holds the event's bytes; the callee does not release it and does not move its
+     *     indices
      * @param from where the event begins
      * @param length its bytes
      */
@@ -33,7 +38,9 @@
   private final ByteBufAllocator allocator;
   private ByteBuf partial;
 
-  /** @param allocator of the buffer for an event that is not yet whole */
+  /**
+   * @param allocator of the buffer for an event that is not yet whole
+   */
   public EventParser(ByteBufAllocator allocator) {
     this.allocator = allocator;
   }
@@ -70,7 +77,7 @@
       return false;
     }
     if (partial == null) {
-      partial = allocator.buffer(Math.max(size, 256));
+      partial = allocator.buffer(Math.max(size, LEAST_BUFFER_BYTES));
     }
     partial.writeBytes(bytes);
     return true;
@@ -107,24 +114,13 @@
         && in.getByte(line + 2) == ID[2];
   }
 
-  /** The decimal number in these bytes, a space before it allowed; -1 if there is none. */
+  /** The number in these bytes, spaces before it allowed; -1 if there is none. */
   private static long number(ByteBuf in, int from, int to) {
     int at = from;
     while (at < to && in.getByte(at) == ' ') {
       at++;
     }
-    if (at == to || to - at > 18) {
-      return -1;
-    }
-    long value = 0;
-    for (; at < to; at++) {
-      int digit = in.getByte(at) - '0';
-      if (digit < 0 || digit > 9) {
-        return -1;
-      }
-      value = value * 10 + digit;
-    }
-    return value;
+    return DecimalNumber.parse(in, at, to);
   }
 
   /** What came behind the last whole event, or null; still the parser's. */
--- a/router/src/main/java/nettletrail/router/stream/StallRule.java
+++ b/router/src/main/java/nettletrail/router/stream/StallRule.java
@@ -4,11 +4,11 @@
 import nettletrail.router.balance.ReadingTime;
 
 /**
- * When a request whose backend is silent is better sent elsewhere. Only for requests that may run again. Pure; times are in
- * ns of the steady clock.
+ * When a request whose backend is silent is better sent elsewhere. Only for requests that may run
+ * again. Pure; times are in ns of the steady clock.
  *
- * <p>A pause of one stream may have many causes, most of which pass. It counts for more if nothing at all comes from that
- * backend: a machine that went dark ends no connection.
+ * <p>A pause of one stream may have many causes, most of which pass. It counts for more if nothing
+ * at all comes from that backend: a machine that went dark ends no connection.
  */
 public final class StallRule {
   private static final double GAPS = 4;
--- /dev/null
+++ b/router/src/main/java/nettletrail/router/text/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of the text in headers and events. */
+package nettletrail.router.text;
--- a/router/src/main/java/nettletrail/router/upstream/Attempt.java
+++ b/router/src/main/java/nettletrail/router/upstream/Attempt.java
@@ -5,8 +5,9 @@
 import nettletrail.upstream.HeadBytes;
 
 /**
- * One send of a request to one backend, as its connection sees it. All on the event loop. Ends with exactly one of {@link
- * #answerEnded}, {@link #failed} and the caller's own {@link UpstreamPool.Ticket#cancel}; nothing is called after that.
+ * One send of a request to one backend, as its connection sees it. All on the event loop. Ends with
+ * exactly one of {@link #answerEnded}, {@link #failed} and the caller's own {@link
+ * UpstreamPool.Ticket#cancel}; nothing is called after that.
  */
 public interface Attempt {
   /**
--- a/router/src/main/java/nettletrail/router/upstream/AttemptFailure.java
+++ b/router/src/main/java/nettletrail/router/upstream/AttemptFailure.java
@@ -4,7 +4,10 @@
 public enum AttemptFailure {
   /** No connection came up, or none is to be had: nothing was written. */
   NOT_CONNECTED,
-  /** The connection broke before the last byte of the request was with the kernel: the backend can't have run it. */
+  /**
+   * The connection broke before the last byte of the request was with the kernel: the backend can't
+   * have run it.
+   */
   NOT_WRITTEN,
   /** The connection broke after the request was written: it may have run. */
   BROKEN,
--- a/router/src/main/java/nettletrail/router/upstream/BackendChannels.java
+++ b/router/src/main/java/nettletrail/router/upstream/BackendChannels.java
@@ -6,7 +6,9 @@
 import java.util.ArrayDeque;
 import nettletrail.router.BackendEndpoint;
 
-/** The connections of this door to one incarnation of a backend, and the requests that wait for one. */
+/**
+ * The connections of this door to one incarnation of a backend, and the requests that wait for one.
+ */
 final class BackendChannels {
   /** One request that waits or is on a connection. */
   final class Ride implements UpstreamPool.Ticket {
@@ -60,6 +62,7 @@
 
   private final UpstreamPool pool;
   private final BackendEndpoint endpoint;
+
   /** Most recently used last: taken from the end, so that those not needed grow old and go. */
   private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
 
@@ -150,7 +153,9 @@
         });
   }
 
-  /** Fails those for whom no connection is coming up; one that came free may have taken one already. */
+  /**
+   * Fails those for whom no connection is coming up; one that came free may have taken one already.
+   */
   private void failWaiting(int kept, AttemptFailure failure) {
     while (waiting.size() > kept) {
       waiting.pollFirst().fail(failure);
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -15,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
+import nettletrail.router.text.DecimalNumber;
 import nettletrail.router.upstream.BackendChannels.Ride;
 import nettletrail.upstream.AnswerDecoder;
 import nettletrail.upstream.PeekingChannel;
@@ -25,30 +25,41 @@
   private static final String ATTEMPT_ID = "X-Attempt-Id";
   private static final String KEEP_ALIVE = "Keep-Alive";
   private static final String TIMEOUT = "timeout=";
+
   /** For how long a connection is used whose backend does not say when it closes idle ones. */
   private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
-  /** Sooner than the backend by that: a request that crosses its close is lost, and may have run. */
+
+  /**
+   * Sooner than the backend by that: a request that crosses its close is lost, and may have run.
+   */
   private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   private final BackendChannels backend;
   private final UpstreamPool pool;
   private final AnswerDecoder decoder = new AnswerDecoder();
   private Channel channel;
+
   /** From where on there are only bytes. */
   private ChannelHandlerContext wire;
 
   private Ride ride;
+
   /** Done when the last byte of the request is in the kernel's hands, or never will be. */
   private ChannelFuture write;
 
   private boolean used;
   private HttpResponse head;
+
   /** What is read belongs to an answer of an earlier request. */
   private boolean skipping;
 
   private boolean skipped;
   private long idleSince;
-  /** For how long it had stood idle when its request came; -1 if that is its first, or once it is told. */
+
+  /**
+   * For how long it had stood idle when its request came; -1 if that is its first, or once it is
+   * told.
+   */
   private long idleAge = -1;
 
   private long idleLimit = DEFAULT_IDLE_NANOS;
@@ -104,8 +115,8 @@
   }
 
   /**
-   * Whether the whole request is in the kernel's hands: from then on it may have run. Asked of the promise itself, whose
-   * listeners may hear of it later.
+   * Whether the whole request is in the kernel's hands: from then on it may have run. Asked of the
+   * promise itself, whose listeners may hear of it later.
    */
   private boolean isWritten() {
     return write != null && write.isSuccess();
@@ -199,7 +210,11 @@
     idleLimit = idleLimitOf(answer);
     channel.config().setAutoRead(true);
     boolean reusable =
-        isWritten() && HttpUtil.isKeepAlive(answer) && !decoder.hasMore() && !skipped && idleLimit > 0;
+        isWritten()
+            && HttpUtil.isKeepAlive(answer)
+            && !decoder.hasMore()
+            && !skipped
+            && idleLimit > 0;
     if (reusable && channel.isActive()) {
       idleSince = now;
       backend.answered(this, now);
@@ -228,7 +243,10 @@
         || answer.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
   }
 
-  /** An answer ends with its length or its last chunk; the end of the connection could as well be a break. */
+  /**
+   * An answer ends with its length or its last chunk; the end of the connection could as well be a
+   * break.
+   */
   private boolean hasEnd(HttpResponse answer) {
     int status = answer.status().code();
     return HttpUtil.isTransferEncodingChunked(answer)
@@ -245,19 +263,8 @@
       return DEFAULT_IDLE_NANOS;
     }
     int at = told.indexOf(TIMEOUT);
-    if (at < 0) {
-      return DEFAULT_IDLE_NANOS;
-    }
-    long seconds = 0;
-    int from = at + TIMEOUT.length();
-    for (int i = from; i < told.length() && i < from + 6; i++) {
-      int digit = told.charAt(i) - '0';
-      if (digit < 0 || digit > 9) {
-        break;
-      }
-      seconds = seconds * 10 + digit;
-    }
-    return TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN_NANOS;
+    long seconds = at < 0 ? -1 : DecimalNumber.parseLeading(told, at + TIMEOUT.length());
+    return seconds < 0 ? DEFAULT_IDLE_NANOS : TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN_NANOS;
   }
 
   /** Comes before the decoder hears of the end. */
@@ -302,8 +309,7 @@
 
   /** Whether nothing has come on it that is not read yet, its end included; to be closed if not. */
   boolean isQuiet() {
-    return channel.isActive()
-        && (!(channel instanceof PeekingChannel socket) || socket.quiet());
+    return channel.isActive() && (!(channel instanceof PeekingChannel socket) || socket.quiet());
   }
 
   boolean isFresh(long now) {
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
@@ -13,13 +13,14 @@
 import nettletrail.upstream.PeekingChannel;
 
 /**
- * The connections of this door to all backends. Each incarnation of a backend has its own, so that a request never goes to
- * whoever uses the address next. On one event loop.
+ * The connections of this door to all backends. Each incarnation of a backend has its own, so that
+ * a request never goes to whoever uses the address next. On one event loop.
  */
 public final class UpstreamPool {
   /**
-   * An answered connection rests so long before its next request, so that what a backend sends behind its answer
-   * shows: bytes that come after the next request was written would be taken for that one's answer.
+   * An answered connection rests so long before its next request, so that what a backend sends
+   * behind its answer shows: bytes that come after the next request was written would be taken for
+   * that one's answer.
    */
   static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
@@ -44,8 +45,10 @@
   private final Bootstrap bootstrap;
   private final int mostConnections;
   private final Map<String, BackendChannels> backends = new HashMap<>();
+
   /** Connections that rest, the first to have rested first; some of them may have closed since. */
   private final ArrayDeque<UpstreamConnection> resting = new ArrayDeque<>();
+
   private final IdleAges idleAges = new IdleAges(System.nanoTime());
   private int connections;
 
@@ -86,7 +89,10 @@
     }
   }
 
-  /** Closes what is idle at this incarnation: its next request shows by a new connection whether it is there. */
+  /**
+   * Closes what is idle at this incarnation: its next request shows by a new connection whether it
+   * is there.
+   */
   public void closeIdle(String backendId) {
     BackendChannels backend = backends.get(backendId);
     if (backend != null) {
@@ -152,7 +158,10 @@
     resting.addLast(connection);
   }
 
-  /** Some request waits for a connection that rests: the loop is woken when the first one has rested. */
+  /**
+   * Some request waits for a connection that rests: the loop is woken when the first one has
+   * rested.
+   */
   void wakeAtRestOf(BackendChannels backend, long now) {
     for (UpstreamConnection each : resting) {
       if (each.isResting() && each.backend() == backend) {
--- /dev/null
+++ b/router/src/test/java/nettletrail/router/RouterAttemptTest.java
@@ -0,0 +1,235 @@
+package nettletrail.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a router sends to backends, sends again, and makes of their answers; one rule a test. */
+@Timeout(30)
+class RouterAttemptTest {
+  private static final String KEY = RouterFixture.KEY;
+  private RouterFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new RouterFixture(RouterFixture.configuration());
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  @Test
+  void aSingleSendThatBreaksOffAfterItWasWrittenIsNotSentAgain() throws Exception {
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    request.reset();
+    assertEquals(502, client.read().status());
+    assertEquals(0, first.untaken() + second.untaken());
+  }
+
+  @Test
+  void aRepeatableThatBreaksOffIsSentToAnotherBackend() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "body", KEY);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    request.reset();
+    ScriptedBackend.Received again = second.take();
+    assertEquals("b2", again.header("X-Deliver-To"));
+    assertEquals("id-1", again.id());
+    assertEquals("body", again.body);
+    again.answer("200 OK", "fine");
+    assertEquals("fine", client.read().body());
+  }
+
+  @Test
+  void withoutBudgetARepeatableIsNotSentAgain() throws Exception {
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    request.reset();
+    assertEquals(502, client.read().status());
+    assertEquals(0, second.untaken());
+  }
+
+  @Test
+  void whatABackendDidNotRunGoesToAnother() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    request.notRun("503 Service Unavailable");
+    second.take().answer("200 OK", "ran");
+    assertEquals("ran", client.read().body());
+  }
+
+  @Test
+  void whatNoBackendRanIs503AndTheQuotaIsGivenBack() throws Exception {
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    first.take().notRun("421 Misdirected Request");
+    TestClient.Answer answer = client.read();
+    assertEquals(503, answer.status());
+    assertNotNull(answer.header("Retry-After"));
+    assertEquals(0L, fixture.onLoop(() -> fixture.control.taken));
+  }
+
+  @Test
+  void aBackendsOwnFailureIsPassedOnAsItIs() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "", KEY);
+    backend.take().answer("500 Internal Server Error", "broken");
+    TestClient.Answer answer = client.read();
+    assertEquals(500, answer.status());
+    assertEquals("broken", answer.body());
+    assertEquals("seal-id-1", answer.header("X-Backend-Seal"));
+  }
+
+  @Test
+  void aSuccessWithoutItsSealOrIdIsNone() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    backend.take().write("HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nContent-Length: 2\r\n\r\nno");
+    assertEquals(502, client.read().status());
+    client.post("/once/x", "id-2", "", KEY);
+    backend.take().write("HTTP/1.1 200 OK\r\nX-Backend-Seal: s\r\nContent-Length: 2\r\n\r\nno");
+    assertEquals(502, client.read().status());
+  }
+
+  @Test
+  void aPromiseThatNobodySealedIsNotPassedOn() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    backend.take().write("HTTP/1.1 503 No\r\nX-Attempt-Id: id-1\r\nContent-Length: 0\r\n\r\n");
+    assertEquals(502, client.read().status());
+  }
+
+  @Test
+  void aSurplusAnswerIsNotTheNextRequests() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    backend.take().answer("200 OK", "one");
+    assertEquals("one", client.read().body());
+    client.post("/once/x", "id-2", "", KEY);
+    ScriptedBackend.Received second = backend.take();
+    assertEquals(1, second.connection, "the connection is used again");
+    second.write(
+        "HTTP/1.1 200 OK\r\nX-Backend-Seal: seal-id-1\r\nX-Attempt-Id: id-1\r\n"
+            + "Content-Length: 7\r\n\r\nsurplus");
+    second.answer("200 OK", "two");
+    assertEquals("two", client.read().body());
+  }
+
+  @Test
+  void aConnectionWithSurplusBytesIsNotUsedAgain() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    ScriptedBackend.Received first = backend.take();
+    first.answer("200 OK", "one");
+    first.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    assertEquals("one", client.read().body());
+    assertTrue(first.closedByPeer());
+    client.post("/once/x", "id-2", "", KEY);
+    ScriptedBackend.Received second = backend.take();
+    assertEquals(2, second.connection);
+    second.answer("200 OK", "two");
+    assertEquals("two", client.read().body());
+  }
+
+  @Test
+  void atTheDeadlineWhatWasSentIs504AndTheBackendsConnectionIsClosed() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY, "X-Time-Left: 150");
+    ScriptedBackend.Received request = backend.take();
+    assertEquals(504, client.read().status());
+    assertTrue(request.closedByPeer());
+  }
+
+  @Test
+  void theRoutesTimeoutCountsWhereTheClientWouldWaitLonger() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/short/x", "id-1", "", KEY, "X-Time-Left: 60000");
+    backend.take();
+    assertEquals(504, client.read().status());
+  }
+
+  @Test
+  void aBackendThatIsNotReadyAnyMoreGetsNothing() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    fixture.onLoop(() -> fixture.control.tokens = 0);
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(2);
+    client.post("/once/x", "id-1", "", KEY);
+    asked.await();
+    ScriptedBackend other = new ScriptedBackend("b2");
+    fixture.backends("s", List.of(other.endpoint()));
+    fixture.onLoop(
+        () -> {
+          fixture.control.tokens = 1_000;
+          fixture.router.quotaGranted(List.of("tenant-1"));
+          return null;
+        });
+    other.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    assertEquals(0, backend.untaken());
+    other.close();
+  }
+
+  @Test
+  void aBackendThatTakesNoConnectionIsPassedByWithoutCost() throws Exception {
+    Socket reserved = new Socket(); // bound and not listening: no other process can get its port
+    reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    BackendEndpoint dead =
+        new BackendEndpoint(
+            "b0", (InetSocketAddress) reserved.getLocalSocketAddress(), "zone-a", 4, 0);
+    ScriptedBackend backend = new ScriptedBackend("b1");
+    fixture.backends("s", List.of(dead, backend.endpoint()));
+    TestClient client = fixture.client();
+    for (int i = 0; i < 6; i++) {
+      client.post("/once/x", "id-" + i, "", KEY);
+      backend.take().answer("200 OK", "");
+      assertEquals(200, client.read().status());
+    }
+    backend.close();
+    reserved.close();
+  }
+
+  @Test
+  void aRequestWaitsForTheFirstBackendAfterAStart() throws Exception {
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(1);
+    client.post("/once/x", "id-1", "", KEY);
+    asked.await();
+    ScriptedBackend backend = fixture.backend("b1");
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+  }
+}
--- a/router/src/test/java/nettletrail/router/RouterFixture.java
+++ b/router/src/test/java/nettletrail/router/RouterFixture.java
@@ -21,6 +21,9 @@
 
 /** A router on loopback with a control plane whose word the test sets. */
 final class RouterFixture {
+  /** At a ratio of 0.2, of which half is used: four further sends. */
+  private static final int EARNING_REQUESTS = 44;
+
   static final int MOST_BUFFERED_BYTES = 1 << 20;
   static final String KEY = "X-Key: key-1";
 
@@ -32,6 +35,7 @@
     final Map<String, List<BackendEndpoint>> backends = new HashMap<>();
     long tokens = Long.MAX_VALUE / 2;
     long taken;
+
     /** Called on each look whether keys are confirmed. */
     Runnable onKeysAsked = () -> {};
 
@@ -101,8 +105,7 @@
     RouterSettings settings =
         new RouterSettings("zone-a", 0.2, 0, 1_000, MOST_BUFFERED_BYTES, 400, 1);
     router = new Router(loop, settings, control);
-    address =
-        (InetSocketAddress) router.listen("127.0.0.1", 0).sync().channel().localAddress();
+    address = (InetSocketAddress) router.listen("127.0.0.1", 0).sync().channel().localAddress();
   }
 
   /** The configuration that most tests use. */
@@ -157,6 +160,23 @@
     return backend;
   }
 
+  /**
+   * Sends so many first requests that some further sends are in the retry budget; leaves no
+   * backend.
+   */
+  void earnRetries() throws Exception {
+    ScriptedBackend earner = backend("earner");
+    TestClient client = client();
+    for (int i = 0; i < EARNING_REQUESTS; i++) {
+      client.post("/once/x", "earn-" + i, "", KEY);
+      earner.take().answer("200 OK", "");
+      if (client.read().status() != 200) {
+        throw new AssertionError("a first request was not served");
+      }
+    }
+    backends("s", List.of());
+  }
+
   void backends(String service, List<BackendEndpoint> endpoints) throws Exception {
     services.add(service);
     onLoop(
@@ -183,7 +203,10 @@
     return loop.submit(task).get(10, TimeUnit.SECONDS);
   }
 
-  /** A latch that opens when the router asks the control plane about keys for the nth time from now on. */
+  /**
+   * A latch that opens when the router asks the control plane about keys for the nth time from now
+   * on.
+   */
   CountDownLatch whenKeysAsked(int times) throws Exception {
     CountDownLatch latch = new CountDownLatch(times);
     onLoop(
--- a/router/src/test/java/nettletrail/router/RouterStreamTest.java
+++ b/router/src/test/java/nettletrail/router/RouterStreamTest.java
@@ -26,17 +26,6 @@
     fixture.close();
   }
 
-  private void earnRetries() throws Exception {
-    ScriptedBackend backend = fixture.backend("earner");
-    TestClient client = fixture.client();
-    for (int i = 0; i < 44; i++) {
-      client.post("/once/x", "earn-" + i, "", KEY);
-      backend.take().answer("200 OK", "");
-      assertEquals(200, client.read().status());
-    }
-    fixture.backends("s", java.util.List.of());
-  }
-
   @Test
   void eventsArePassedOnAsTheyCome() throws Exception {
     ScriptedBackend backend = fixture.backend("b1");
@@ -74,7 +63,7 @@
 
   @Test
   void aStreamIsTakenUpAtAnotherBackendWithoutAGapOrARepeat() throws Exception {
-    earnRetries();
+    fixture.earnRetries();
     ScriptedBackend first = fixture.backend("b1");
     TestClient client = fixture.client();
     client.post("/resume/x", "id-1", "", KEY, "Last-Event-Id: 4");
@@ -101,7 +90,7 @@
 
   @Test
   void aStreamWithAGapIsNotPassedOn() throws Exception {
-    earnRetries();
+    fixture.earnRetries();
     ScriptedBackend first = fixture.backend("b1");
     TestClient client = fixture.client();
     client.post("/resume/x", "id-1", "", KEY);
@@ -120,7 +109,7 @@
 
   @Test
   void aStreamThatMayNotBeResumedIsNotSentAgain() throws Exception {
-    earnRetries();
+    fixture.earnRetries();
     ScriptedBackend first = fixture.backend("b1");
     TestClient client = fixture.client();
     client.post("/stream/x", "id-1", "", KEY);
@@ -133,7 +122,7 @@
 
   @Test
   void aResumedStreamThatABackendRefusesGoesToTheNext() throws Exception {
-    earnRetries();
+    fixture.earnRetries();
     ScriptedBackend first = fixture.backend("b1");
     TestClient client = fixture.client();
     client.post("/resume/x", "id-1", "", KEY);
@@ -157,7 +146,7 @@
 
   @Test
   void aRevokedKeyEndsAStreamInsteadOfResumingIt() throws Exception {
-    earnRetries();
+    fixture.earnRetries();
     ScriptedBackend first = fixture.backend("b1");
     TestClient client = fixture.client();
     client.post("/resume/x", "id-1", "", KEY);
--- a/router/src/test/java/nettletrail/router/ScriptedBackend.java
+++ b/router/src/test/java/nettletrail/router/ScriptedBackend.java
@@ -69,8 +69,12 @@
     }
 
     void notRun(String status) throws IOException {
-      write("HTTP/1.1 " + status + "\r\nX-Not-Run: 1\r\nX-Attempt-Id: " + id()
-          + "\r\nContent-Length: 0\r\n\r\n");
+      write(
+          "HTTP/1.1 "
+              + status
+              + "\r\nX-Not-Run: 1\r\nX-Attempt-Id: "
+              + id()
+              + "\r\nContent-Length: 0\r\n\r\n");
     }
 
     void beginStream() throws IOException {
--- a/router/src/test/java/nettletrail/router/retry/RetryBudgetTest.java
+++ b/router/src/test/java/nettletrail/router/retry/RetryBudgetTest.java
@@ -67,7 +67,10 @@
     assertFalse(budget.take(1_000_000, 3 * WINDOW));
   }
 
-  /** The deployment's rule: in any window, further sends are at most ratio * requests + slack, over all doors. */
+  /**
+   * The deployment's rule: in any window, further sends are at most ratio * requests + slack, over
+   * all doors.
+   */
   @Property(tries = 300)
   void noWindowHasMoreThanTheDeploymentAllows(
       @ForAll @Size(min = 1, max = 400) List<@IntRange(min = 0, max = 1_000_000) Integer> steps,
@@ -95,8 +98,10 @@
     }
     for (long end : furthers) {
       long spent = within(furthers, end);
-      long most = Math.max(within(firsts, end), Math.max(
-          within(firsts, end - WINDOW), within(firsts, end - WINDOW / 2)));
+      long most =
+          Math.max(
+              within(firsts, end),
+              Math.max(within(firsts, end - WINDOW), within(firsts, end - WINDOW / 2)));
       assertTrue(spent <= RATIO * most + SLACK, spent + " for " + most);
     }
   }
