Registry: backends that crashed among many are let go in the end

Now they leave after 20 s while any other backend is heard; nobody leaves while none is. Two core processes killed within seconds of an acknowledged end can lose it, while the backend keeps saying it with each call until it ends. A door's session goes by its link's name in all messages.

--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -114,15 +114,15 @@
     return actions;
   }
 
-  /** A message of a door. {@code door}: its name, as in its heartbeats. */
+  /** A message of a door. {@code door}: what it goes by in {@link SendToDoor}. */
   public List<RegistryAction> receiveFromDoor(String door, SpecificRecord message, long now) {
     List<RegistryAction> actions = new ArrayList<>();
     if (message instanceof DoorHeartbeat heartbeat) {
-      doors.heartbeat(heartbeat, now);
+      doors.heartbeat(door, heartbeat, now);
       actions.addAll(flush(now));
       actions.add(new SendToDoor(door, heartbeatReply(heartbeat, now)));
     } else if (message instanceof FeedAck acknowledgement) {
-      doors.acknowledged(acknowledgement);
+      doors.acknowledged(door, acknowledgement);
       actions.addAll(flush(now));
     } else if (message instanceof GrantRequest request) {
       actions.add(new SendToDoor(door, grant(request, now)));
--- a/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
+++ b/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
@@ -16,9 +16,9 @@
  * <p>Deleted backends stay as tombstones for a while, bounded in count and age, so that a late
  * report doesn't bring them back. A backend that nobody heard of for the expiry time is marked
  * expired; it is live again as soon as it is heard. Expiry needs evidence that hearing works: it is
- * counted from the time since which a part of the live backends was heard all along, so a process
- * that just started, or a core that was cut off as a whole, expires nobody in a wave. Times are
- * steady nanoseconds.
+ * counted from the time since which a part of the live backends was heard all along, or, for a
+ * longer time, since which any was. So a process that just started, or a core that was cut off as a
+ * whole, expires nobody in a wave. Times are steady nanoseconds.
  */
 public final class BackendRegistry {
   private static final long MILLIS = 1_000_000L;
@@ -27,17 +27,18 @@
   private static final long EXPIRY_EXTRA = 1_000 * MILLIS;
   private static final int EXPIRY_BEATS = 4;
 
-  /**
-   * Of the live backends, one in so many has to be heard within {@link #HEARING_BEATS} for expiry
-   * to go on.
-   */
+  /** How long a backend stays that isn't heard, while most others aren't heard either. */
+  private static final long EXPIRY_AMONG_FEW = 20_000 * MILLIS;
+
+  /** Hearing works well while one in so many live backends is heard in {@link #HEARING_BEATS}. */
   private static final int HEARING_PART = 3;
 
   private static final int HEARING_BEATS = 2;
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final long beat;
-  private long hearingSince;
+  private long partHeardSince;
+  private long anyHeardSince;
 
   /**
    * One backend; {@code directlyHeardAt} is 0 unless it called this process since the last digest.
@@ -63,7 +64,8 @@
   /** {@code beatMs}: how often backends call, in milliseconds. */
   public BackendRegistry(long beatMs, long now) {
     this.beat = beatMs * MILLIS;
-    this.hearingSince = now;
+    this.partHeardSince = now;
+    this.anyHeardSince = now;
   }
 
   /** A backend called this process; an old or repeated call shows as well that it lives. */
@@ -131,22 +133,21 @@
 
   /** The paths on which backends are heard have changed: expiry is counted anew from here. */
   public void hearingDisturbed(long now) {
-    hearingSince = now;
+    partHeardSince = now;
+    anyHeardSince = now;
   }
 
   /**
    * Marks and returns the ids of backends that nobody heard of for too long; drops old tombstones.
    */
   public List<String> expire(long now) {
-    if (!hearingWorks(now)) {
-      hearingSince = now;
-    }
+    followHearing(now);
     List<String> expired = new ArrayList<>();
     int tombstones = 0;
     for (Entry entry : entries.values()) {
       if (BackendOrder.isGone(entry.backend)) {
         tombstones++;
-      } else if (!entry.expired && now - Math.max(entry.lastHeardAt, hearingSince) > expiry()) {
+      } else if (!entry.expired && isLost(entry, now)) {
         entry.expired = true;
         expired.add(entry.backend.getId());
       }
@@ -175,7 +176,7 @@
     return contents;
   }
 
-  private boolean hearingWorks(long now) {
+  private void followHearing(long now) {
     int live = 0;
     int heard = 0;
     for (Entry entry : entries.values()) {
@@ -184,7 +185,17 @@
         heard += now - entry.lastHeardAt <= HEARING_BEATS * beat ? 1 : 0;
       }
     }
-    return heard > 0 && heard * HEARING_PART >= live;
+    if (heard == 0) {
+      anyHeardSince = now;
+    }
+    if (heard == 0 || heard * HEARING_PART < live) {
+      partHeardSince = now;
+    }
+  }
+
+  private boolean isLost(Entry entry, long now) {
+    return now - Math.max(entry.lastHeardAt, partHeardSince) > expiry()
+        || now - Math.max(entry.lastHeardAt, anyHeardSince) > EXPIRY_AMONG_FEW;
   }
 
   private long expiry() {
--- a/control/src/main/java/nettletrail/control/registry/DoorSessions.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -40,13 +40,13 @@
   }
 
   /** Renews the door's lease. */
-  public void heartbeat(DoorHeartbeat heartbeat, long now) {
-    session(heartbeat.getDoor(), now).heartbeat(heartbeat, now);
+  public void heartbeat(String door, DoorHeartbeat heartbeat, long now) {
+    session(door, now).heartbeat(heartbeat, now);
   }
 
   /** A door has read the feed up to an offset. */
-  public void acknowledged(FeedAck acknowledgement) {
-    DoorSession session = sessions.get(acknowledgement.getDoor());
+  public void acknowledged(String door, FeedAck acknowledgement) {
+    DoorSession session = sessions.get(door);
     if (session != null) {
       session.acknowledged(acknowledgement.getFeed(), acknowledgement.getOffset());
     }
--- a/control/src/test/java/nettletrail/control/ControlFleet.java
+++ b/control/src/test/java/nettletrail/control/ControlFleet.java
@@ -271,6 +271,10 @@
     }
   }
 
+  boolean isRunning(String name) {
+    return running(name);
+  }
+
   void restart(String name) {
     if (cores.get(name) != null) {
       cores.get(name).start();
