--- a/control/src/test/java/nettletrail/control/RegistryStoriesTest.java
+++ b/control/src/test/java/nettletrail/control/RegistryStoriesTest.java
@@ -99,6 +99,21 @@
     assertEquals(List.of("c"), ids(0));
   }
 
+  @Test
+  void givenACoreProcessThatRestartsWhenItIsLinkedThenItLearnsAllThatTheOthersKnow() {
+    fleet.run(1_000);
+    fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.READY, 1));
+    fleet.call(0, "PUT", ControlFleet.backend("c", BackendState.CLOSING, 1));
+    fleet.call(0, "DELETE", ControlFleet.backend("d", BackendState.READY, 1));
+    fleet.run(100);
+    fleet.kill("core-2");
+    fleet.run(100);
+    fleet.restart("core-2");
+    fleet.run(300);
+    assertEquals(List.of("b", "c"), coreIds(2));
+    assertEquals(3, fleet.core(2).registry.backends().size());
+  }
+
   @Test
   void givenASilentBackendAmongOthersWhenItIsExpiredThenDoorsDropItAndItMayComeBack() {
     beat(8_000, List.of("a", "b", "c"));
--- a/control/src/test/java/nettletrail/control/door/GrantClientTest.java
+++ b/control/src/test/java/nettletrail/control/door/GrantClientTest.java
@@ -114,6 +114,7 @@
     assertTrue(client.take(TENANT, 100, now));
     GrantRequest renewal = askFor(50);
     client.giveBack(TENANT, 100);
+    assertEquals(0, client.usable(TENANT, now), "the owner has been told that they are used");
     reply(renewal, 1, 0);
     assertEquals(0, client.usable(TENANT, now));
   }
