--- a/control/src/main/java/nettletrail/control/door/GrantClient.java
+++ b/control/src/main/java/nettletrail/control/door/GrantClient.java
@@ -214,18 +214,23 @@
     if (shard.requestUnderWay != 0) {
       return sinceAsked >= GIVE_UP;
     }
-    boolean anyShort = false;
-    boolean anyLow = false;
-    boolean anyShortAndMoreToBeHad = false;
+    long pause = Math.min(ASK_EVERY, shard.validMs * MILLIS / ASKS_A_VALIDITY);
     for (TenantTokens held : active) {
-      anyShort |= held.shortage(now) > 0 || held.returnsTokens();
-      anyLow |= held.low(now);
-      anyShortAndMoreToBeHad |= held.shortage(now) > 0 && held.grantedInFull();
+      pause = Math.min(pause, pause(held, now));
     }
-    return anyShortAndMoreToBeHad
-        || sinceAsked >= Math.min(ASK_EVERY, shard.validMs * MILLIS / ASKS_A_VALIDITY)
-        || anyLow && sinceAsked >= ASK_AGAIN_WHEN_LOW
-        || anyShort && sinceAsked >= ASK_AGAIN_WHEN_SHORT;
+    return sinceAsked >= pause;
+  }
+
+  /** How long after the last request this tenant asks for the next one, in nanoseconds. */
+  private static long pause(TenantTokens held, long now) {
+    boolean isShort = held.shortage(now) > 0;
+    if (isShort && held.grantedInFull()) {
+      return 0;
+    }
+    if (isShort || held.returnsTokens()) {
+      return ASK_AGAIN_WHEN_SHORT;
+    }
+    return held.low(now) ? ASK_AGAIN_WHEN_LOW : ASK_EVERY;
   }
 
   private boolean limited(String tenant) {
--- a/control/src/main/java/nettletrail/control/door/TenantTokens.java
+++ b/control/src/main/java/nettletrail/control/door/TenantTokens.java
@@ -19,6 +19,8 @@
    */
   private static final int MOST_SURPLUS = 64;
 
+  private static final int SURPLUS_GROWTH = 3;
+
   /** It doesn't grow beyond a second of demand and so many requests of the usual size. */
   private static final int MOST_SURPLUS_REQUESTS = 8;
 
@@ -107,8 +109,11 @@
   /** The account for a request to the owner; what it says as used can't be given back any more. */
   TenantUse report(long now) {
     reportedTotal = usedTotal;
-    surplusFactor =
-        shortage(now) > 0 ? Math.min(MOST_SURPLUS, 3 * surplusFactor + 1) : surplusFactor / 3;
+    if (shortage(now) > 0) {
+      surplusFactor = Math.min(MOST_SURPLUS, SURPLUS_GROWTH * surplusFactor + 1);
+    } else {
+      surplusFactor /= SURPLUS_GROWTH;
+    }
     returnsTokens = false;
     grantedInFull = false;
     lastReport = new TenantUse(tenant, usedTotal, wanted(now), usable(now), shortage(now));
--- a/control/src/main/java/nettletrail/control/grant/TenantBucket.java
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -119,6 +119,7 @@
    * rate doesn't tell by itself that a tenant asks for more than it has.
    */
   double pressure(long now) {
+    refill(now);
     double percent = pressure.percentOf(limit.ratePerSecond(), now);
     boolean spent = level < RESERVED_PART * terms.capacity(limit);
     return spent ? percent : Math.min(percent, PER_CENT);
--- a/control/src/main/java/nettletrail/control/registry/BackendOrder.java
+++ b/control/src/main/java/nettletrail/control/registry/BackendOrder.java
@@ -32,10 +32,18 @@
   public static boolean sameContent(Backend one, Backend other) {
     return one.getState() == other.getState()
         && one.getSlots() == other.getSlots()
-        && one.getService().equals(other.getService())
+        && samePlace(one, other)
+        && sameSoftware(one, other);
+  }
+
+  private static boolean samePlace(Backend one, Backend other) {
+    return one.getService().equals(other.getService())
         && one.getAddress().equals(other.getAddress())
-        && one.getZone().equals(other.getZone())
-        && one.getEdition().equals(other.getEdition())
+        && one.getZone().equals(other.getZone());
+  }
+
+  private static boolean sameSoftware(Backend one, Backend other) {
+    return one.getEdition().equals(other.getEdition())
         && one.getStage().equals(other.getStage())
         && one.getModels().equals(other.getModels());
   }
--- a/control/src/main/java/nettletrail/control/registry/Feed.java
+++ b/control/src/main/java/nettletrail/control/registry/Feed.java
@@ -49,6 +49,15 @@
     return append(new Reported(backend));
   }
 
+  private long append(Entry entry) {
+    journal.addLast(entry);
+    if (journal.size() > MOST_ENTRIES) {
+      journal.removeFirst();
+    }
+    offset++;
+    return offset;
+  }
+
   /** Appends that nobody hears of a backend any more and returns the offset. */
   public long appendExpired(String backendId) {
     return append(new Expired(backendId));
@@ -103,13 +112,4 @@
   public FeedSnapshot snapshot(List<Backend> contents) {
     return new FeedSnapshot(sender, id, offset, contents);
   }
-
-  private long append(Entry entry) {
-    journal.addLast(entry);
-    if (journal.size() > MOST_ENTRIES) {
-      journal.removeFirst();
-    }
-    offset++;
-    return offset;
-  }
 }
--- a/control/src/test/java/nettletrail/control/ControlFleet.java
+++ b/control/src/test/java/nettletrail/control/ControlFleet.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -26,35 +25,24 @@
  * Core processes and doors over a network in memory, on a virtual clock; who owns which shard is
  * set by the test.
  */
-final class ControlFleet {
-  static final long MILLIS = 1_000_000L;
+final class ControlFleet extends VirtualClock {
   static final long BEAT_MS = 1_200;
   static final long REVOKE_MS = 5_000;
   static final GrantTerms TERMS = new GrantTerms(8, 0.1, 190_000, GrantTerms.USUAL_VALID_MS);
-  private final GrantTerms terms;
   private static final long TICK = 50 * MILLIS;
 
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final GrantTerms terms;
   private final Random random;
   private final Map<String, Core> cores = new TreeMap<>();
   private final Map<String, Door> doors = new TreeMap<>();
   private final Set<String> cuts = new TreeSet<>();
   private final Set<String> links = new TreeSet<>();
   final Map<Long, Integer> answers = new LinkedHashMap<>();
-  private long sequence;
   private long lives;
   private long calls;
-  long now = 7_000_000_000L;
   long shortestDelay = MILLIS;
   long longestDelay = 2 * MILLIS;
 
-  private record Event(long at, long order, Runnable run) implements Comparable<Event> {
-    @Override
-    public int compareTo(Event other) {
-      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
-    }
-  }
-
   /** One core process. */
   final class Core implements ShardOwnership {
     final String address;
@@ -294,22 +282,6 @@
     return call;
   }
 
-  /** Lets the virtual clock run. */
-  void run(long millis) {
-    long until = now + millis * MILLIS;
-    while (!events.isEmpty() && events.peek().at() <= until) {
-      Event event = events.poll();
-      now = event.at();
-      event.run().run();
-    }
-    now = until;
-  }
-
-  /** Runs something later on the virtual clock. */
-  void schedule(long delay, Runnable run) {
-    events.add(new Event(now + delay, ++sequence, run));
-  }
-
   static Backend backend(String id, BackendState state, long callSequence) {
     return new Backend(
         id, "lm", "10.0.0.1:80", "zone", "v1", 8, state, 0L, "", List.of("m"), callSequence);
