--- a/fleet-emulator/src/main/java/nettletrail/emulator/fleet/RandomTroubles.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/RandomTroubles.java
@@ -19,6 +19,8 @@
   private static final long LONGEST_PAUSE = 2_500 * VirtualTime.MILLISECOND;
   private static final long LONGEST_TROUBLE = 4 * VirtualTime.SECOND;
   private static final long LONGEST_RESTART = VirtualTime.SECOND;
+  private static final long QUICK_RESTART = 200 * VirtualTime.MILLISECOND;
+  private static final long LONGEST_LEASE = 2 * VirtualTime.SECOND;
   private static final long KILL_SPREAD = 400 * VirtualTime.MILLISECOND;
   private static final long LARGEST_CLOCK_STEP = 5 * VirtualTime.SECOND;
   private static final long LARGEST_LINK_DELAY = 800 * VirtualTime.MILLISECOND;
@@ -42,6 +44,8 @@
     this.kinds =
         List.of(
             this::killCore,
+            this::restartBesideACut,
+            this::terminateCore,
             this::powerOffCore,
             this::killAllCores,
             this::powerOffAllCores,
@@ -93,7 +97,46 @@
   // Core processes
 
   private void killCore() {
-    troubles.restart(anyCore(), random.nextLong(LONGEST_TROUBLE));
+    boolean quick = random.nextBoolean();
+    troubles.restart(anyCore(), random.nextLong(quick ? QUICK_RESTART : LONGEST_TROUBLE));
+  }
+
+  /**
+   * A follower that doesn't hear the owner needs the other one's promise, which has just started
+   * anew.
+   */
+  private void restartBesideACut() {
+    CoreNode owner = fleet.configurationOwner();
+    List<CoreNode> followers = new ArrayList<>(fleet.cores());
+    followers.remove(owner);
+    if (owner == null || followers.size() < 2) {
+      return;
+    }
+    CoreNode cut = followers.get(random.nextInt(followers.size()));
+    followers.remove(cut);
+    troubles.cut(List.of(owner.machine()), List.of(cut.machine()));
+    for (CoreNode follower : followers) {
+      fleet
+          .time()
+          .after(
+              random.nextLong(LONGEST_LEASE),
+              () -> troubles.restart(follower, random.nextLong(QUICK_RESTART)));
+    }
+    healLater();
+  }
+
+  private void terminateCore() {
+    CoreNode core = anyCore();
+    troubles.terminate(core);
+    fleet
+        .time()
+        .after(
+            LONGEST_RESTART,
+            () -> {
+              if (!stopped) {
+                troubles.start(core);
+              }
+            });
   }
 
   private void powerOffCore() {
--- a/fleet-emulator/src/main/java/nettletrail/emulator/fleet/Troubles.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/Troubles.java
@@ -5,10 +5,13 @@
 import java.util.Set;
 import nettletrail.emulator.world.Machine;
 import nettletrail.emulator.world.SimulatedDisk;
+import nettletrail.emulator.world.VirtualTime;
 import nettletrail.emulator.world.World;
 
 /** Everything that can befall a fleet, with a note of it for the question who is in touch. */
 public final class Troubles {
+  private static final long GRACE = 100 * VirtualTime.MILLISECOND;
+
   private final World world;
   private final Fleet fleet;
   private final Contact contact;
@@ -60,6 +63,17 @@
     world.time().after(pause, () -> start(core));
   }
 
+  /** A core process is told to end, and has ended a little later. */
+  public void terminate(CoreNode core) {
+    log("terminate %s", core);
+    contact.trouble(core.machine());
+    if (core.machine().isUp()) {
+      core.machine().life().run(core.process()::release);
+      Machine.Life life = core.machine().life();
+      life.after(GRACE, () -> kill(core.machine()));
+    }
+  }
+
   /** Stops a process between two steps. */
   public void freeze(Machine machine) {
     log("freeze %s", machine);
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/CoreProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/CoreProcess.java
@@ -166,6 +166,13 @@
     return store.self();
   }
 
+  /** The process is told to end: it gives its leases back. It has to be ended afterwards. */
+  public void release() {
+    if (hasBegun()) {
+      run(shards.release(now()));
+    }
+  }
+
   // Links
 
   @Override
--- a/fleet-emulator/src/test/java/nettletrail/emulator/story/LossStoriesTest.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/story/LossStoriesTest.java
@@ -182,4 +182,36 @@
     story.then("the next one is acknowledged", story.orderIsAcknowledged());
     story.approve();
   }
+
+  @Test
+  void theOwnerIsToldToEnd() {
+    Story story = Story.givenFleet(23, 3, 2);
+    CoreNode owner = story.owner();
+    story.troubles().terminate(owner);
+    story.pass(200 * MILLISECOND);
+    story.when("the owner is told to end and has ended");
+    long before = story.fleet().time().now();
+    story.then("an order is acknowledged", story.orderIsAcknowledged());
+    boolean quick = story.fleet().time().now() - before < SECOND;
+    story.then("that took less than 1 s, less than a lease", quick);
+    story.approve();
+  }
+
+  @Test
+  void aFullDiskCountsForNothing() {
+    Story story = Story.givenFleet(24, 3, 2);
+    CoreNode full = story.followers().get(0);
+    CoreNode down = story.followers().get(1);
+    story.troubles().fillDisk(full, 100);
+    story.troubles().losePower(down.machine());
+    OrderDocument order = story.operator().order(1_000);
+    story.pass(3 * SECOND);
+    story.when("one replica's disk is full, another has no power, and an order is sent");
+    story.then("it is acknowledged", story.operator().newest() == order);
+    story.troubles().freeDisk(full);
+    story.waitFor(story.operator()::isIdle);
+    story.when("the disk has room");
+    story.then("it is acknowledged", story.operator().newest() == order);
+    story.approve();
+  }
 }
