Router: the guess of other doors' memory is bounded; more socket tests

Cause: with some dozens of doors one long prompt at this door made all backends look full, and prefixes lost their home. Tests: silent backends, idle times that backends tell, HEAD, answers without an end, a route that goes while its request waits. Result: tests of the router pass; the memory test fails without the bound.

--- a/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -50,6 +50,9 @@
   /** What every answer of an engine takes before it begins, in tokens of prompt. */
   static final double STEP_TOKENS = 3_500;
 
+  /** One long prompt at this door says little of some dozens of others: the guess is bounded. */
+  private static final double MOST_GUESSED_SHARE = 0.4;
+
   private static final double FULL_TOKENS = 1e7;
 
   /** What a backend costs more that fails all its requests: more than any prompt. */
@@ -252,7 +255,7 @@
             + wait * load.latency().slowdown(now)
             + FAILURE_TOKENS * load.failureRate(now)
             + (isNear(load) ? 0 : OTHER_ZONE_TOKENS);
-    double memory = expectedMemory(load, doors) + request.memoryTokens();
+    double memory = expectedMemory(load, engine, doors) + request.memoryTokens();
     boolean overMemory = engine.kvTokens() > 0 && memory > MEMORY_SHARE * engine.kvTokens();
     return overMemory ? cost + FULL_TOKENS * memory / engine.kvTokens() : cost;
   }
@@ -261,12 +264,13 @@
    * What this door has sent there, and what the others have, if they send to all backends as much
    * as this one does.
    */
-  private double expectedMemory(BackendLoad load, int doors) {
+  private double expectedMemory(BackendLoad load, Engine engine, int doors) {
     long sum = 0;
     for (BackendLoad each : ready) {
       sum += each.memoryTokens();
     }
-    return load.memoryTokens() + (doors - 1.0) * sum / ready.size();
+    double others = (doors - 1.0) * sum / ready.size();
+    return load.memoryTokens() + Math.min(others, MOST_GUESSED_SHARE * engine.kvTokens());
   }
 
   /**
--- a/router/src/test/java/nettletrail/router/RouterAttemptTest.java
+++ b/router/src/test/java/nettletrail/router/RouterAttemptTest.java
@@ -232,4 +232,90 @@
     backend.take().answer("200 OK", "");
     assertEquals(200, client.read().status());
   }
+
+  @Test
+  void aConnectionIsNotUsedBeyondTheTimeThatItsBackendTells() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    backend.take().answer("200 OK", "", "Keep-Alive: timeout=0");
+    assertEquals(200, client.read().status());
+    client.post("/once/x", "id-2", "", KEY);
+    ScriptedBackend.Received second = backend.take();
+    assertEquals(2, second.connection);
+    second.answer("200 OK", "", "Keep-Alive: timeout=60");
+    assertEquals(200, client.read().status());
+    client.post("/once/x", "id-3", "", KEY);
+    ScriptedBackend.Received third = backend.take();
+    assertEquals(2, third.connection);
+    third.answer("200 OK", "", "Connection: close");
+    assertEquals(200, client.read().status());
+    client.post("/once/x", "id-4", "", KEY);
+    ScriptedBackend.Received fourth = backend.take();
+    assertEquals(3, fourth.connection);
+    fourth.answer("200 OK", "");
+    assertEquals(200, client.read().status());
+  }
+
+  @Test
+  void anAnswerToHeadHasNoBodyWhateverItsLengthSays() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.write(
+        "HEAD /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-1\r\n" + KEY + "\r\n\r\n");
+    ScriptedBackend.Received head = backend.take();
+    assertEquals("HEAD /once/x HTTP/1.1", head.startLine);
+    head.write(
+        "HTTP/1.1 200 OK\r\nX-Backend-Seal: s\r\nX-Attempt-Id: id-1\r\nContent-Length: 5\r\n\r\n");
+    TestClient.Answer answer = client.readHead();
+    assertEquals(200, answer.status());
+    assertEquals("5", answer.header("Content-Length"));
+    client.post("/once/x", "id-2", "", KEY);
+    backend.take().answer("200 OK", "two");
+    assertEquals("two", client.read().body());
+  }
+
+  @Test
+  void anAnswerWithoutAnEndIsNone() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = backend.take();
+    request.write("HTTP/1.1 200 OK\r\nX-Backend-Seal: s\r\nX-Attempt-Id: id-1\r\n\r\npart");
+    assertEquals(502, client.read().status());
+    assertTrue(request.closedByPeer());
+  }
+
+  @Test
+  void anAnswerThatIsCutOffIsNone() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = backend.take();
+    request.write(
+        "HTTP/1.1 200 OK\r\nX-Backend-Seal: s\r\nX-Attempt-Id: id-1\r\n"
+            + "Content-Length: 10\r\n\r\npart");
+    request.reset();
+    assertEquals(502, client.read().status());
+  }
+
+  @Test
+  void aRequestWhoseRouteHasGoneWhileItWaitedSendsNothing() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    fixture.onLoop(() -> fixture.control.tokens = 0);
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(2);
+    client.post("/once/x", "id-1", "", KEY);
+    asked.await();
+    String without = RouterFixture.configuration(6, "\"key-1\"").replace("/once/", "/elsewhere/");
+    fixture.onLoop(
+        () -> {
+          fixture.control.routing = RouterFixture.table(without);
+          fixture.control.tokens = 10_000;
+          fixture.router.routingChanged();
+          return null;
+        });
+    assertEquals(404, client.read().status());
+    assertEquals(0, backend.untaken());
+  }
 }
--- a/router/src/test/java/nettletrail/router/RouterStreamTest.java
+++ b/router/src/test/java/nettletrail/router/RouterStreamTest.java
@@ -193,4 +193,64 @@
     assertTrue(answer.complete());
     assertEquals(eventText(1, "a") + eventText(2, "b") + eventText(3, "c"), answer.body());
   }
+
+  @Test
+  void aStreamWhoseBackendFallsSilentIsTakenUpElsewhere() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/resume/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = first.take();
+    request.beginStream();
+    request.event(1, "one");
+    client.readHead();
+    client.readChunk();
+    ScriptedBackend second = fixture.backend("b2");
+    ScriptedBackend.Received again = second.take();
+    assertEquals("1", again.header("Last-Event-Id"));
+    assertTrue(request.closedByPeer());
+    again.beginStream();
+    again.event(2, "two");
+    assertEquals(eventText(2, "two"), client.readChunk());
+    again.endStream();
+    assertEquals("", client.readChunk());
+  }
+
+  @Test
+  void aSilentStreamThatMayNotBeResumedIsLeftToItsDeadline() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/stream/x", "id-1", "", KEY, "X-Time-Left: 1600");
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    assertTrue(request.closedByPeer());
+    assertEquals(504, client.read().status());
+    assertEquals(0, second.untaken());
+  }
+
+  @Test
+  void versionLinesOfEventsArePassedOn() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/stream/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = backend.take();
+    request.beginStream();
+    String event = "versions: 8\nid: 1\ndata: one\n\n";
+    request.chunk(event);
+    client.readHead();
+    assertEquals(event, client.readChunk());
+    request.endStream();
+  }
+
+  @Test
+  void aFailureOfAStreamRouteIsPassedOnWhole() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/stream/x", "id-1", "", KEY);
+    backend.take().answer("500 Internal Server Error", "broken");
+    TestClient.Answer answer = client.read();
+    assertEquals(500, answer.status());
+    assertEquals("broken", answer.body());
+  }
 }
--- a/router/src/test/java/nettletrail/router/balance/ServiceBackendsTest.java
+++ b/router/src/test/java/nettletrail/router/balance/ServiceBackendsTest.java
@@ -93,6 +93,15 @@
     assertNotEquals(first, choose(PREFIX, ENGINE));
   }
 
+  @Test
+  void aLongPromptOfThisDoorDoesNotFillAllBackendsOfManyDoors() {
+    update("b1", "b2", "b3", "b4", "b5", "b6");
+    String home = choose(PREFIX, ENGINE).endpoint().id();
+    BackendLoad other = choose(PromptPrefix.NONE, ENGINE, home);
+    other.sent(90_000, 0, 90_000, 0);
+    assertEquals(home, backends.choose(request(PREFIX), ENGINE, 84, 0).endpoint().id());
+  }
+
   @Test
   void ofPlainBackendsTheLessLoadedIsChosen() {
     update("b1", "b2");
