Router: on a reused connection only an answer with the id proves a not-run

Cause: a late surplus 503 with X-Not-Run and no id would have had a single-send request sent a second time. On a new connection, which has had no earlier request, it is taken as before. The check of readiness directly before the first byte has a test of its own now: without it no test failed.

--- a/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
@@ -34,6 +34,13 @@
    */
   private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  private enum Echo {
+    OURS,
+    /** Of an earlier request on this connection. */
+    EARLIER,
+    UNPROVEN
+  }
+
   private final BackendChannels backend;
   private final UpstreamPool pool;
   private final AnswerDecoder decoder = new AnswerDecoder();
@@ -153,18 +160,28 @@
       garbled(); // a backend begins a request when its last byte has come
       return;
     }
+    switch (echoOf(start)) {
+      case OURS -> ride.attempt.answerBegan(start);
+      case EARLIER -> {
+        skipping = true; // ours comes behind it
+        skipped = true;
+      }
+      case UNPROVEN -> garbled();
+    }
+  }
+
+  /** Whose answer one is, by the id that it echoes. */
+  private Echo echoOf(HttpResponse start) {
     String expected = ride.attempt.attemptId();
     String echoed = start.headers().get(ATTEMPT_ID);
-    if (expected != null && echoed != null && !echoed.equals(expected)) {
-      if (!used || skipped) {
-        garbled();
-        return;
-      }
-      skipping = true; // of an earlier request on this connection; ours comes behind it
-      skipped = true;
-      return;
+    if (expected == null || expected.equals(echoed)) {
+      return Echo.OURS;
+    }
+    if (echoed == null) {
+      // A late one to an earlier request would have this one sent again.
+      return used && isNotRun(start) ? Echo.UNPROVEN : Echo.OURS;
     }
-    ride.attempt.answerBegan(start);
+    return used && !skipped ? Echo.EARLIER : Echo.UNPROVEN;
   }
 
   private void take(HttpContent content) {
--- a/router/src/test/java/nettletrail/router/RouterAttemptTest.java
+++ b/router/src/test/java/nettletrail/router/RouterAttemptTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -318,4 +319,47 @@
     assertEquals(404, client.read().status());
     assertEquals(0, backend.untaken());
   }
+
+  @Test
+  void aBackendThatGoesDirectlyBeforeTheFirstByteGetsNothing() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    ScriptedBackend other = new ScriptedBackend("b2");
+    var asks = new AtomicInteger();
+    fixture.onLoop(
+        () -> {
+          fixture.control.onKeysAsked =
+              () -> {
+                if (asks.incrementAndGet()
+                    == 3) { // at arrival, in the queue, before the first byte
+                  fixture.control.backends.put("s", List.of(other.endpoint()));
+                  fixture.router.backendsChanged("s");
+                }
+              };
+          return null;
+        });
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    other.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    assertEquals(0, backend.untaken());
+    other.close();
+  }
+
+  @Test
+  void onAReusedConnectionOnlyAnAnswerWithTheIdProvesThatARequestHasNotRun() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    ScriptedBackend other = fixture.backend("b2");
+    fixture.backends("s", List.of(backend.endpoint()));
+    client.post("/once/x", "id-2", "", KEY);
+    ScriptedBackend.Received second = backend.take();
+    fixture.backends("s", List.of(backend.endpoint(), other.endpoint()));
+    second.write("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    assertEquals(502, client.read().status());
+    assertEquals(0, other.untaken());
+  }
 }
