--- a/router/src/test/java/nettletrail/router/RouterAttemptTest.java
+++ b/router/src/test/java/nettletrail/router/RouterAttemptTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -362,4 +363,44 @@
     assertEquals(502, client.read().status());
     assertEquals(0, other.untaken());
   }
+
+  @Test
+  void noMoreBackendsAreSentToThanTheRoutesAttempts() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    request.reset();
+    ScriptedBackend.Received again = second.take();
+    ScriptedBackend third = fixture.backend("b3");
+    again.reset();
+    assertEquals(502, client.read().status());
+    assertEquals(0, first.untaken() + second.untaken() + third.untaken());
+  }
+
+  @Test
+  void whatIsDueAfterItsDeadlineIsNotSent() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    fixture.onLoop(
+        () -> {
+          fixture.control.onKeysAsked = RouterAttemptTest::passTheDeadline;
+          return null;
+        });
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY, "X-Time-Left: 30");
+    assertEquals(503, client.read().status());
+    assertEquals(0, backend.untaken());
+  }
+
+  /**
+   * Keeps the router's loop busy, so that no timer of its runs before the request is to be sent.
+   */
+  private static void passTheDeadline() {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(40);
+    while (System.nanoTime() - end < 0) {
+      Thread.onSpinWait();
+    }
+  }
 }
