Status interface of the core, and the client's commands on it

An operator could write and read the configuration, but not see who owns a shard, which replica lags, which door holds which lease, what a tenant has left, or whether a disk is whole; going back meant having kept the old file.

The core answers GET under /nettletrail/status/ on its control gate, from read-only views added to control (ShardStatus, DoorStatus, BackendStatus, QuotaStatus, StoredConfiguration); no decision reads them. A quota's use in per cent is left out: asking for it moves the period on which grants are decided. Lists ask every core and name those that don't answer, since views differ exactly when something is wrong. Versions of the configuration are read on the storage thread, never on the event loop. Rollback and restore renumber the document above the current edition, because an edition is never used twice. fsck uses the readers of a start over a directory that refuses every change; the readers moved out of VersionStore for it.

--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -4,14 +4,18 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import nettletrail.control.grant.GrantOwner;
 import nettletrail.control.grant.QuotaLimit;
+import nettletrail.control.grant.QuotaStatus;
 import nettletrail.control.registry.BackendRegistry;
 import nettletrail.control.registry.BackendRegistry.Change;
+import nettletrail.control.registry.BackendStatus;
 import nettletrail.control.registry.CorePeers;
 import nettletrail.control.registry.DoorSessions;
+import nettletrail.control.registry.DoorStatus;
 import nettletrail.control.registry.Feed;
 import nettletrail.control.registry.PendingCalls;
 import nettletrail.control.registry.RegistryAction;
@@ -199,6 +203,22 @@
     return doors.liveDoors(now);
   }
 
+  /** The doors as this process knows them, for operators. */
+  public List<DoorStatus> doorStatus(long now) {
+    return doors.status(now);
+  }
+
+  /** The backends as this process knows them, for operators. */
+  public List<BackendStatus> backendStatus(long now) {
+    return registry.status(now);
+  }
+
+  /** A tenant's quota, if this process grants it; for operators. */
+  public Optional<QuotaStatus> quotaStatus(String tenant, long now) {
+    int shard = ShardMap.shardOf(tenant);
+    return ownership.owns(shard, now) ? grants.status(shard, tenant, now) : Optional.empty();
+  }
+
   private void enterFromPeer(Backend backend, long now) {
     if (registry.enter(backend, now) == Change.CHANGED) {
       feed.append(registry.get(backend.getId()));
--- a/control/src/main/java/nettletrail/control/grant/GrantOwner.java
+++ b/control/src/main/java/nettletrail/control/grant/GrantOwner.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import nettletrail.control.ShardMap;
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.GrantReply;
@@ -84,6 +85,13 @@
         sender, request.getRequest(), request.getShard(), false, null, 0L, List.of());
   }
 
+  /** A tenant's quota in a shard that this process owns; empty if the tenant isn't known. */
+  public Optional<QuotaStatus> status(int number, String tenant, long now) {
+    Shard shard = shards.get(number);
+    TenantBucket bucket = shard == null ? null : shard.buckets().get(tenant);
+    return bucket == null ? Optional.empty() : Optional.of(bucket.status(now));
+  }
+
   private TenantGrant grant(
       Shard shard, TenantBucket.Holder holder, long request, TenantUse use, long now) {
     String tenant = use.getTenant();
--- a/control/src/main/java/nettletrail/control/grant/TenantBucket.java
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -134,6 +134,11 @@
     return serving;
   }
 
+  /** The bucket for operators; changes nothing. */
+  QuotaStatus status(long now) {
+    return new QuotaStatus(limit, level, outstanding(), terms.capacity(limit), doorsServing(now));
+  }
+
   private static Holding newHolding(TenantUse use) {
     Holding holding = new Holding();
     holding.usedTotal = use.getUsedTotal();
--- a/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
+++ b/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
@@ -176,6 +176,15 @@
     return contents;
   }
 
+  /** All backends that are known, with tombstones and expired ones, for operators. */
+  public List<BackendStatus> status(long now) {
+    return entries.values().stream()
+        .map(
+            entry ->
+                new BackendStatus(entry.backend, (now - entry.lastHeardAt) / MILLIS, entry.expired))
+        .toList();
+  }
+
   private void followHearing(long now) {
     int live = 0;
     int heard = 0;
--- a/control/src/main/java/nettletrail/control/registry/DoorSession.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -16,6 +16,8 @@
   private static final long PUSH_AGAIN = 600 * MILLIS;
 
   private final String door;
+  private String zone = "";
+  private boolean draining;
   private boolean linkUp;
   private boolean greeted;
   private long leaseUntil;
@@ -50,6 +52,8 @@
   /** Renews the lease and takes over where the door stands. */
   void heartbeat(DoorHeartbeat heartbeat, long now) {
     linkUp = true;
+    zone = heartbeat.getZone();
+    draining = heartbeat.getDraining();
     leaseUntil = now + LEASE;
     configurationSequence = heartbeat.getConfigurationSequence();
     boolean anew = !greeted || heartbeat.getFeed() != feed;
@@ -82,6 +86,19 @@
     return !linkUp && now - leaseUntil > nanos;
   }
 
+  /** The session for operators. */
+  DoorStatus status(long now) {
+    return new DoorStatus(
+        door,
+        zone,
+        live(now),
+        Math.max(0, leaseUntil - now) / MILLIS,
+        linkUp,
+        draining,
+        configurationSequence,
+        acknowledgedOffset);
+  }
+
   /** Whether messages can be sent and it is known where the door stands. */
   boolean ready() {
     return linkUp && greeted;
--- a/control/src/main/java/nettletrail/control/registry/DoorSessions.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -70,6 +70,11 @@
     return actions;
   }
 
+  /** All doors that are known, for operators. */
+  public List<DoorStatus> status(long now) {
+    return sessions.values().stream().map(session -> session.status(now)).toList();
+  }
+
   /** How many doors hold a lease. */
   public int liveDoors(long now) {
     int live = 0;
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
@@ -89,6 +89,11 @@
     return -1;
   }
 
+  /** The orders that were taken and are remembered, the oldest first. */
+  List<ConfigurationChange> changes() {
+    return List.copyOf(value.getChanges());
+  }
+
   /** The state after a document was taken. */
   ConfigurationState after(ConfigurationRules.CheckedDocument document, ByteBuffer digest) {
     List<ConfigurationChange> changes = new ArrayList<>(value.getChanges());
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -205,6 +205,24 @@
     return group.members();
   }
 
+  /** The states of all shards as this process knows them, for operators. */
+  public List<ShardStatus> status(long now) {
+    List<ShardStatus> status = new ArrayList<>();
+    for (int shard = 0; shard < replicas.size(); shard++) {
+      status.add(ShardStatus.of(shard, replicas.get(shard), now));
+    }
+    return status;
+  }
+
+  /**
+   * The newest configuration that is known here to be committed, or null; may be older than the
+   * owner's.
+   */
+  public StoredConfiguration configuration() {
+    ShardVersion committed = configurationReplica.committed();
+    return committed == null ? null : StoredConfiguration.of(committed);
+  }
+
   /** One shard's state in words, for tests and logs. */
   String describe(int shard, long now) {
     return replicas.get(shard).describe(now);
--- a/control/src/main/java/nettletrail/control/shard/ShardReplica.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -83,6 +83,11 @@
     return ownership == null ? null : ownership.ballot();
   }
 
+  /** How long the lease as owner still runs, in nanoseconds; 0 if there is none. */
+  long leaseLeft(long now) {
+    return owns(now) ? ownership.leaseUntil() - now : 0;
+  }
+
   /** The owner's address as far as known, else empty. */
   String ownerAddress(long now) {
     if (owns(now)) {
--- /dev/null
+++ b/control/src/main/java/nettletrail/control/shard/StoredConfiguration.java
@@ -0,0 +1,28 @@
+package nettletrail.control.shard;
+
+import java.util.List;
+import nettletrail.protocol.ConfigurationChange;
+import nettletrail.protocol.ShardVersion;
+
+/**
+ * What a version of the configuration shard holds, for operators and tools; decides nothing.
+ *
+ * @param sequence the version's number
+ * @param edition the document's edition; 0 if nothing was taken yet
+ * @param document the document's JSON; empty at edition 0
+ * @param changes the orders that were taken, the oldest first
+ */
+public record StoredConfiguration(
+    long sequence, long edition, byte[] document, List<ConfigurationChange> changes) {
+
+  /**
+   * Reads a version of the configuration shard.
+   *
+   * @throws IllegalStateException if its value is malformed
+   */
+  public static StoredConfiguration of(ShardVersion version) {
+    ConfigurationState state = ConfigurationState.decode(version.getValue());
+    return new StoredConfiguration(
+        version.getSequence(), state.edition(), state.documentBytes(), state.changes());
+  }
+}
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -74,6 +74,7 @@
   private final CoreRegistry registry;
   private final Links links;
   private final ControlServer server;
+  private final CoreStatus status;
   private List<String> seeds;
   private ScheduledFuture<?> ticks;
 
@@ -101,6 +102,7 @@
     Hello hello = new Hello(settings.node(), self.getAddress(), ROLE, life, PROTOCOL_VERSION);
     this.links = new Links(loop, LinkSettings.defaults(), hello, this);
     this.server = new ControlServer(loop, ControlSettings.defaults(), this);
+    this.status = new CoreStatus(settings, shards, registry, storage, loop, server);
     LOG.info("core {} starts as {}", settings.node(), self.getId());
   }
 
@@ -194,6 +196,11 @@
     run(shards.submit(call, method, ifMatch, body, System.nanoTime()));
   }
 
+  @Override
+  public void status(long call, String resource) {
+    status.answer(call, resource);
+  }
+
   // Work
 
   private void tick() {
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/CoreStatus.java
@@ -0,0 +1,199 @@
+package nettletrail.fleet;
+
+import com.jsoniter.output.JsonStream;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import nettletrail.control.CoreRegistry;
+import nettletrail.control.ShardMap;
+import nettletrail.control.grant.QuotaStatus;
+import nettletrail.control.shard.CoreShards;
+import nettletrail.control.shard.ShardStatus;
+import nettletrail.control.shard.StoredConfiguration;
+import nettletrail.fleet.http.ControlServer;
+import nettletrail.fleet.settings.FleetSettings;
+import nettletrail.protocol.ShardVersion;
+
+/**
+ * Answers operators' questions about the state of a core process, as JSON. Changes nothing, and no
+ * daemon asks. On the event loop; what has to be read from the disk is read on the storage thread.
+ *
+ * <p>Everything is what this process knows; another one may know more. {@code quota} alone is
+ * answered by the owner of the tenant's shard, and redirected there by the others.
+ */
+final class CoreStatus {
+  private static final String PATH = "/nettletrail/status/";
+  private static final String DOORS = "doors";
+  private static final String BACKENDS = "backends";
+  private static final String SHARDS = "shards";
+  private static final String LEASES = "leases";
+  private static final String QUOTA_PREFIX = "quota/";
+  private static final String HISTORY = "config/history";
+  private static final String VERSIONS = "config/versions";
+  private static final String VERSION_PREFIX = VERSIONS + "/";
+
+  private final FleetSettings settings;
+  private final CoreShards shards;
+  private final CoreRegistry registry;
+  private final StorageThread storage;
+  private final EventLoop loop;
+  private final ControlServer server;
+
+  CoreStatus(
+      FleetSettings settings,
+      CoreShards shards,
+      CoreRegistry registry,
+      StorageThread storage,
+      EventLoop loop,
+      ControlServer server) {
+    this.settings = settings;
+    this.shards = shards;
+    this.registry = registry;
+    this.storage = storage;
+    this.loop = loop;
+    this.server = server;
+  }
+
+  /** Answers a call, now or once the disk was read. */
+  void answer(long call, String resource) {
+    long now = System.nanoTime();
+    if (resource.startsWith(QUOTA_PREFIX)) {
+      quota(call, resource.substring(QUOTA_PREFIX.length()), now);
+      return;
+    }
+    if (resource.startsWith(VERSION_PREFIX)) {
+      version(call, resource.substring(VERSION_PREFIX.length()));
+      return;
+    }
+    switch (resource) {
+      case DOORS -> list(call, DOORS, CoreStatusJson.doors(registry.doorStatus(now)));
+      case BACKENDS -> list(call, BACKENDS, CoreStatusJson.backends(registry.backendStatus(now)));
+      case SHARDS -> list(call, SHARDS, shards(now));
+      case LEASES -> list(call, LEASES, leases(now));
+      case HISTORY -> history(call);
+      case VERSIONS -> versions(call);
+      default -> error(call, HttpResponseStatus.NOT_FOUND, "no such status");
+    }
+  }
+
+  private List<Map<String, Object>> shards(long now) {
+    List<Map<String, Object>> list = new ArrayList<>();
+    for (ShardStatus shard : shards.status(now)) {
+      list.add(CoreStatusJson.shard(shard, controlAddress(shard.ownerAddress())));
+    }
+    return list;
+  }
+
+  private List<Map<String, Object>> leases(long now) {
+    List<Map<String, Object>> list = new ArrayList<>();
+    for (ShardStatus shard : shards.status(now)) {
+      if (shard.owned()) {
+        list.add(CoreStatusJson.ownerLease(settings.node(), shard));
+      }
+    }
+    list.addAll(CoreStatusJson.doorLeases(registry.doorStatus(now)));
+    return list;
+  }
+
+  private void quota(long call, String tenant, long now) {
+    int shard = ShardMap.shardOf(tenant);
+    if (shards.owns(shard, now)) {
+      Optional<QuotaStatus> quota = registry.quotaStatus(tenant, now);
+      if (quota.isPresent()) {
+        answer(call, CoreStatusJson.quota(settings.node(), tenant, shard, quota.get()));
+      } else {
+        error(
+            call,
+            HttpResponseStatus.NOT_FOUND,
+            "no tenant of that name has asked or is configured");
+      }
+      return;
+    }
+    String owner = controlAddress(shards.ownerAddress(shard, now));
+    if (owner.isEmpty()) {
+      error(call, HttpResponseStatus.SERVICE_UNAVAILABLE, "shard " + shard + " has no known owner");
+    } else {
+      server.redirect(call, "http://" + owner + PATH + QUOTA_PREFIX + tenant);
+    }
+  }
+
+  private void history(long call) {
+    StoredConfiguration configuration = shards.configuration();
+    if (configuration == null) {
+      error(call, HttpResponseStatus.SERVICE_UNAVAILABLE, "no committed version is known here yet");
+    } else {
+      answer(call, CoreStatusJson.history(settings.node(), configuration));
+    }
+  }
+
+  private void versions(long call) {
+    storage.readVersions(
+        CoreShards.CONFIGURATION_SHARD,
+        versions ->
+            loop.execute(() -> list(call, "versions", CoreStatusJson.versions(stored(versions)))),
+        failure -> loop.execute(() -> diskFailed(call, failure)));
+  }
+
+  private void version(long call, String edition) {
+    storage.readVersions(
+        CoreShards.CONFIGURATION_SHARD,
+        versions -> loop.execute(() -> document(call, edition, stored(versions))),
+        failure -> loop.execute(() -> diskFailed(call, failure)));
+  }
+
+  private static List<StoredConfiguration> stored(List<ShardVersion> versions) {
+    return versions.stream()
+        .map(StoredConfiguration::of)
+        .filter(each -> each.edition() > 0)
+        .toList();
+  }
+
+  /** Answers with the newest stored version of an edition. */
+  private void document(long call, String edition, List<StoredConfiguration> versions) {
+    for (int i = versions.size() - 1; i >= 0; i--) {
+      StoredConfiguration version = versions.get(i);
+      if (Long.toString(version.edition()).equals(edition)) {
+        server.answer(call, HttpResponseStatus.OK.code(), version.document());
+        return;
+      }
+    }
+    error(
+        call, HttpResponseStatus.NOT_FOUND, "edition " + edition + " isn't on this disk any more");
+  }
+
+  private void diskFailed(long call, String failure) {
+    error(call, HttpResponseStatus.INTERNAL_SERVER_ERROR, failure);
+  }
+
+  private void list(long call, String name, List<Map<String, Object>> entries) {
+    Map<String, Object> json = new LinkedHashMap<>();
+    json.put("core", settings.node());
+    json.put(name, entries);
+    answer(call, json);
+  }
+
+  private void answer(long call, Map<String, Object> json) {
+    byte[] bytes = JsonStream.serialize(json).getBytes(StandardCharsets.UTF_8);
+    server.answer(call, HttpResponseStatus.OK.code(), bytes);
+  }
+
+  private void error(long call, HttpResponseStatus status, String reason) {
+    byte[] bytes = JsonStream.serialize(Map.of("error", reason)).getBytes(StandardCharsets.UTF_8);
+    server.answer(call, status.code(), bytes);
+  }
+
+  /** All machines of the core use the same ports. */
+  private String controlAddress(String internalAddress) {
+    String own = settings.controlGate().orElse("");
+    if (internalAddress.isEmpty() || own.isEmpty()) {
+      return "";
+    }
+    String host = internalAddress.substring(0, internalAddress.lastIndexOf(':'));
+    return host + own.substring(own.lastIndexOf(':'));
+  }
+}
--- a/fleet/src/main/java/nettletrail/fleet/StorageThread.java
+++ b/fleet/src/main/java/nettletrail/fleet/StorageThread.java
@@ -1,6 +1,7 @@
 package nettletrail.fleet;
 
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -9,6 +10,7 @@
 import nettletrail.control.shard.CoreAction.StorePromise;
 import nettletrail.control.shard.CoreAction.StoreVersion;
 import nettletrail.control.shard.StoreOutcome;
+import nettletrail.protocol.ShardVersion;
 import nettletrail.store.CoreStore;
 import nettletrail.store.StorageException;
 import org.slf4j.Logger;
@@ -46,6 +48,25 @@
     submit(() -> store.storeVersion(version.shard(), version.version()), done);
   }
 
+  /**
+   * Reads the versions of a shard from the disk, behind the writes that wait; for operators. Exactly
+   * one of the two is called, on the storage thread or at once.
+   */
+  void readVersions(int shard, Consumer<List<ShardVersion>> done, Consumer<String> failed) {
+    try {
+      executor.execute(
+          () -> {
+            try {
+              done.accept(store.versions(shard));
+            } catch (StorageException failure) {
+              failed.accept(failure.getMessage());
+            }
+          });
+    } catch (RejectedExecutionException full) {
+      failed.accept("the storage thread's queue is full");
+    }
+  }
+
   @Override
   public void close() {
     executor.shutdown();
--- a/fleet/src/main/java/nettletrail/fleet/cli/ChangeOptions.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ChangeOptions.java
@@ -41,7 +41,8 @@
     return ExitCode.DONE;
   }
 
-  private static String currentEdition(CoreClient client) throws ClientException {
+  /** The edition that the core holds now; 0 if there is none. */
+  static String currentEdition(CoreClient client) throws ClientException {
     CoreAnswer answer = client.get();
     if (answer.isNotFound()) {
       return NO_CONFIGURATION;
--- a/fleet/src/main/java/nettletrail/fleet/cli/ClientStep.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ClientStep.java
@@ -8,6 +8,8 @@
   CHECK("checking"),
   /** Calling a core. */
   CALL("calling"),
+  /** Writing a file. */
+  WRITE("writing"),
   /** Running a whole fleet. */
   RUN("running");
 
--- a/fleet/src/main/java/nettletrail/fleet/cli/Console.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/Console.java
@@ -11,9 +11,9 @@
  * @param out for results
  * @param err for errors
  */
-record Console(PrintStream out, PrintStream err) {
+public record Console(PrintStream out, PrintStream err) {
   /** Writes one JSON object on one line, in the map's order. */
-  void json(Map<String, Object> object) {
+  public void json(Map<String, Object> object) {
     out.println(JsonStream.serialize(object));
   }
 
--- a/fleet/src/main/java/nettletrail/fleet/cli/CoreClient.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/CoreClient.java
@@ -21,7 +21,7 @@
  */
 public final class CoreClient {
   private static final String CONFIGURATION_PATH = "/nettletrail/config";
-  private static final int ROUNDS = 3;
+  private static final String STATUS_PREFIX = "/nettletrail/status/";
   private static final int MAX_REDIRECTS = 2;
   private static final int TEMPORARY_REDIRECT = 307;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -33,11 +33,17 @@
    * @param connect for a connection
    * @param answer for an answer
    * @param betweenRounds before the second round; doubled for each further one
+   * @param rounds how often all addresses are tried
    */
-  public record Pauses(Duration connect, Duration answer, Duration betweenRounds) {
+  public record Pauses(Duration connect, Duration answer, Duration betweenRounds, int rounds) {
     /** For an operator who waits. */
     public static Pauses standard() {
-      return new Pauses(Duration.ofSeconds(2), Duration.ofSeconds(5), Duration.ofMillis(200));
+      return new Pauses(Duration.ofSeconds(2), Duration.ofSeconds(5), Duration.ofMillis(200), 3);
+    }
+
+    /** For a question that may go unanswered: no address is tried twice. */
+    static Pauses once() {
+      return new Pauses(Duration.ofSeconds(1), Duration.ofSeconds(3), Duration.ZERO, 1);
     }
   }
 
@@ -56,17 +62,17 @@
           ExitCode.USAGE, ClientStep.READ, "--core", "name at least one HOST:PORT");
     }
     for (String address : addresses) {
-      uri(address);
+      uri(address, CONFIGURATION_PATH);
     }
     this.addresses = List.copyOf(addresses);
     this.pauses = pauses;
     this.http = HttpClient.newBuilder().connectTimeout(pauses.connect()).build();
   }
 
-  private static URI uri(String address) throws ClientException {
+  private static URI uri(String address, String path) throws ClientException {
     URI uri = null;
     try {
-      uri = URI.create("http://" + address + CONFIGURATION_PATH);
+      uri = URI.create("http://" + address + path);
     } catch (IllegalArgumentException failure) {
       // Reported below, as an address without a port.
     }
@@ -78,7 +84,16 @@
 
   /** Reads the configuration. */
   public CoreAnswer get() throws ClientException {
-    return call("GET", "", new byte[0]);
+    return call(CONFIGURATION_PATH, "GET", "", new byte[0]);
+  }
+
+  /**
+   * Reads a part of a core's state.
+   *
+   * @param resource its name, as {@code doors} or {@code quota/TENANT}
+   */
+  CoreAnswer status(String resource) throws ClientException {
+    return call(STATUS_PREFIX + resource, "GET", "", new byte[0]);
   }
 
   /**
@@ -88,15 +103,16 @@
    * @param edition the edition that the change builds on
    */
   public CoreAnswer change(String method, String edition, byte[] body) throws ClientException {
-    return call(method, edition, body);
+    return call(CONFIGURATION_PATH, method, edition, body);
   }
 
-  private CoreAnswer call(String method, String ifMatch, byte[] body) throws ClientException {
+  private CoreAnswer call(String path, String method, String ifMatch, byte[] body)
+      throws ClientException {
     List<String> failures = new ArrayList<>();
-    for (int round = 0; round < ROUNDS; round++) {
+    for (int round = 0; round < pauses.rounds(); round++) {
       pauseBefore(round);
       for (String address : addresses) {
-        Optional<CoreAnswer> answer = attempt(address, method, ifMatch, body, failures);
+        Optional<CoreAnswer> answer = attempt(uri(address, path), method, ifMatch, body, failures);
         if (answer.isPresent()) {
           return answer.get();
         }
@@ -108,7 +124,7 @@
         ExitCode.NO_CLEAR_ANSWER,
         ClientStep.CALL,
         String.join(",", addresses),
-        "no clear answer in " + ROUNDS + " rounds; in the last: " + last);
+        "no clear answer in " + pauses.rounds() + " rounds; in the last: " + last);
   }
 
   private void pauseBefore(int round) throws ClientException {
@@ -124,10 +140,11 @@
 
   /** One call of one address; notes the failure if there is no clear answer. */
   private Optional<CoreAnswer> attempt(
-      String address, String method, String ifMatch, byte[] body, List<String> failures)
+      URI target, String method, String ifMatch, byte[] body, List<String> failures)
       throws ClientException {
+    String address = target.getAuthority();
     try {
-      HttpResponse<byte[]> response = send(uri(address), method, ifMatch, body);
+      HttpResponse<byte[]> response = send(target, method, ifMatch, body);
       if (isClear(response.statusCode())) {
         String core = response.uri().getAuthority();
         return Optional.of(new CoreAnswer(core, response.statusCode(), response.body()));
--- a/fleet/src/main/java/nettletrail/fleet/cli/CoreOptions.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/CoreOptions.java
@@ -15,10 +15,16 @@
   @Required
   String addresses = "";
 
-  /** A client of these cores. */
+  /** A client that tries these cores in turn. */
   CoreClient client() throws ClientException {
-    List<String> list =
-        Arrays.stream(addresses.split(",")).map(String::strip).filter(a -> !a.isEmpty()).toList();
-    return new CoreClient(list, CoreClient.Pauses.standard());
+    return new CoreClient(list(), CoreClient.Pauses.standard());
+  }
+
+  /** The addresses, one by one. */
+  List<String> list() {
+    return Arrays.stream(addresses.split(","))
+        .map(String::strip)
+        .filter(address -> !address.isEmpty())
+        .toList();
   }
 }
--- a/fleet/src/main/java/nettletrail/fleet/cli/OperatorClient.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/OperatorClient.java
@@ -23,10 +23,25 @@
             ConfigPut.class,
             ConfigPatch.class,
             ConfigDiff.class,
-            ConfigCheck.class
-          })
+            ConfigCheck.class,
+            ConfigHistory.class,
+            ConfigRollback.class
+          }),
+      @Group(
+          name = "snapshot",
+          description = "Copies of the configuration in files.",
+          commands = {SnapshotSave.class, SnapshotVerify.class, SnapshotRestore.class})
     },
-    commands = {CheckSettings.class, TryFleet.class})
+    commands = {
+      TryFleet.class,
+      Doors.class,
+      Backends.class,
+      Shards.class,
+      Leases.class,
+      Quota.class,
+      CheckSettings.class,
+      DiskCheckCommand.class
+    })
 public final class OperatorClient {
   private static final List<String> HELP_WORDS = List.of("help", "--help", "-h");
 
@@ -47,7 +62,8 @@
     return run(new Console(System.out, System.err), arguments);
   }
 
-  static int run(Console console, String... arguments) {
+  /** Runs a command line on other streams; returns the exit code. */
+  public static int run(Console console, String... arguments) {
     ExitCode code = new OperatorClient(console).runCommand(arguments);
     console.out().flush();
     console.err().flush();
--- /dev/null
+++ b/fleet/src/main/java/nettletrail/fleet/cli/Shards.java
@@ -0,0 +1,15 @@
+package nettletrail.fleet.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+
+/** Lists the shards: owner, fencing token, replicas, accepted and committed sequence. */
+@Command(
+    name = "shards",
+    description =
+        "Lists the shards: owner, fencing token, replicas, accepted and committed sequence. One row for each core of --core that answers; the others are named on the error stream.")
+public final class Shards extends StatusCommand {
+  @Override
+  String resource() {
+    return "shards";
+  }
+}
--- a/fleet/src/main/java/nettletrail/fleet/cli/demonstration/Demonstration.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/demonstration/Demonstration.java
@@ -82,6 +82,8 @@
     say(plan.coreCount() + " core processes and " + doors.size() + " doors are started");
     operator.putFirst();
     say("configuration " + ConfigurationText.FIRST_EDITION + " is taken");
+    String cores = String.join(",", fleet.controlAddresses());
+    say("look at it from another terminal: ./nettletrail fleet shards --core " + cores);
   }
 
   private DemonstrationResult underLoad(DoorDirectory directory)
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
@@ -17,8 +17,9 @@
  * @param status HTTP status
  * @param json body
  * @param allow the field Allow; empty for none
+ * @param location the field Location; empty for none
  */
-record ControlAnswer(int status, byte[] json, String allow) {
+record ControlAnswer(int status, byte[] json, String allow, String location) {
   /**
    * Keeps answers below 4 KiB however their text is escaped; longer ones don't count for a backend.
    */
@@ -29,7 +30,7 @@
   /** An answer with a body; null or no bytes stand for an empty object. */
   static ControlAnswer of(int status, byte[] json) {
     boolean empty = json == null || json.length == 0;
-    return new ControlAnswer(status, empty ? EMPTY_OBJECT : json, "");
+    return new ControlAnswer(status, empty ? EMPTY_OBJECT : json, "", "");
   }
 
   /** An answer that tells the caller what is wrong. */
@@ -42,7 +43,13 @@
   /** An answer to a method that the path doesn't have. */
   static ControlAnswer wrongMethod(String allow) {
     ControlAnswer error = error(HttpResponseStatus.METHOD_NOT_ALLOWED, "this path allows " + allow);
-    return new ControlAnswer(error.status(), error.json(), allow);
+    return new ControlAnswer(error.status(), error.json(), allow, "");
+  }
+
+  /** An answer that sends the caller elsewhere with the same call. */
+  static ControlAnswer redirect(String location) {
+    int status = HttpResponseStatus.TEMPORARY_REDIRECT.code();
+    return new ControlAnswer(status, EMPTY_OBJECT, "", location);
   }
 
   /** The response, with all its fields but Connection. */
@@ -55,6 +62,9 @@
     if (!allow.isEmpty()) {
       response.headers().set(HttpHeaderNames.ALLOW, allow);
     }
+    if (!location.isEmpty()) {
+      response.headers().set(HttpHeaderNames.LOCATION, location);
+    }
     return response;
   }
 }
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlCalls.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlCalls.java
@@ -29,4 +29,12 @@
    * @param body the document or the patch; empty for GET
    */
   void configuration(long call, String method, String ifMatch, byte[] body);
+
+  /**
+   * An operator asks about this process's state; changes nothing.
+   *
+   * @param call number to answer with
+   * @param resource what is asked for, as {@code doors} or {@code quota/TENANT}
+   */
+  void status(long call, String resource);
 }
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlRequest.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlRequest.java
@@ -16,6 +16,9 @@
   /** The operator's call. */
   record ConfigurationCall(String method, String ifMatch, byte[] body) implements ControlRequest {}
 
+  /** A question about this process's state; the resource is the path's rest, decoded. */
+  record StatusCall(String resource) implements ControlRequest {}
+
   /** A question whether this process is ready. */
   record ReadyCall() implements ControlRequest {}
 
@@ -36,6 +39,9 @@
   /** Readiness of this process. */
   String READY_PATH = "/nettletrail/ready";
 
+  /** Followed by the name of a resource. */
+  String STATUS_PREFIX = "/nettletrail/status/";
+
   /** Followed by a backend's id. */
   String BACKEND_PREFIX = "/nettletrail/backends/";
 
@@ -60,6 +66,13 @@
       List<HttpMethod> allowed = List.of(HttpMethod.GET);
       return allowed.contains(request.method()) ? new ReadyCall() : new WrongMethod(allowed);
     }
+    if (path.startsWith(STATUS_PREFIX)) {
+      List<HttpMethod> allowed = List.of(HttpMethod.GET);
+      String resource = path.substring(STATUS_PREFIX.length());
+      return allowed.contains(request.method())
+          ? new StatusCall(resource)
+          : new WrongMethod(allowed);
+    }
     if (path.startsWith(BACKEND_PREFIX)) {
       return backend(request, target, path.substring(BACKEND_PREFIX.length()));
     }
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
@@ -97,11 +97,24 @@
    * @param json the body; null or empty for an empty object
    */
   public void answer(long call, int status, byte[] json) {
+    answer(call, ControlAnswer.of(status, json));
+  }
+
+  /**
+   * Answers a call with 307. Event loop only.
+   *
+   * @param target where the same call is to be made, as {@code http://...}
+   */
+  public void redirect(long call, String target) {
+    answer(call, ControlAnswer.redirect(target));
+  }
+
+  private void answer(long call, ControlAnswer answer) {
     requireLoop();
     ControlConnection.Call open = openCalls.remove(call);
     if (open != null) {
       callNumbers.remove(open);
-      open.answer(ControlAnswer.of(status, json));
+      open.answer(answer);
     }
   }
 
@@ -142,6 +155,8 @@
         calls.backend(open(call), backend.method(), backend.backend());
       } else if (request instanceof ControlRequest.ConfigurationCall change) {
         calls.configuration(open(call), change.method(), change.ifMatch(), change.body());
+      } else if (request instanceof ControlRequest.StatusCall status) {
+        calls.status(open(call), status.resource());
       } else {
         call.answer(immediateAnswer(request));
       }
--- a/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
@@ -29,7 +29,7 @@
   private static final String BACKEND = "/nettletrail/backends/i-7f3a";
   private static final String CONFIGURATION = "/nettletrail/config";
   private static final String HEARTBEAT =
-      """
+"""
 {"carrier":"huvo","address":"10.128.0.9:8080","zone":"hall-a","edition":"v1","berths":32,
  "state":"open_for_mail","cold_left_ms":12.5,"stage":"either_way",
  "models":[{"name":"m","edition":1,"adapters":[]},{"name":"n"}],"later":{"a":[1]},"call_seq":4}
@@ -80,6 +80,11 @@
       String text = new String(body, StandardCharsets.UTF_8);
       taken.add(new Taken(call, method, null, ifMatch, text));
     }
+
+    @Override
+    public void status(long call, String resource) {
+      taken.add(new Taken(call, "STATUS", null, "", resource));
+    }
   }
 
   private Taken take() throws InterruptedException {
@@ -107,6 +112,24 @@
     }
   }
 
+  @Test
+  void statusCallIsHandedOverAndMayBeRedirected() throws Exception {
+    try (HttpCaller caller = new HttpCaller(address)) {
+      caller.request("GET", "/nettletrail/status/quota/north%20a", "");
+      Taken call = take();
+      assertEquals("quota/north a", call.body());
+      onLoop(
+          () -> {
+            server.redirect(call.call(), "http://127.0.0.1:1/elsewhere");
+            return null;
+          });
+      Answer answer = caller.read();
+      assertEquals(307, answer.status());
+      assertEquals("http://127.0.0.1:1/elsewhere", answer.fields().get("location"));
+    }
+    assertEquals(405, exchange("POST", "/nettletrail/status/doors", "{}").status());
+  }
+
   @Test
   void heartbeatIsHandedOverWithAllItsFields() throws Exception {
     try (HttpCaller caller = new HttpCaller(address)) {
--- a/store/src/main/java/nettletrail/store/CoreStore.java
+++ b/store/src/main/java/nettletrail/store/CoreStore.java
@@ -66,6 +66,11 @@
     return Map.copyOf(stored);
   }
 
+  /** The versions of a shard that are on disk, the oldest first; for operators. */
+  public List<ShardVersion> versions(int shard) throws StorageException {
+    return stores.get(shard).versions();
+  }
+
   /** Makes a promise durable. */
   public void storePromise(int shard, Ballot ballot) throws StorageException {
     stores.get(shard).storePromise(ballot);
--- a/store/src/main/java/nettletrail/store/NodeIdentity.java
+++ b/store/src/main/java/nettletrail/store/NodeIdentity.java
@@ -10,7 +10,7 @@
  */
 public final class NodeIdentity {
 
-  private static final String FILE = "identity";
+  static final String FILE = "identity";
   private static final String FOUNDING_SUFFIX = "0";
   private static final String RANDOM_PREFIX = "r";
   private static final char SEPARATOR = '#';
@@ -56,7 +56,8 @@
     return created;
   }
 
-  private static String read(Directory directory) throws StorageException {
+  /** The identity on a disk; empty if its file is damaged. */
+  static String read(Directory directory) throws StorageException {
     try {
       byte[] payload = RecordFile.read(directory, FILE, RecordFile.Kind.IDENTITY);
       return new String(payload, StandardCharsets.UTF_8);
--- a/store/src/main/java/nettletrail/store/VersionStore.java
+++ b/store/src/main/java/nettletrail/store/VersionStore.java
@@ -9,9 +9,7 @@
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.ShardVersion;
 import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
-import org.apache.avro.specific.SpecificDatumReader;
 import org.apache.avro.specific.SpecificDatumWriter;
 import org.apache.avro.specific.SpecificRecord;
 
@@ -29,8 +27,8 @@
   public static final int KEPT_VERSIONS = 4;
 
   private static final int HEXADECIMAL = 16;
-  private static final String PROMISE_FILE = "promise";
-  private static final String VERSION_PREFIX = "version-";
+  static final String PROMISE_FILE = "promise";
+  static final String VERSION_PREFIX = "version-";
 
   private final Directory directory;
   private final TreeMap<Long, String> versionFiles = new TreeMap<>();
@@ -92,6 +90,21 @@
     removeOldest();
   }
 
+  /**
+   * All versions on disk that are whole, the oldest first; for operators. Comes after {@link
+   * #load}.
+   */
+  public List<ShardVersion> versions() throws StorageException {
+    List<ShardVersion> versions = new ArrayList<>();
+    for (String name : List.copyOf(versionFiles.values())) {
+      ShardVersion version = readVersion(name, new ArrayList<>());
+      if (version != null) {
+        versions.add(version);
+      }
+    }
+    return versions;
+  }
+
   private void removeOldest() throws StorageException {
     while (versionFiles.size() > KEPT_VERSIONS) {
       directory.remove(versionFiles.firstEntry().getValue());
@@ -100,28 +113,39 @@
   }
 
   private Ballot readPromise(List<String> damaged) throws StorageException {
-    return decode(
-        PROMISE_FILE, RecordFile.Kind.PROMISE, new SpecificDatumReader<>(Ballot.class), damaged);
+    try {
+      return RecordDecoder.readPromise(directory, PROMISE_FILE);
+    } catch (StorageException failure) {
+      noteDamaged(PROMISE_FILE, failure, damaged);
+      return null;
+    }
   }
 
   private void addVersionFile(String name, List<String> damaged) {
+    long number = versionNumber(name);
+    if (number < 0) {
+      damaged.add(name);
+      return;
+    }
+    versionFiles.put(number, name);
+    lastNumber = Math.max(lastNumber, number);
+  }
+
+  /** The number of a version's file, or -1 if the name is none. */
+  static long versionNumber(String name) {
+    if (!name.startsWith(VERSION_PREFIX)) {
+      return -1;
+    }
     try {
-      long number = Long.parseUnsignedLong(name.substring(VERSION_PREFIX.length()), HEXADECIMAL);
-      versionFiles.put(number, name);
-      lastNumber = Math.max(lastNumber, number);
+      return Long.parseUnsignedLong(name.substring(VERSION_PREFIX.length()), HEXADECIMAL);
     } catch (NumberFormatException notOurs) {
-      damaged.add(name);
+      return -1;
     }
   }
 
   private ShardVersion readNewest(List<String> damaged) throws StorageException {
     for (String name : versionFiles.descendingMap().values()) {
-      ShardVersion version =
-          decode(
-              name,
-              RecordFile.Kind.VERSION,
-              new SpecificDatumReader<>(ShardVersion.class),
-              damaged);
+      ShardVersion version = readVersion(name, damaged);
       if (version != null) {
         return version;
       }
@@ -129,24 +153,23 @@
     return null;
   }
 
-  private <T> T decode(
-      String name, RecordFile.Kind kind, SpecificDatumReader<T> reader, List<String> damaged)
-      throws StorageException {
+  private ShardVersion readVersion(String name, List<String> damaged) throws StorageException {
     try {
-      byte[] payload = RecordFile.read(directory, name, kind);
-      return reader.read(null, DecoderFactory.get().binaryDecoder(payload, null));
+      return RecordDecoder.readVersion(directory, name);
     } catch (StorageException failure) {
-      if (failure.step() != StorageException.Step.DECODE) {
-        throw failure;
-      }
-      damaged.add(name);
-      return null;
-    } catch (IOException | RuntimeException malformed) {
-      damaged.add(name);
+      noteDamaged(name, failure, damaged);
       return null;
     }
   }
 
+  private static void noteDamaged(String name, StorageException failure, List<String> damaged)
+      throws StorageException {
+    if (failure.step() != StorageException.Step.DECODE) {
+      throw failure;
+    }
+    damaged.add(name);
+  }
+
   private static <T extends SpecificRecord> byte[] encode(
       String name, T record, SpecificDatumWriter<T> writer) throws StorageException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
