--- a/app/src/main/java/nettletrail/app/scale/Prediction.java
+++ b/app/src/main/java/nettletrail/app/scale/Prediction.java
@@ -1,9 +1,9 @@
 package nettletrail.app.scale;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import nettletrail.emulator.capacity.Fit;
 
 /** What smaller sizes tell of the largest: a line through each figure over the number of backends, and how far off it was. */
 final class Prediction {
@@ -26,9 +26,7 @@
         double x = mean(largest, "backends");
         Map<String, Object> all = new LinkedHashMap<>();
         for (String name : OF) {
-            List<Line.Point> points = new ArrayList<>();
-            runs.forEach(each -> points.add(new Line.Point(number(each, "backends"), number(each, name))));
-            Line line = Line.through(points);
+            Fit line = Fit.of(numbers(runs, "backends"), numbers(runs, name));
             Map<String, Object> one = new LinkedHashMap<>();
             one.put("slope_per_1000_backends", SizeRun.round(line.slope() * 1_000));
             one.put("intercept", SizeRun.round(line.intercept()));
@@ -37,7 +35,7 @@
             one.put("measured", SizeRun.round(mean(largest, name)));
             Spread spread = Spread.of(largest.stream().map(each -> number(each, name)).toList());
             one.put("measured_max_over_seeds", SizeRun.round(spread.max()));
-            one.put("error_pct", SizeRun.round(Line.errorPct(line.at(x), mean(largest, name))));
+            one.put("error_pct", SizeRun.round(Fit.errorPct(line.at(x), mean(largest, name))));
             all.put(name, one);
         }
         return all;
@@ -49,6 +47,10 @@
                 .orElse(0);
     }
 
+    private static double[] numbers(List<Map<String, Object>> runs, String name) {
+        return runs.stream().mapToDouble(each -> number(each, name)).toArray();
+    }
+
     static double number(Map<?, ?> figures, String name) {
         return ((Number) figures.get(name)).doubleValue();
     }
--- a/app/src/test/java/nettletrail/app/scale/PredictionTest.java
+++ b/app/src/test/java/nettletrail/app/scale/PredictionTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import nettletrail.emulator.capacity.Fit;
 import org.junit.jupiter.api.Test;
 
 /** The arithmetic of the sweep, and the names of broken budgets. */
@@ -22,7 +23,7 @@
 
     @Test
     void aLineThroughPointsOnALineIsThatLine() {
-        Line line = Line.through(List.of(new Line.Point(1, 5), new Line.Point(2, 7), new Line.Point(4, 11)));
+        Fit line = Fit.of(new double[] {1, 2, 4}, new double[] {5, 7, 11});
         assertEquals(2, line.slope(), 1e-12);
         assertEquals(3, line.intercept(), 1e-12);
         assertEquals(0, line.residual(), 1e-12);
@@ -31,18 +32,18 @@
 
     @Test
     void leastSquaresOfScatteredPoints() {
-        Line line = Line.through(List.of(new Line.Point(0, 1), new Line.Point(0, 3), new Line.Point(2, 4), new Line.Point(2, 8)));
+        Fit line = Fit.of(new double[] {0, 0, 2, 2}, new double[] {1, 3, 4, 8});
         assertEquals(2, line.slope(), 1e-12);
         assertEquals(2, line.intercept(), 1e-12);
         assertEquals(Math.sqrt((1 + 1 + 4 + 4) / 4.0), line.residual(), 1e-12);
-        assertThrows(IllegalArgumentException.class, () -> Line.through(List.of(new Line.Point(1, 1), new Line.Point(1, 2))));
+        assertThrows(IllegalArgumentException.class, () -> Fit.of(new double[] {1, 1}, new double[] {1, 2}));
     }
 
     @Test
     void errorsAreInPercentOfWhatWasMeasured() {
-        assertEquals(10, Line.errorPct(110, 100), 1e-9);
-        assertEquals(-50, Line.errorPct(1, 2), 1e-9);
-        assertEquals(0, Line.errorPct(0, 0), 1e-9);
+        assertEquals(10, Fit.errorPct(110, 100), 1e-9);
+        assertEquals(-50, Fit.errorPct(1, 2), 1e-9);
+        assertEquals(0, Fit.errorPct(0, 0), 1e-9);
     }
 
     @Test
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/Fit.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/Fit.java
@@ -7,9 +7,10 @@
  * A straight line through measured points by least squares: {@code y = intercept + slope x}.
  *
  * @param worstPct the farthest that a point lies off the line, percent of the point
+ * @param residual root of the mean squared distance of the points from it
  * @param points how many there were, two at least
  */
-public record Fit(double slope, double intercept, double worstPct, int points) {
+public record Fit(double slope, double intercept, double worstPct, double residual, int points) {
   private static final double PERCENT = 100;
 
   /**
@@ -36,12 +37,16 @@
     if (!(xx > 0)) {
       throw new IllegalArgumentException("Fit: needs two different sizes at least");
     }
-    Fit line = new Fit(xy / xx, meanY - xy / xx * meanX, 0, x.length);
+    Fit line = new Fit(xy / xx, meanY - xy / xx * meanX, 0, 0, x.length);
     double worst = 0;
+    double squares = 0;
     for (int i = 0; i < x.length; i++) {
+      double off = y[i] - line.at(x[i]);
+      squares += off * off;
       worst = Math.max(worst, Math.abs(errorPct(line.at(x[i]), y[i])));
     }
-    return new Fit(line.slope, line.intercept, worst, x.length);
+    double residual = Math.sqrt(squares / x.length);
+    return new Fit(line.slope, line.intercept, worst, residual, x.length);
   }
 
   /** What the line says there. */
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketRun.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketRun.java
@@ -9,12 +9,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
 import nettletrail.configuration.RoutingTable;
@@ -70,10 +72,19 @@
     } finally {
       System.out.println(JsonStream.serialize(run.figures));
       group.shutdownGracefully();
+      deleteTree(folder);
     }
     System.exit(0);
   }
 
+  private static void deleteTree(Path folder) throws IOException {
+    try (Stream<Path> paths = Files.walk(folder)) {
+      for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(path);
+      }
+    }
+  }
+
   private void run(CoreProcesses cores, EventLoopGroup group)
       throws IOException, InterruptedException {
     figures.put("real_core_processes", CoreProcesses.COUNT);
