--- a/fleet-emulator/src/main/java/nettletrail/emulator/actors/BackendActor.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/actors/BackendActor.java
@@ -28,6 +28,8 @@
 
   private static final long ANSWER_TIMEOUT = VirtualTime.SECOND;
   private static final long RETRY_PAUSE = 200 * VirtualTime.MILLISECOND;
+  private static final long LATEST = 3 * VirtualTime.SECOND;
+  private static final double LATE_PART = 0.2;
   private static final int SLOTS = 32;
   private static final int MOST_DELETE_ATTEMPTS = 5;
 
@@ -131,10 +133,20 @@
   private void register() {
     if (stage == Stage.SERVING) {
       call("PUT", BackendState.READY, (core, taken) -> {});
+      if (random.nextDouble() < LATE_PART) {
+        repeatLate(record(BackendState.READY));
+      }
       life.after(schedule.beat(), this::register);
     }
   }
 
+  /** A call may arrive long after it was sent, when others have overtaken it. */
+  private void repeatLate(Backend former) {
+    String core = anyCore();
+    ControlRequest request = new ControlRequest.Registration("PUT", former);
+    life.after(random.nextLong(LATEST), () -> caller.call(core, request, response -> {}));
+  }
+
   private void sayClosing() {
     if (stage != Stage.CLOSING) {
       return;
@@ -178,14 +190,18 @@
 
   private void call(String method, BackendState state, Answered answered) {
     callSequence++;
-    List<String> choice = addresses.get();
-    String core = choice.get(random.nextInt(choice.size()));
+    String core = anyCore();
     Consumer<ControlResponse> done =
         response ->
             answered.answered(core, response != null && response.status() == ControlResponse.OK);
     caller.call(core, new ControlRequest.Registration(method, record(state)), done);
   }
 
+  private String anyCore() {
+    List<String> choice = addresses.get();
+    return choice.get(random.nextInt(choice.size()));
+  }
+
   private Backend record(BackendState state) {
     return new Backend(
         identity.id(),
