--- a/fleet-emulator/src/main/java/nettletrail/emulator/fleet/Fleet.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/Fleet.java
@@ -62,13 +62,25 @@
   /** Starts all machines within a short time, for the first time. */
   public void startAll() {
     for (CoreNode core : cores) {
-      world.time().after(random.nextLong(GREATEST_START_DELAY), () -> core.start(true));
+      startSoon(core.machine(), () -> core.start(true));
     }
     for (DoorNode door : doors) {
-      world.time().after(random.nextLong(GREATEST_START_DELAY), door::start);
+      startSoon(door.machine(), door::start);
     }
   }
 
+  /** A machine that has just started is new: it counts as lost and is not in touch for a while. */
+  private void startSoon(Machine machine, Runnable start) {
+    world
+        .time()
+        .after(
+            random.nextLong(GREATEST_START_DELAY),
+            () -> {
+              contact.trouble(machine);
+              start.run();
+            });
+  }
+
   /** Virtual time, network and randomness. */
   public World world() {
     return world;
