Router: the test of a gap shows events behind it, which a stalled stream never did

Cause: without the check of gaps the test passed all the same, since the stall rule ended the silent stream. Result: it fails without the check.

--- a/router/src/test/java/nettletrail/router/RouterStreamTest.java
+++ b/router/src/test/java/nettletrail/router/RouterStreamTest.java
@@ -103,7 +103,7 @@
     request.reset();
     ScriptedBackend.Received again = second.take();
     again.beginStream();
-    again.event(3, "three");
+    again.chunk(eventText(3, "three") + eventText(2, "two"));
     assertNull(client.readChunk());
   }
 
