A core process that ends gives its leases back first

Change: CoreProcess.close sends the releases, and closes the links 100 ms later; damaged files of the disk are logged at the start.

--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -63,6 +63,11 @@
   private static final String ROLE = "core";
   private static final int PROTOCOL_VERSION = 1;
   private static final long TICK_MS = 50;
+
+  /** Time for the messages that give the leases back to leave before the links are closed. */
+  private static final long RELEASE_MS = 100;
+
+  private static final long SHUTDOWN_MS = 1_000;
   private static final double MILLIS_A_SECOND = 1_000;
   private static final byte[] NO_JSON = "{}".getBytes(StandardCharsets.UTF_8);
 
@@ -104,6 +109,13 @@
     this.server = new ControlServer(loop, ControlSettings.defaults(), this);
     this.status = new CoreStatus(settings, shards, registry, storage, loop, server);
     LOG.info("core {} starts as {}", settings.node(), self.getId());
+    store
+        .stored()
+        .forEach(
+            (shard, content) ->
+                content
+                    .damaged()
+                    .forEach(file -> LOG.warn("storage: shard {}: {} is damaged", shard, file)));
   }
 
   /** Listens for links and calls, and begins to work. */
@@ -136,10 +148,11 @@
     loop.execute(
         () -> {
           server.close();
-          links.close();
+          run(shards.release(System.nanoTime()));
         });
+    loop.schedule(links::close, RELEASE_MS, TimeUnit.MILLISECONDS);
     storage.close();
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    group.shutdownGracefully(RELEASE_MS, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
   }
 
   // Links
