The end of a core process waits until its leases are given back

Cause: close() returned at once and the process exited before the event loop had sent the releases. Change: close waits for the loop, for two seconds at most.

--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -140,6 +140,7 @@
     return loop;
   }
 
+  /** Gives the leases back and ends; blocks until that is done, for two seconds at most. */
   @Override
   public void close() {
     if (ticks != null) {
@@ -152,7 +153,9 @@
         });
     loop.schedule(links::close, RELEASE_MS, TimeUnit.MILLISECONDS);
     storage.close();
-    group.shutdownGracefully(RELEASE_MS, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
+    group
+        .shutdownGracefully(RELEASE_MS, SHUTDOWN_MS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(2 * SHUTDOWN_MS);
   }
 
   // Links
