--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -39,6 +39,7 @@
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Member;
+import nettletrail.protocol.event.LogEvent;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Links;
@@ -108,14 +109,14 @@
     this.links = new Links(loop, LinkSettings.defaults(), hello, this);
     this.server = new ControlServer(loop, ControlSettings.defaults(), this);
     this.status = new CoreStatus(settings, shards, registry, storage, loop, server);
-    LOG.info("core {} starts as {}", settings.node(), self.getId());
-    store
-        .stored()
-        .forEach(
-            (shard, content) ->
-                content
-                    .damaged()
-                    .forEach(file -> LOG.warn("storage: shard {}: {} is damaged", shard, file)));
+    LOG.info("{} core {} starts as {}", LogEvent.CORE_STARTS, settings.node(), self.getId());
+    store.stored().forEach((shard, content) -> logDamage(shard, content.damaged()));
+  }
+
+  private static void logDamage(int shard, List<String> files) {
+    for (String file : files) {
+      LOG.warn("{} storage: shard {}: {} is damaged", LogEvent.STORAGE_DAMAGED, shard, file);
+    }
   }
 
   /** Listens for links and calls, and begins to work. */
@@ -268,7 +269,7 @@
       for (Tenant tenant : table.tenants()) {
         limits.put(tenant.name(), new QuotaLimit(tenant.ratePerSecond(), tenant.burst()));
       }
-      LOG.info("configuration {} is committed", committed.edition());
+      LOG.info("{} configuration {} is committed", LogEvent.CONFIGURATION_COMMITTED, committed.edition());
       perform(
           registry.configuration(
               committed.sequence(),
@@ -277,7 +278,7 @@
               limits,
               System.nanoTime()));
     } catch (ConfigurationException fault) {
-      LOG.error("committed configuration {} can't be used: {}", committed.edition(), fault.getMessage());
+      LOG.error("{} committed configuration {} can't be used: {}", LogEvent.CONFIGURATION_UNUSABLE, committed.edition(), fault.getMessage());
     }
   }
 
--- a/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
@@ -14,6 +14,7 @@
 import nettletrail.control.grant.QuotaLimit;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendState;
+import nettletrail.protocol.event.LogEvent;
 import nettletrail.router.BackendEndpoint;
 import nettletrail.router.ControlView;
 import nettletrail.router.QuotaSource;
@@ -56,7 +57,7 @@
       routing = table;
       return true;
     } catch (ConfigurationException fault) {
-      LOG.error("the configuration can't be used: {}", fault.getMessage());
+      LOG.error("{} the configuration can't be used: {}", LogEvent.CONFIGURATION_UNUSABLE, fault.getMessage());
       return false;
     }
   }
@@ -138,7 +139,7 @@
       int port = Integer.parseInt(hostAndPort.substring(colon + 1));
       return new InetSocketAddress(hostAndPort.substring(0, Math.max(0, colon)), port);
     } catch (IllegalArgumentException malformed) {
-      LOG.warn("a backend's address can't be used: {}", hostAndPort);
+      LOG.warn("{} a backend's address can't be used: {}", LogEvent.BACKEND_ADDRESS_UNUSABLE, hostAndPort);
       return null;
     }
   }
--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -14,6 +14,7 @@
 import nettletrail.fleet.settings.Bounds;
 import nettletrail.fleet.settings.FleetSettings;
 import nettletrail.protocol.Hello;
+import nettletrail.protocol.event.LogEvent;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Links;
@@ -83,7 +84,7 @@
       throw new StartException("listen", ready, failure);
     }
     ticks = loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-    LOG.info("door {} starts", settings.node());
+    LOG.info("{} door {} starts", LogEvent.DOOR_STARTS, settings.node());
   }
 
   /** Takes the seeds of changed settings; on any thread. */
@@ -112,7 +113,7 @@
           router.drain(graceMs - DRAIN_MARGIN_MS, done::countDown);
         });
     boolean finished = done.await(graceMs, TimeUnit.MILLISECONDS);
-    LOG.info("door {} ends, drained {}", settings.node(), finished);
+    LOG.info("{} door {} ends, drained {}", LogEvent.DOOR_ENDS, settings.node(), finished);
     close();
   }
 
@@ -179,7 +180,7 @@
 
   private void configurationChanged(DoorAction.ConfigurationChanged changed) {
     if (view.configurationChanged(changed.document())) {
-      LOG.info("configuration {} is in force", changed.edition());
+      LOG.info("{} configuration {} is in force", LogEvent.CONFIGURATION_IN_FORCE, changed.edition());
       router.routingChanged();
       listen();
     }
@@ -197,7 +198,7 @@
         .addListener(
             bound -> {
               if (!bound.isSuccess()) {
-                LOG.error("listen {}: {}", gate, bound.cause().toString());
+                LOG.error("{} listen {}: {}", LogEvent.LISTEN_FAILED, gate, bound.cause().toString());
               }
             });
   }
--- a/fleet/src/main/java/nettletrail/fleet/Main.java
+++ b/fleet/src/main/java/nettletrail/fleet/Main.java
@@ -7,6 +7,7 @@
 import nettletrail.fleet.settings.SettingsException;
 import nettletrail.fleet.settings.SettingsReader;
 import nettletrail.fleet.settings.SettingsWatcher;
+import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
@@ -44,7 +45,7 @@
       role.run(file, SettingsReader.read(file));
       return 0;
     } catch (SettingsException | StartException fault) {
-      LOG.error("can't start: {}", fault.getMessage(), fault.getCause());
+      LOG.error("{} can't start: {}", LogEvent.START_FAILED, fault.getMessage(), fault.getCause());
       return CANNOT_START;
     }
   }
--- a/fleet/src/main/java/nettletrail/fleet/StorageThread.java
+++ b/fleet/src/main/java/nettletrail/fleet/StorageThread.java
@@ -11,6 +11,7 @@
 import nettletrail.control.shard.CoreAction.StoreVersion;
 import nettletrail.control.shard.StoreOutcome;
 import nettletrail.protocol.ShardVersion;
+import nettletrail.protocol.event.LogEvent;
 import nettletrail.store.CoreStore;
 import nettletrail.store.StorageException;
 import org.slf4j.Logger;
@@ -85,7 +86,7 @@
       write.run();
       return StoreOutcome.STORED;
     } catch (StorageException failure) {
-      LOG.warn("storage: {}", failure.getMessage());
+      LOG.warn("{} storage: {}", LogEvent.STORAGE_FAILED, failure.getMessage());
       return StoreOutcome.failed(failure.getMessage());
     }
   }
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -118,7 +119,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    LOG.info("Connection of {} closed: {}", channel.remoteAddress(), cause.toString());
+    LOG.info(
+        "{} connection of {} closed: {}",
+        LogEvent.CALLER_LOST,
+        channel.remoteAddress(),
+        cause.toString());
     channel.close();
   }
 }
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -196,7 +197,10 @@
     protected void initChannel(Channel channel) {
       if (connections.size() >= settings.maxConnections()) {
         LOG.warn(
-            "Connection of {} refused: {} are open", channel.remoteAddress(), connections.size());
+            "{} connection of {} refused: {} are open",
+            LogEvent.CALLER_REFUSED,
+            channel.remoteAddress(),
+            connections.size());
         channel.close();
         return;
       }
--- a/fleet/src/main/java/nettletrail/fleet/settings/SettingsWatcher.java
+++ b/fleet/src/main/java/nettletrail/fleet/settings/SettingsWatcher.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -81,7 +82,10 @@
   private void logUnreadable(IOException failure) {
     if (!unreadable) {
       LOG.warn(
-          "Settings file {} can't be read; the settings before stay: {}", file, failure.toString());
+          "{} settings file {} can't be read; the settings before stay: {}",
+          LogEvent.SETTINGS_UNREADABLE,
+          file,
+          failure.toString());
     }
     unreadable = true;
   }
@@ -94,7 +98,7 @@
         listener.changed(read);
       }
     } catch (SettingsException failure) {
-      LOG.warn("{}; the settings before stay", failure.getMessage());
+      LOG.warn("{} {}; the settings before stay", LogEvent.SETTINGS_FAULTY, failure.getMessage());
     }
   }
 }
--- /dev/null
+++ b/protocol/src/main/java/nettletrail/protocol/event/LogEvent.java
@@ -0,0 +1,75 @@
+package nettletrail.protocol.event;
+
+/**
+ * The events that the fleet's processes log at INFO and above. Each line begins with its event's
+ * id, which stays the same over releases; {@code docs/operate/events.md} tells operators what each
+ * means and what to do. Nothing is logged for single requests.
+ */
+public enum LogEvent {
+  /** A core process has read its disk. */
+  CORE_STARTS("NT101"),
+  /** A door process begins to look for the core. */
+  DOOR_STARTS("NT102"),
+  /** A door process has answered what was open, or its grace is over. */
+  DOOR_ENDS("NT103"),
+  /** Settings or machine don't allow a start. */
+  START_FAILED("NT104"),
+  /** A door can't listen for clients. */
+  LISTEN_FAILED("NT105"),
+
+  /** The settings file can't be read; the settings before stay. */
+  SETTINGS_UNREADABLE("NT201"),
+  /** The settings file has faults; the settings before stay. */
+  SETTINGS_FAULTY("NT202"),
+
+  /** A link to another process is usable. */
+  LINK_UP("NT301"),
+  /** A link has ended. */
+  LINK_CLOSED("NT302"),
+  /** Dialling a process has failed for the first time since it last succeeded. */
+  DIAL_FAILED("NT303"),
+  /** An address that can't be dialled at all. */
+  ADDRESS_UNUSABLE("NT304"),
+  /** More links from others than the bound. */
+  LINK_REFUSED("NT305"),
+  /** A message was incomplete or too long, and wasn't sent. */
+  MESSAGE_DROPPED("NT306"),
+  /** This process failed to handle a message. */
+  DELIVERY_FAILED("NT307"),
+
+  /** More callers of the control gate than the bound. */
+  CALLER_REFUSED("NT401"),
+  /** A caller of the control gate broke off. */
+  CALLER_LOST("NT402"),
+
+  /** A configuration is committed, as this core process knows. */
+  CONFIGURATION_COMMITTED("NT501"),
+  /** A door uses a configuration from here on. */
+  CONFIGURATION_IN_FORCE("NT502"),
+  /** A committed configuration can't be used by this process. */
+  CONFIGURATION_UNUSABLE("NT503"),
+  /** A backend registered an address that can't be dialled. */
+  BACKEND_ADDRESS_UNUSABLE("NT504"),
+
+  /** A write to the disk has failed. */
+  STORAGE_FAILED("NT601"),
+  /** A file was damaged when the disk was read; the process has taken a fresh identity. */
+  STORAGE_DAMAGED("NT602");
+
+  private final String id;
+
+  LogEvent(String id) {
+    this.id = id;
+  }
+
+  /** The id that log lines carry. */
+  public String id() {
+    return id;
+  }
+
+  /** The id, so that the event itself can be a parameter of a log line. */
+  @Override
+  public String toString() {
+    return id;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/nettletrail/protocol/event/package-info.java
@@ -0,0 +1,2 @@
+/** The catalogue of the fleet's log events. */
+package nettletrail.protocol.event;
--- a/protocol/src/main/java/nettletrail/protocol/link/Dialler.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Dialler.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -75,7 +76,8 @@
     }
     failureLogged = true;
     LOG.info(
-        "{} with {} failed, dialling on: {}",
+        "{} {} with {} failed, dialling on: {}",
+        LogEvent.DIAL_FAILED,
         LinkStep.DIAL,
         NetUtil.toSocketAddressString(address),
         failure.getMessage());
--- a/protocol/src/main/java/nettletrail/protocol/link/Link.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Link.java
@@ -10,6 +10,7 @@
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Ping;
 import nettletrail.protocol.Pong;
+import nettletrail.protocol.event.LogEvent;
 import org.apache.avro.specific.SpecificRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -87,14 +88,15 @@
       codec.encode(body, frame, name());
     } catch (ProtocolException failure) {
       frame.release();
-      LOG.error("Message dropped: {}", failure.getMessage());
+      LOG.error("{} message dropped: {}", LogEvent.MESSAGE_DROPPED, failure.getMessage());
       return false;
     }
     int length = frame.readableBytes() - LENGTH_BYTES;
     if (length > settings.maxFrameBytes()) {
       frame.release();
       LOG.error(
-          "Message dropped: {} with {}: {} bytes, more than a frame may hold",
+          "{} message dropped: {} with {}: {} bytes, more than a frame may hold",
+          LogEvent.MESSAGE_DROPPED,
           LinkStep.ENCODE,
           name(),
           length);
@@ -157,7 +159,7 @@
       return;
     }
     closing = true;
-    LOG.info("Link closed: {} with {}: {}", step, name(), reason);
+    LOG.info("{} link closed: {} with {}: {}", LogEvent.LINK_CLOSED, step, name(), reason);
     if (channel != null) {
       channel.close();
     }
@@ -238,7 +240,7 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     LinkStep step = stepOf(cause);
     if (step == LinkStep.DELIVER) {
-      LOG.error("{} with {}", step, name(), cause);
+      LOG.error("{} {} with {}", LogEvent.DELIVERY_FAILED, step, name(), cause);
     }
     close(step, cause.toString());
   }
--- a/protocol/src/main/java/nettletrail/protocol/link/Links.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Links.java
@@ -21,6 +21,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import nettletrail.protocol.Hello;
+import nettletrail.protocol.event.LogEvent;
 import org.apache.avro.specific.SpecificRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -115,7 +116,7 @@
       diallers.put(address, dialler);
       dialler.dial();
     } catch (ProtocolException failure) {
-      LOG.error("Not dialled: {}", failure.getMessage());
+      LOG.error("{} not dialled: {}", LogEvent.ADDRESS_UNUSABLE, failure.getMessage());
     }
   }
 
@@ -215,7 +216,11 @@
     }
     linksLike(peer).put(peer.key(), link);
     LOG.info(
-        "Link up: {} ({}), {}", peer.key(), peer.role(), peer.dialled() ? "dialled" : "accepted");
+        "{} link up: {} ({}), {}",
+        LogEvent.LINK_UP,
+        peer.key(),
+        peer.role(),
+        peer.dialled() ? "dialled" : "accepted");
     listener.up(peer);
   }
 
@@ -275,7 +280,8 @@
     protected void initChannel(Channel channel) {
       if (closed || acceptedConnections >= settings.maxAcceptedLinks()) {
         LOG.warn(
-            "{} with {}: refused, {} links are open",
+            "{} {} with {}: refused, {} links are open",
+            LogEvent.LINK_REFUSED,
             LinkStep.ACCEPT,
             channel.remoteAddress(),
             acceptedConnections);
