--- a/app/src/main/java/nettletrail/app/LimitsFleet.java
+++ b/app/src/main/java/nettletrail/app/LimitsFleet.java
@@ -27,9 +27,6 @@
     private static final long TICK = 20 * MS;
     private static final long CALL_TIMEOUT = 200 * MS;
     private static final long PROBE_EVERY = 100 * MS;
-    /** Of the members' agreed view, and until it is surely over. */
-    static final long VIEW_LEASE = 6 * SECOND;
-    private static final long VIEW_LEASE_OVER = 7 * SECOND;
     private static final long WALL_START_MS = 1_700_000_000_000L;
 
     /** Who asks for how much: units a second of one customer at one front door, from a time on. */
@@ -73,9 +70,6 @@
         /** How many answers of its next calls are lost after the counter has counted. */
         int loseAnswers;
         LimitsDecider decider;
-        /** Whether a majority grants it leases of their view. */
-        boolean inView = true;
-        private long leaseUntil;
         private int process;
         final List<String> said = new ArrayList<>();
 
@@ -87,16 +81,6 @@
         /** A new process. */
         void begin() {
             decider = new LimitsDecider(terms(number, ++process), now, this);
-            leaseUntil = now;
-            hold();
-            decider.gone(gone);
-        }
-
-        /** As its members' lease of the agreed view allows. */
-        private void hold() {
-            if (members) {
-                decider.held(leaseUntil);
-            }
         }
 
         @Override
@@ -175,13 +159,7 @@
 
         private void tick() {
             if (!dead) {
-                whenAwake(process, () -> {
-                    if (members && inView) {
-                        leaseUntil = now + VIEW_LEASE;
-                    }
-                    hold();
-                    decider.tick(now);
-                });
+                whenAwake(process, () -> decider.tick(now));
                 at(now + TICK, this::tick);
             }
         }
@@ -200,9 +178,6 @@
     long leaseNs = 2 * SECOND;
     long idleNs = 30 * SECOND;
     long lossNs = 120 * SECOND;
-    /** Whether front doors know each other. */
-    boolean members;
-    private List<String> gone = List.of();
     double floor = 0.25;
     int mostPerS = 2_000;
     long now;
@@ -273,28 +248,6 @@
         return replica;
     }
 
-    /** A majority agrees to do without this door: no lease is granted any more, and its share is free once that is over. */
-    void surelyGone(int number) {
-        Door door = doors.get(number);
-        door.inView = false;
-        String name = terms(number, door.process).door();
-        at(now + VIEW_LEASE_OVER, () -> {
-            List<String> all = new ArrayList<>(gone);
-            all.add(name);
-            gone = all;
-            doors.stream().filter(each -> each != door).forEach(each -> each.decider.gone(all));
-        });
-    }
-
-    /** It is in the view again, in a new life. */
-    void agreed(int number) {
-        Door door = doors.get(number);
-        if (!door.inView) {
-            door.inView = true;
-            door.begin();
-        }
-    }
-
     /** The process is gone, and another of the same name takes its place. */
     void restart(int door) {
         doors.get(door).begin();
--- a/app/src/main/java/nettletrail/app/LimitsProcesses.java
+++ b/app/src/main/java/nettletrail/app/LimitsProcesses.java
@@ -15,6 +15,7 @@
 import nettletrail.counter.StandInCounter;
 import nettletrail.site.Auditor;
 import nettletrail.site.Events;
+import nettletrail.site.FillingStore;
 import nettletrail.site.Site;
 import nettletrail.site.SiteBackend;
 import nettletrail.site.SiteClients;
@@ -94,7 +95,13 @@
 
         Map<String, List<Let>> lets = new HashMap<>();
         Map<String, Double> asked = asked(site.events().all(), lossFrom, backFrom, lets);
-        double worst = Overshoot.units(site.events().all(), CEILING_RATE, CEILING_BURST);
+        double worst = 0;
+        for (List<Let> each : lets.values()) {
+            FillingStore store = new FillingStore(CEILING_RATE, CEILING_BURST, each.get(0).atNs());
+            for (Let let : each) {
+                worst = Math.max(worst, -store.draw(let.atNs(), let.units()));
+            }
+        }
         List<List<Let>> sated = asked.entrySet().stream()
                 .filter(each -> each.getValue() > SATED * CEILING_RATE * lossSeconds).map(each -> lets.get(each.getKey()))
                 .toList();
--- a/app/src/main/java/nettletrail/app/Measure.java
+++ b/app/src/main/java/nettletrail/app/Measure.java
@@ -40,8 +40,6 @@
             Map.entry("fleet-capacity", new MeasureFleetCapacity()),
             Map.entry("front-door", new MeasureFrontDoor()),
             Map.entry("limits", new MeasureLimits()),
-            Map.entry("members", new MeasureMembers()),
-            Map.entry("members-virtual", new MeasureMembersVirtual()),
             Map.entry("roles", new MeasureRoles()),
             Map.entry("start", new MeasureStart()),
             Map.entry("tokens", new MeasureTokens())));
--- a/app/src/main/java/nettletrail/app/MeasureLimits.java
+++ b/app/src/main/java/nettletrail/app/MeasureLimits.java
@@ -306,7 +306,7 @@
         Gateway.Settings settings = reader.settings(options.seed());
         try (StandInCounter counter = new StandInCounter(loops.get(3), null)) {
             LimitsSettings limits = new LimitsSettings(counter.address(), "measure", "", Map.of("business",
-                    SOCKET_CEILING), 3, 2_000, 120, 3_600, 30, 25, 200, 32, 2_000, 1_000);
+                    SOCKET_CEILING), 3, 2_000, 120, 30, 25, 200, 32, 2_000, 1_000);
             List<Bound> bounds = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 bounds.add(LimitsBound.maker(limits).make("n" + i, loops.get(i), reader, settings));
--- a/app/src/main/java/nettletrail/app/members/Beliefs.java
+++ b/app/src/main/java/nettletrail/app/members/Beliefs.java
@@ -17,7 +17,6 @@
     private final Map<Integer, Map<String, Belief>> of = new TreeMap<>();
     private final Map<Integer, String> lives = new TreeMap<>();
     private final Map<Integer, Boolean> runs = new TreeMap<>();
-    private final Map<Integer, String> views = new TreeMap<>();
 
     private Beliefs() { }
 
@@ -52,17 +51,13 @@
             case "members.left" -> mine.put(who, new Belief(life, "left", false));
             case "members.cut" -> mine.put(who, new Belief(life, "alive", true));
             case "members.healed" -> mine.put(who, new Belief(life, "alive", false));
-            case "members.view" -> views.put(event.process(), event.field("lives"));
             default -> { }
         }
     }
 
     private void rig(String what, int door) {
         switch (what) {
-            case "start" -> {
-                of.remove(door);
-                views.remove(door);
-            }
+            case "start" -> of.remove(door);
             case "ready" -> runs.put(door, true);
             case "kill", "terminate" -> runs.put(door, false);
             default -> { }
@@ -93,18 +88,6 @@
         return true;
     }
 
-    /** The same, and all that run are in one agreed view with nobody else. */
-    public boolean oneAgreed() {
-        String lives = runs.entrySet().stream().filter(Map.Entry::getValue).map(each -> "n" + each.getKey() + "/"
-                + Long.toHexString(Long.parseLong(lives(each.getKey())))).sorted().toList().toString();
-        return oneView() && runs.entrySet().stream().filter(Map.Entry::getValue)
-                .allMatch(each -> lives.equals(views.get(each.getKey())));
-    }
-
-    private String lives(int process) {
-        return lives.getOrDefault(process, "0");
-    }
-
     /** Waits until beliefs are so; null in time, else what was believed at the end. */
     public static Beliefs await(EventLog log, long timeoutMs, Predicate<Beliefs> so) throws InterruptedException {
         long until = System.nanoTime() + timeoutMs * 1_000_000;
@@ -123,6 +106,6 @@
 
     @Override
     public String toString() {
-        return of + ", views " + views + ", lives " + lives + ", running " + runs;
+        return of.toString();
     }
 }
--- a/app/src/main/java/nettletrail/app/members/MembersFleet.java
+++ b/app/src/main/java/nettletrail/app/members/MembersFleet.java
@@ -342,31 +342,6 @@
         return agreed;
     }
 
-    /** Each life asks for leases of its view from now on. */
-    public void wantLeases() {
-        nodes.forEach(each -> each.views.wantLease());
-    }
-
-    public boolean holdsLease(int door) {
-        return nodes.get(door).views.heldUntil() > nodes.get(door).clock();
-    }
-
-    /** A lease that runs longer than it may once a view without its life was agreed; null if there is none. */
-    public String leaseBroken() {
-        for (Node each : nodes) {
-            long until = each.views.heldUntil() == Long.MIN_VALUE ? Long.MIN_VALUE
-                    : each.views.heldUntil() - each.clockOffset;
-            for (Agreed known : agreed) {
-                boolean without = known.view().number() > each.views.view().number()
-                        && !known.view().has(each.decider.self());
-                if (each.alive && without && until > known.at() + ViewDecider.LEASE_NS) {
-                    return each.decider.self() + " holds a lease until " + until + ", and " + known;
-                }
-            }
-        }
-        return null;
-    }
-
     /** Views of one number that differ: none ever. */
     public List<String> contradictions() {
         return contradictions;
--- a/app/src/main/java/nettletrail/app/processes/Fleet.java
+++ b/app/src/main/java/nettletrail/app/processes/Fleet.java
@@ -1,14 +1,10 @@
 package nettletrail.app.processes;
 
-import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
-import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -19,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -36,8 +31,6 @@
 public final class Fleet implements AutoCloseable {
     private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
-    private static final int ASK_MS = 10_000;
-
     /** One door, over all its starts. */
     private static final class Door {
         private ChildJvm process;
@@ -111,7 +104,7 @@
                 .mapToObj(other -> "n" + other + "=" + text(mesh.address(door, other))).collect(Collectors.joining(","));
         Path own = folder.resolve("n" + door + ".keys");
         return "[members]\nenabled = true\nlisten = \"127.0.0.1:0\"\nseeds = \"" + seeds + "\"\ndoors = " + doors.size()
-                + "\nkey_file = \"" + (Files.exists(own) ? own : keys) + "\"\nnew_key_after_s = 1\nold_key_s = 3\n"
+                + "\nkey_file = \"" + (Files.exists(own) ? own : keys) + "\"\nnew_key_after_s = 2\nold_key_s = 6\n"
                 + "[control]\nlisten = \"127.0.0.1:0\"\n[events]\nfile = \"-\"\n" + operator;
     }
 
@@ -141,28 +134,16 @@
     public void launch(int number) throws IOException {
         Door door = doors.get(number);
         int start = door.starts++;
-        did("start", number);
-        door.process = process(number, start, line -> log.line(number, start, line));
-    }
-
-    private ChildJvm process(int number, int start, Consumer<String> heard) throws IOException {
         String name = "n" + number;
-        Path config = file(name + "." + start + ".json");
+        Path config = file(name + ".json");
         Files.writeString(config, site.config(name));
-        Path file = file(name + "." + start + ".toml");
+        Path file = file(name + ".toml");
         Files.writeString(file, operatorOf(number));
-        return new ChildJvm(Map.of("EDGE_NAME", name, "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
+        did("start", number);
+        door.process = new ChildJvm(Map.of("EDGE_NAME", name, "EDGE_LISTEN", "127.0.0.1:0", "EDGE_DISCOVERY",
                 text(new InetSocketAddress(InetAddress.getLoopbackAddress(), site.agent().address().getPort())),
-                "EDGE_CONFIG", config.toString()), heard, "tested-door", "--operator", file.toString());
-    }
-
-    /**
-     * Another process with a door's name, on ports of its own that no link leads to; it reaches the others as that door does.
-     * The caller closes it.
-     */
-    public ChildJvm launchDouble(int number) throws IOException {
-        did("double", number);
-        return process(number, -1, line -> { });
+                "EDGE_CONFIG", config.toString()), line -> log.line(number, start, line), "tested-door", "--operator",
+                file.toString());
     }
 
     /** Points the links there as soon as the process has told where it listens. */
@@ -228,17 +209,6 @@
         return doors.get(door).control;
     }
 
-    /** What a door answers an operator who asks for this path. */
-    public Map<String, Object> ask(int door, String path) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + doors.get(door).control + "/" + path).toURL()
-                .openConnection();
-        call.setReadTimeout(ASK_MS);
-        try (InputStream body = call.getResponseCode() == HttpURLConnection.HTTP_OK ? call.getInputStream()
-                : call.getErrorStream()) {
-            return JSON.std.mapFrom(body.readAllBytes());
-        }
-    }
-
     // ---- Around them ---------------------------------------------------------------------------------------
 
     public int size() {
--- a/app/src/main/java/nettletrail/app/scale/roles/LimitsRole.java
+++ b/app/src/main/java/nettletrail/app/scale/roles/LimitsRole.java
@@ -143,7 +143,7 @@
             rows.add(new Row(customer, number * ROWS + customer, 0, 0, 2_000, 1_000, holders, 20_000, 40_000,
                     250_000 / holders, false));
         }
-        Call call = new Call("", 0, rows, List.of());
+        Call call = new Call("", 0, rows);
         counter.eval("lease", LeaseScript.keys("nettletrail", rows), LeaseScript.arguments(terms, call, "e" + epoch));
     }
 
@@ -175,7 +175,7 @@
                                 250_000 / holders, false));
                     }
                     counter.eval("lease", LeaseScript.keys("nettletrail", rows), LeaseScript.arguments(terms,
-                            new Call("", 0, rows, List.of()), "e" + number));
+                            new Call("", 0, rows), "e" + number));
                 }
             }
             return counter;
--- a/app/src/test/java/nettletrail/app/LimitsModelTest.java
+++ b/app/src/test/java/nettletrail/app/LimitsModelTest.java
@@ -27,7 +27,7 @@
     /** Sums of milli-units are rounded. */
     private static final double ROUNDING = 0.05;
 
-    private LimitsFleet fleet = new LimitsFleet(1, 3, 3, CEILING).start();
+    private final LimitsFleet fleet = new LimitsFleet(1, 3, 3, CEILING).start();
     private final Load[] loads = new Load[3];
 
     /** All three have been there for a while, at so many units a second each. */
@@ -410,65 +410,6 @@
         assertTrue(audit.deepest >= -ROUNDING, "overdrawn by " + -audit.deepest);
     }
 
-    /** Where front doors know each other, a dead one's share is the others' within seconds, and a loss may last long. */
-    @Test
-    void theShareOfOneSurelyGoneIsFreeSoonAndSharesOutlastALongLoss() {
-        fleet = new LimitsFleet(1, 3, 3, CEILING);
-        fleet.members = true;
-        fleet.lossNs = 3_600 * SECOND;
-        fleet.start();
-        steady(20, 8, 8);
-        fleet.doors.get(0).dead = true;
-        fleet.run(fleet.now + 4 * SECOND);
-        fleet.surelyGone(0);
-        fleet.load(loads[1], 20);
-        fleet.run(fleet.now + 12 * SECOND);
-        double back = letIn(20);
-        assertTrue(back > 0.7 * CEILING.ratePerS(), back + " units/s: its share is free");
-        cut(1, 2);
-        letIn(300);
-        double lost = letIn(60);
-        // Floors alone would be two parts of three of a quarter.
-        assertTrue(lost > 0.4 * CEILING.ratePerS(), lost + " units/s after 5 minutes without the counter");
-        heal();
-        letIn(10);
-        withinCeiling();
-    }
-
-    /** Front doors that know each other: removed from the view at any time, cut off, back in a new life: never over the ceiling. */
-    @Property(tries = 200, seed = "20261201")
-    void whateverTheViewSaysNothingMoreIsLetIn(@ForAll @IntRange(min = 0, max = 1_000_000) int seed,
-            @ForAll @IntRange(min = 2, max = 6) int doors, @ForAll List<@IntRange(min = 0, max = 9) Integer> moves) {
-        LimitsFleet any = new LimitsFleet(seed, doors, doors, CEILING);
-        any.members = true;
-        any.lossNs = 600 * SECOND;
-        any.start();
-        Load[] all = new Load[doors];
-        for (int i = 0; i < doors; i++) {
-            all[i] = new Load(i, CUSTOMER, any.random.nextDouble() * 30, 3);
-            any.load(all[i]);
-        }
-        any.run(5 * SECOND);
-        for (int move : moves) {
-            int door = any.random.nextInt(doors);
-            switch (move) {
-                case 0 -> any.doors.get(door).counter = -1;
-                case 1 -> any.doors.forEach(each -> each.counter = 0);
-                case 2 -> any.doors.get(door).pausedUntil = any.now + any.random.nextLong(10 * SECOND);
-                case 3 -> any.doors.get(door).loseAnswers += 1 + any.random.nextInt(3);
-                case 4 -> any.load(all[door], any.random.nextDouble() * 120);
-                case 5 -> any.doors.forEach(each -> each.counter = -1);
-                case 6 -> any.restart(door);
-                case 7, 8 -> any.surelyGone(door);
-                default -> any.agreed(door);
-            }
-            any.run(any.now + any.random.nextLong(9 * SECOND));
-        }
-        any.run(any.now + 10 * SECOND);
-        Audit audit = any.audits.get(CUSTOMER);
-        assertTrue(audit.deepest >= -ROUNDING, "overdrawn by " + -audit.deepest);
-    }
-
     /**
      * The same with halves, replaced counters and replicas that lag. Each of these may overdraw by what the design note
      * states: the store that both know of, and the rate until the lease's end shows who is missing.
--- a/app/src/test/java/nettletrail/app/SharedCeilingTest.java
+++ b/app/src/test/java/nettletrail/app/SharedCeilingTest.java
@@ -54,7 +54,7 @@
         agent.set(backend.name(), backend.address(), "SERVING", 0);
         counter = new StandInCounter(group.next(), null);
         LimitsSettings limits = new LimitsSettings(counter.address(), "t", "", Map.of("standard", CEILING), 2, 1_000, 120,
-                3_600, 30, 25, 200, 32, 2_000, 1_000);
+                30, 25, 200, 32, 2_000, 1_000);
         for (int i = 0; i < 2; i++) {
             Path file = folder.resolve("n" + i + ".json");
             Files.writeString(file, "{\"name\":\"n" + i + "\",\"discovery\":\"\",\"seed\":\"1\",\"limits\":{\"sockets\":1024},"
--- a/app/src/test/java/nettletrail/app/members/ViewsFleetTest.java
+++ b/app/src/test/java/nettletrail/app/members/ViewsFleetTest.java
@@ -1,7 +1,6 @@
 package nettletrail.app.members;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
@@ -28,7 +27,6 @@
 
     private static void sound(MembersFleet fleet, String where) {
         assertEquals(List.of(), fleet.contradictions(), where);
-        assertNull(fleet.leaseBroken(), where);
         Map<Long, View> byNumber = new HashMap<>();
         for (Agreed each : fleet.agreed()) {
             View known = byNumber.putIfAbsent(each.view().number(), each.view());
@@ -48,23 +46,6 @@
         }
     }
 
-    @Test
-    void whoIsInAViewHoldsALeaseOfItAndWhoIsCutOffLosesItInTime() {
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            MembersFleet fleet = fleet(5, seed);
-            fleet.wantLeases();
-            fleet.run(10 * SECOND);
-            for (int i = 0; i < 5; i++) {
-                assertTrue(fleet.holdsLease(i), "door " + i + ", seed " + seed);
-            }
-            fleet.links((from, to) -> from != 1 && to != 1);
-            fleet.run(6_100 * MS);
-            assertTrue(!fleet.holdsLease(1), "seed " + seed);
-            assertTrue(fleet.holdsLease(2), "seed " + seed);
-            sound(fleet, "seed " + seed);
-        }
-    }
-
     @Test
     void aMinorityAgreesOnNothingAndComesBackInNewLives() {
         for (long seed = 1; seed <= SEEDS; seed++) {
@@ -135,7 +116,6 @@
                     case 5 -> fleet.delay(random.nextLong(300 * MS), 1 + random.nextLong(300 * MS));
                     default -> fleet.loss(random.nextDouble() * 0.4);
                 }
-                fleet.wantLeases();
                 fleet.run(random.nextLong(6 * SECOND));
                 sound(fleet, "seed " + seed + ", step " + step);
             }
--- a/front-door/src/main/java/nettletrail/core/Members.java
+++ b/front-door/src/main/java/nettletrail/core/Members.java
@@ -100,19 +100,6 @@
         return null;
     }
 
-    /**
-     * Until when ({@link System#nanoTime}) this life holds a lease of its view: a majority has said that they know of none
-     * without it. Whoever goes by what this life alone may use does so until then only.
-     */
-    default long heldUntilNs() {
-        return Long.MAX_VALUE;
-    }
-
-    /** ns after {@link Listener#surelyGone} for which that life's lease may still run, its clock's pace allowed for. */
-    default long leaseNs() {
-        return 0;
-    }
-
     /** From now on it is told; first of all that is known already. */
     default void hear(Listener listener) { }
 
--- a/limits/src/main/java/nettletrail/limits/LeaseScript.java
+++ b/limits/src/main/java/nettletrail/limits/LeaseScript.java
@@ -19,7 +19,7 @@
     /** The script's text. */
     public static final String TEXT = text();
     private static final int FIELDS = 7;
-    private static final int COMMON = 9;
+    private static final int COMMON = 8;
     private static final int ROW = 10;
     private static final String FOREIGN = "the counter's answer is none of this script's: is its key used by others?";
     private static final long MS = 1_000_000L;
@@ -49,7 +49,7 @@
         List<String> arguments = new ArrayList<>(COMMON + ROW * call.rows().size());
         arguments.addAll(List.of(terms.door(), call.epoch(), newEpoch, Long.toString(terms.leaseNs() / MS),
                 Long.toString(terms.lossNs() / MS), Integer.toString((int) (terms.floor() * LimitsDecider.ALL)),
-                Integer.toString(terms.fleet()), Long.toString(call.untilMs()), String.join(",", call.gone())));
+                Integer.toString(terms.fleet()), Long.toString(call.untilMs())));
         for (Row row : call.rows()) {
             arguments.addAll(List.of(Long.toString(row.number()), Long.toString(row.answered()),
                     Long.toString(row.spent()), Long.toString(row.want()), Long.toString(row.demand()),
--- a/limits/src/main/java/nettletrail/limits/LimitsBound.java
+++ b/limits/src/main/java/nettletrail/limits/LimitsBound.java
@@ -4,7 +4,6 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import nettletrail.core.Arrival;
 import nettletrail.core.Bound;
 import nettletrail.core.Log;
-import nettletrail.core.Members;
 import nettletrail.core.SecretFile;
 import nettletrail.decision.Gateway;
 import nettletrail.decision.SettingsReader;
@@ -28,18 +26,8 @@
     private static final long STATUS_S = 30;
     private static final double PERCENT = 100;
 
-    /** Front doors told to the counter as gone, at once. */
-    private static final int MOST_GONE = 16;
-
-    private final LimitsSettings limits;
-    private final EventLoop loop;
+    private final LimitsDecider decider;
     private final LimitsClient client;
-    private final ArrayDeque<String> gone = new ArrayDeque<>();
-    private LimitsDecider decider;
-    private Terms terms;
-    /** Null where front doors don't know each other. */
-    private Members members;
-    private Members.Life life;
     private final Gateway.Settings settings;
     private final long periodNs;
     /** By the plan's position; null for none. */
@@ -50,8 +38,6 @@
     private LimitsBound(LimitsSettings limits, String name, EventLoop loop, SettingsReader reader,
             Gateway.Settings settings) {
         this.settings = settings;
-        this.limits = limits;
-        this.loop = loop;
         List<String> plans = reader.names("TiersOfService");
         for (Map.Entry<String, Ceiling> each : limits.ceilings().entrySet()) {
             if (!plans.contains(each.getKey())) {
@@ -66,9 +52,10 @@
         }
         periodNs = Math.max(0, reader.time("FamilyInfo.Metering"));
         int fleet = limits.frontDoors() > 0 ? limits.frontDoors() : settings.gateways();
-        // A name that no process had before: a new one knows nothing of what the one before it spent.
-        terms = terms(limits, name + "/" + Long.toHexString(System.currentTimeMillis()) + Long.toHexString(
-                ProcessHandle.current().pid()), limits.lossS(), fleet);
+        Terms terms = new Terms(name + "/" + Long.toHexString(System.currentTimeMillis()) + Long.toHexString(
+                ProcessHandle.current().pid()), limits.leaseMs() * MS, TimeUnit.SECONDS.toNanos(limits.lossS()),
+                TimeUnit.SECONDS.toNanos(limits.idleS()), 2 * limits.timeoutMs() * MS, limits.floorPct() / PERCENT, fleet,
+                limits.mostCalls(), limits.mostCallsPerS(), limits.mostCustomers());
         Supplier<char[]> password = limits.passwordFile().isEmpty() ? null : () -> {
             try {
                 return SecretFile.read(limits.passwordFile());
@@ -76,68 +63,12 @@
                 throw new UncheckedIOException(e);
             }
         };
-        client = new LimitsClient(loop, limits.counter(), limits.prefix(), limits.timeoutMs(), password);
-        begin();
-        clocks.add(loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS));
-        clocks.add(loop.scheduleWithFixedDelay(this::tell, STATUS_S, STATUS_S, TimeUnit.SECONDS));
-    }
-
-    private static Terms terms(LimitsSettings limits, String door, long lossS, int fleet) {
-        return new Terms(door, limits.leaseMs() * MS, TimeUnit.SECONDS.toNanos(lossS),
-                TimeUnit.SECONDS.toNanos(limits.idleS()), 2 * limits.timeoutMs() * MS, limits.floorPct() / PERCENT, fleet,
-                limits.mostCalls(), limits.mostCallsPerS(), limits.mostCustomers());
-    }
-
-    /** With nothing in memory. */
-    private void begin() {
+        client = new LimitsClient(loop, limits.counter(), limits.prefix(), terms, limits.timeoutMs(), password);
         decider = new LimitsDecider(terms, System.nanoTime(), client);
-        client.tells(decider, terms);
+        client.tells(decider);
         told = decider.status();
-    }
-
-    @Override
-    public void knows(Members others) {
-        if (others.self() == null) {
-            return;
-        }
-        loop.execute(() -> {
-            members = others;
-            renew();
-        });
-        others.hear(new Members.Listener() {
-            @Override
-            public void surelyGone(Members.Life who) {
-                // Until then it may hold a lease of the view and go by its share.
-                loop.schedule(() -> gone(who), others.leaseNs(), TimeUnit.NANOSECONDS);
-            }
-        });
-    }
-
-    /** This front door has a new life: what the old one had may be others' by now. */
-    private void renew() {
-        life = members.self();
-        terms = terms(limits, life.toString(), limits.holdS(), terms.fleet());
-        begin();
-        decider.gone(List.copyOf(gone));
-        decider.held(members.heldUntilNs());
-    }
-
-    private void gone(Members.Life who) {
-        gone.addLast(who.toString());
-        while (gone.size() > MOST_GONE) {
-            gone.removeFirst(); // by now each customer that is asked for here was told of it
-        }
-        decider.gone(List.copyOf(gone));
-    }
-
-    private void tick() {
-        if (members != null) {
-            if (!members.self().equals(life)) {
-                renew();
-            }
-            decider.held(members.heldUntilNs());
-        }
-        decider.tick(System.nanoTime());
+        clocks.add(loop.scheduleWithFixedDelay(() -> decider.tick(System.nanoTime()), 0, TICK_MS, TimeUnit.MILLISECONDS));
+        clocks.add(loop.scheduleWithFixedDelay(this::tell, STATUS_S, STATUS_S, TimeUnit.SECONDS));
     }
 
     /** What the operator file turns on. */
--- a/limits/src/main/java/nettletrail/limits/LimitsClient.java
+++ b/limits/src/main/java/nettletrail/limits/LimitsClient.java
@@ -51,7 +51,7 @@
     private record Ending(Call call, Consumer<List<Told>> answered, Runnable failed) { }
 
     private final EventLoop loop;
-    private Terms terms;
+    private final Terms terms;
     private final String prefix;
     private final ClientResources resources;
     private final RedisClient client;
@@ -69,9 +69,10 @@
      * @param loop on which the decider is told, and from which this is called
      * @param password asked for at each connection, or null for none
      */
-    LimitsClient(EventLoop loop, InetSocketAddress counter, String prefix, long timeoutMs,
+    LimitsClient(EventLoop loop, InetSocketAddress counter, String prefix, Terms terms, long timeoutMs,
             Supplier<char[]> password) {
         this.loop = loop;
+        this.terms = terms;
         this.prefix = prefix;
         Duration timeout = Duration.ofMillis(timeoutMs);
         uri = RedisURI.builder().withHost(counter.getAddress().getHostAddress()).withPort(counter.getPort())
@@ -92,16 +93,14 @@
                 .socketOptions(SocketOptions.builder().connectTimeout(timeout).tcpNoDelay(true).build()).build());
     }
 
-    /** Whom it tells from now on, before the first call; what is out for another one ends with it. */
-    void tells(LimitsDecider told, Terms its) {
+    /** Before the first call. */
+    void tells(LimitsDecider told) {
         decider = told;
-        terms = its;
     }
 
     @Override
     public void call(Call call) {
-        LimitsDecider asks = decider;
-        run(call, told -> asks.told(System.nanoTime(), call, told), () -> asks.failed(System.nanoTime(), call));
+        run(call, told -> decider.told(System.nanoTime(), call, told), () -> decider.failed(System.nanoTime(), call));
     }
 
     @Override
@@ -109,8 +108,7 @@
         if (connection == null) {
             connect();
         }
-        LimitsDecider asks = decider;
-        run(call, told -> asks.beaten(System.nanoTime(), told.get(0)), () -> asks.beatFailed(System.nanoTime()));
+        run(call, told -> decider.beaten(System.nanoTime(), told.get(0)), () -> decider.beatFailed(System.nanoTime()));
     }
 
     private String newEpoch() {
--- a/limits/src/main/java/nettletrail/limits/LimitsDecider.java
+++ b/limits/src/main/java/nettletrail/limits/LimitsDecider.java
@@ -23,10 +23,6 @@
  * GAP       nothing                                             the counter surely takes it for silent: SHARE; an answer: LEASED
  * SHARE     a store of its own of f of R and B, from empty      an answer: LEASED; its time is over: FLOOR, from empty
  * </pre>
- * Where front doors know each other, a share lasts longer than a loss ({@link Terms#lossNs}) and is gone by only while
- * {@link #held}; whoever is surely gone is told to the counter, which gives its share to others: GAP, SHARE -> FLOOR once it
- * isn't held. So a view never adds to what all may let in: shares move only from one that surely can't use them any more.
- *
  * A lease counts from when its call was sent and a share from when the counter can have heard of it last, so that neither
  * needs clocks to agree, only to run alike. While a front door is silent the counter withholds its share from the others,
  * so that what it lets in is safe whatever they do.
@@ -102,12 +98,10 @@
      * One call, for some customers; without any it only says that this front door is there.
      *
      * @param untilMs the counter's clock, after which the call shall change nothing; 0 if that isn't known
-     * @param gone front doors (name and process) that surely go by no share any more
      */
-    public record Call(String epoch, long untilMs, List<Row> rows, List<String> gone) {
+    public record Call(String epoch, long untilMs, List<Row> rows) {
         public Call {
             rows = List.copyOf(rows);
-            gone = List.copyOf(gone);
         }
     }
 
@@ -200,8 +194,6 @@
     private long epochs;
     private long distrusted;
     private long unknown;
-    private long heldUntil = Long.MAX_VALUE;
-    private List<String> gone = List.of();
 
     public LimitsDecider(Terms terms, long now, Actions actions) {
         this.terms = terms;
@@ -338,9 +330,6 @@
             account.state = State.SHARE;
             account.filledAt = account.shareFrom;
         }
-        if ((account.state == State.GAP || account.state == State.SHARE) && now >= heldUntil) {
-            unheld(account, now);
-        }
         if (account.state == State.SHARE && now - account.shareEnds >= 0) {
             fill(account, account.shareEnds);
             account.state = State.FLOOR;
@@ -354,17 +343,6 @@
         }
     }
 
-    /** Others may soon count on its share being nobody's: it goes by its floor, which is always kept for it. */
-    private void unheld(Account account, long now) {
-        if (account.state == State.SHARE) {
-            fill(account, heldUntil);
-        }
-        account.state = State.FLOOR;
-        account.answered = 0;
-        account.left = Math.min(account.left, leastPart(account) * account.ceiling.burst());
-        account.filledAt = Math.max(account.filledAt, Math.max(account.shareFrom, now));
-    }
-
     private void fill(Account account, long now) {
         if (now - account.filledAt > 0) {
             double part = part(account);
@@ -378,21 +356,6 @@
         return account.state == State.FLOOR ? (int) (leastPart(account) * ALL) : account.share;
     }
 
-    /**
-     * Where front doors know each other: until when this one holds a lease of their agreed view. Beyond it, it goes by no share.
-     * Unless it is told, shares last as long as the terms say.
-     *
-     * @param until on the same clock as all other times
-     */
-    public void held(long until) {
-        heldUntil = until;
-    }
-
-    /** Front doors, each name and process, that surely go by no share any more: what they had is free. */
-    public void gone(List<String> doors) {
-        gone = List.copyOf(doors);
-    }
-
     // ---- Calls ---------------------------------------------------------------------------------------------
 
     /** Puts it in the row of those to be asked for, if it is time. */
@@ -451,7 +414,7 @@
             out++;
             calls++;
             rowsSent += rows.size();
-            actions.call(new Call(epoch, untilMs(now), rows, gone));
+            actions.call(new Call(epoch, untilMs(now), rows));
         }
     }
 
@@ -633,7 +596,7 @@
         if (!beating && (away || now - beatAt >= terms.leaseNs() / BEATS)) {
             beating = true;
             beatAt = now;
-            actions.beat(new Call(epoch, untilMs(now), List.of(), gone));
+            actions.beat(new Call(epoch, untilMs(now), List.of()));
         }
         int looks = Math.min(MOST_LOOKS, accounts.size());
         for (int i = 0; i < looks; i++) {
--- a/limits/src/main/java/nettletrail/limits/LimitsSettings.java
+++ b/limits/src/main/java/nettletrail/limits/LimitsSettings.java
@@ -17,7 +17,7 @@
  * @param frontDoors 0: as many as the settings tell
  */
 public record LimitsSettings(InetSocketAddress counter, String prefix, String passwordFile, Map<String, Ceiling> ceilings,
-        int frontDoors, long leaseMs, long lossS, long holdS, long idleS, int floorPct, long timeoutMs, int mostCalls,
+        int frontDoors, long leaseMs, long lossS, long idleS, int floorPct, long timeoutMs, int mostCalls,
         int mostCallsPerS, int mostCustomers) {
     public LimitsSettings {
         ceilings = Map.copyOf(ceilings);
@@ -35,8 +35,6 @@
                 .whole("front_doors", 0, 4_096, 0, "front doors that share it; 0 for as many as the settings tell")
                 .whole("lease_ms", 200, 60_000, 2_000, "ms for which leased units are good")
                 .whole("loss_s", 1, 3_600, 120, "s for which a front door without the counter goes by its last share")
-                .whole("hold_s", 1, 86_400, 3_600, "the same where front doors know each other ([members]) and this one is in their"
-                        + " agreed view; out of it, it goes by its least share within 7 s")
                 .whole("idle_s", 1, 3_600, 30, "s without a request after which a customer's lease is given back")
                 .whole("floor_pct", 1, 100, 25, "percent of a ceiling that a customer's front doors have unheard, together")
                 .whole("timeout_ms", 10, 5_000, 200, "ms after which a call has failed")
@@ -75,7 +73,7 @@
     public static LimitsSettings of(Section.Values values) {
         return new LimitsSettings(Endpoint.address(values.text("counter")), values.text("prefix"),
                 values.text("password_file"), ceilings(values.text("ceilings")), (int) values.whole("front_doors"),
-                values.whole("lease_ms"), values.whole("loss_s"), values.whole("hold_s"), values.whole("idle_s"), (int) values.whole("floor_pct"),
+                values.whole("lease_ms"), values.whole("loss_s"), values.whole("idle_s"), (int) values.whole("floor_pct"),
                 values.whole("timeout_ms"), (int) values.whole("most_calls"), (int) values.whole("most_calls_per_s"),
                 (int) values.whole("most_customers"));
     }
--- a/limits/src/main/resources/nettletrail/limits/lease.lua
+++ b/limits/src/main/resources/nettletrail/limits/lease.lua
@@ -9,14 +9,13 @@
 -- ARGV    1 front door's name and, behind a slash, its process  2 epoch that it goes by, or ""  3 a name for a new epoch
 --         4 lease in ms  5 ms for which a front door that lost the counter spends its share  6 share that all front doors
 --         of a set have together without being heard of  7 front doors in all  8 this server's time until which the call
---         counts; 0: not known  9 front doors, each name and process, with commas between, that surely go by no share
---         any more, of this epoch or an older one
+--         counts; 0: not known
 --         and then for each row: 1 its number, higher than any before  2 number of the customer's last row that was
 --         answered; 0: none  3 units spent so far  4 units wanted to be held  5 demand a second  6 front doors in the
 --         customer's set  7 the ceiling's rate a second  8 its burst  9 share that the front door believes  10 1: it lets go
 -- answer  for each row, and once if there is none: epoch, number, units leased, lease in ms, share, 1 if answers were lost
 --         here and 2 if the call came too late and changed nothing, this server's time
-local ALL, COMMON, ROW = 1000000, 9, 10
+local ALL, COMMON, ROW = 1000000, 8, 10
 local time = redis.call('TIME')
 local now = tonumber(time[1]) * 1000 + math.floor(tonumber(time[2]) / 1000)
 local name, known_epoch, new_epoch = 'd:' .. ARGV[1], ARGV[2], ARGV[3]
@@ -24,9 +23,6 @@
 local floor, fleet = tonumber(ARGV[6]), tonumber(ARGV[7])
 local late = ARGV[8] ~= '0' and now > tonumber(ARGV[8])
 
-local gone = {}
-for each in string.gmatch(ARGV[9], '[^,]+') do gone['d:' .. each] = true end
-
 local epoch = redis.call('HGET', KEYS[1], 'id')
 local born = tonumber(redis.call('HGET', KEYS[1], 'born') or '0')
 local registered, heard
@@ -41,22 +37,13 @@
   if registered then return end
   if known_epoch == epoch then redis.call('HSET', KEYS[1], string.match(name, '^[^/]*'), tostring(now)) end
   registered, heard = 0, 0
-  local all, there = redis.call('HGETALL', KEYS[1]), {}
+  local all = redis.call('HGETALL', KEYS[1])
   for i = 1, #all, 2 do
     if string.sub(all[i], 1, 2) == 'd:' then
       registered = registered + 1
-      there[all[i]] = true
       if now - tonumber(all[i + 1]) <= lease then heard = heard + 1 end
     end
   end
-  -- Who is surely gone goes by no older epoch either.
-  for field in pairs(gone) do
-    local front_door = string.match(field, '^[^/]*')
-    if not there[front_door] then
-      registered = registered + 1
-      there[front_door] = true
-    end
-  end
 end
 
 local function row(key, at_argument)
@@ -80,15 +67,6 @@
     end
   end
 
-  -- Surely gone, and silent for so long that nothing of it can be on its way: its share is nobody's.
-  for field in pairs(gone) do
-    local door = doors[field]
-    if door and field ~= name and now > door.till + lease then
-      redis.call('HDEL', key, field)
-      doors[field] = nil
-    end
-  end
-
   -- Which epoch it is. A front door with an answer that this server never gave: a copy that lagged was promoted, or this is
   -- one of two halves. What else was given is not known, for no customer: all start anew, from nothing.
   local mine, lost = doors[name], 0
--- a/limits/src/test/java/nettletrail/limits/LimitsClientTest.java
+++ b/limits/src/test/java/nettletrail/limits/LimitsClientTest.java
@@ -64,9 +64,9 @@
 
     private void start(Supplier<char[]> password, InetSocketAddress address) {
         Terms terms = new Terms("n0/1", 2_000 * MS, 60_000 * MS, 30_000 * MS, 400 * MS, 0.25, 1, 32, 2_000, 1_000);
-        LimitsClient client = new LimitsClient(loop, address, "t", 200, password);
+        LimitsClient client = new LimitsClient(loop, address, "t", terms, 200, password);
         decider = new LimitsDecider(terms, System.nanoTime(), client);
-        client.tells(decider, terms);
+        client.tells(decider);
         clients.add(client);
         loop.scheduleWithFixedDelay(() -> decider.tick(System.nanoTime()), 0, 10, TimeUnit.MILLISECONDS);
     }
--- a/members/src/main/java/nettletrail/members/Agree.java
+++ b/members/src/main/java/nettletrail/members/Agree.java
@@ -70,15 +70,4 @@
             return view.number();
         }
     }
-
-    /**
-     * Do you know of no view without me?
-     *
-     * @param after number of the view that the asker is in
-     * @param ask counts its asks
-     */
-    record Ask(long after, int ask) implements Agree { }
-
-    /** None, and none was accepted here. */
-    record Grant(long after, int ask) implements Agree { }
 }
--- a/members/src/main/java/nettletrail/members/Codec.java
+++ b/members/src/main/java/nettletrail/members/Codec.java
@@ -109,10 +109,6 @@
             to.setBallot(wire(refusal.ballot())).setRefusal(made);
         } else if (what instanceof Agree.Decided decided) {
             to.setDecided(wire(decided.view()));
-        } else if (what instanceof Agree.Ask ask) {
-            to.setAsk(ask.ask());
-        } else if (what instanceof Agree.Grant grant) {
-            to.setGrant(grant.ask());
         }
         return to.build().toByteArray();
     }
@@ -175,8 +171,6 @@
                             no.hasPromised() ? ballot(no.getPromised()) : null, no.hasWell() ? life(no.getWell()) : null,
                             view(no.getLast()));
                 }
-                case ASK -> new Agree.Ask(from.getAfter(), from.getAsk());
-                case GRANT -> new Agree.Grant(from.getAfter(), from.getGrant());
                 case DECIDED -> new Agree.Decided(view(from.getDecided()));
                 case WHAT_NOT_SET -> throw new Refused(Dropped.MALFORMED);
             };
--- a/members/src/main/java/nettletrail/members/Health.java
+++ b/members/src/main/java/nettletrail/members/Health.java
@@ -14,13 +14,11 @@
 
     private final Terms terms;
     private long seenAt;
-    private long lateAt;
     private int score;
 
     Health(Terms terms, long now) {
         this.terms = terms;
         seenAt = now;
-        lateAt = now;
     }
 
     /** Something happens now; ns of a pause that just ended, 0 for none. */
@@ -35,17 +33,9 @@
             return gap;
         }
         if (gap > LATE_TICKS * terms.tickNs()) {
-            late(now);
-        }
-        return 0;
-    }
-
-    /** A loop is late: one step for each period in which it was. */
-    void late(long now) {
-        if (now - lateAt >= terms.periodNs()) {
-            lateAt = now;
             worse(1);
         }
+        return 0;
     }
 
     /** A tick later than this says that the loop is late. */
--- a/members/src/main/java/nettletrail/members/MembersServer.java
+++ b/members/src/main/java/nettletrail/members/MembersServer.java
@@ -24,7 +24,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import nettletrail.core.Doors;
@@ -54,8 +53,6 @@
     /** Lives are told apart by ms of their start and, below, chance: a restart within one ms is another life too. */
     private static final int LIFE_SHIFT = 12;
     private static final long LEAVE_MS = 100;
-    /** Clocks of two machines run alike to a part of this, far more than they do. */
-    private static final int PACE = 6;
     /** Between two asks for a view that others know. */
     private static final long BEHIND_NS = 100 * MS;
     private static final String AGREE = "view";
@@ -74,10 +71,8 @@
     private final String address;
     private final Channel datagrams;
     private final Map<Dropped, Long> dropped = new EnumMap<>(Dropped.class);
-    private final List<Listener> listeners = new CopyOnWriteArrayList<>();
+    private final List<Listener> listeners = new ArrayList<>();
     private volatile Life self;
-    private volatile long heldUntil = Long.MIN_VALUE;
-    private volatile boolean holds;
     private FileTime keysFrom;
     private long beatAt;
     private long askedAt;
@@ -207,12 +202,11 @@
             beatAt = now;
             doors.execute(() -> beaten = System.nanoTime());
         } else if (now - beatAt > 3 * settings.terms().tickNs()) {
-            decider.late(now);
+            decider.late();
         }
         if (!stands()) {
             decider.tick(now);
             views.tick(now);
-            heldUntil = views.heldUntil();
         }
     }
 
@@ -368,7 +362,7 @@
 
     private static LoggingEventBuilder event(String kind, Life who, String by) {
         LoggingEventBuilder event = EVENTS.atInfo().setMessage(kind).addKeyValue("who", who.name())
-                .addKeyValue("life", who.number()).addKeyValue("ns", System.nanoTime());
+                .addKeyValue("life", who.number());
         return by.isEmpty() ? event : event.addKeyValue("by", by);
     }
 
@@ -376,7 +370,6 @@
     public void told(Change change) {
         if (change.kind() == Change.Kind.RENEWED) {
             self = change.who();
-            heldUntil = Long.MIN_VALUE;
             views.renewed(self);
         }
         LoggingEventBuilder event = event("members." + change.kind().name().toLowerCase(java.util.Locale.ROOT), change.who(),
@@ -406,20 +399,6 @@
         return self;
     }
 
-    @Override
-    public long heldUntilNs() {
-        if (!holds) {
-            holds = true;
-            loop.execute(views::wantLease);
-        }
-        return heldUntil;
-    }
-
-    @Override
-    public long leaseNs() {
-        return ViewDecider.LEASE_NS + ViewDecider.LEASE_NS / PACE;
-    }
-
     @Override
     public void hear(Listener listener) {
         listeners.add(listener);
--- a/members/src/main/java/nettletrail/members/Statement.java
+++ b/members/src/main/java/nettletrail/members/Statement.java
@@ -32,8 +32,8 @@
         if (who.number() != other.who.number()) {
             return who.number() > other.who.number();
         }
-        if (state != other.state && (state == State.LEFT || other.state == State.LEFT)) {
-            return state == State.LEFT; // a life that left doesn't come back
+        if (state == State.LEFT || other.state == State.LEFT) {
+            return state == State.LEFT && other.state != State.LEFT; // a life that left doesn't come back
         }
         return incarnation != other.incarnation ? incarnation > other.incarnation
                 : state.compareTo(other.state) > 0;
--- a/members/src/main/java/nettletrail/members/ViewDecider.java
+++ b/members/src/main/java/nettletrail/members/ViewDecider.java
@@ -28,8 +28,6 @@
  * dropped once it was likely gone for {@link #GONE_NS} here, and taken in once it was there for {@link #JOIN_NS}. Whoever had
  * an answer from a life of late refuses a view without it: a proposer whose own links are bad can't drop others.
  *
- * <p><b>Leases</b> are for what must be cheap, not for what must be safe without clocks: see {@link #heldUntil}.
- *
  * <pre>
  * IDLE       the view wanted differs from the last for the proposer's turn: PREPARING
  * PREPARING  a quorum promised: ACCEPTING (the value accepted at the highest ballot, else the one wanted)
@@ -47,10 +45,6 @@
     /** The gap in numbers where all agreed in place of a majority. */
     static final long GAP = 1_000;
 
-    /** A lease of a view lasts so long from when it was asked for; asked for this many times in it. */
-    public static final long LEASE_NS = 6_000_000_000L;
-    private static final int ASKS = 4;
-
     /** What the decider asks for, while it is told something. */
     public interface Actions {
         /** Says it to this life; {@link #answered} may come of it. */
@@ -95,12 +89,6 @@
     private long triedAt;
     private long notBefore;
     private long differsSince = -1;
-    // The lease of this life in the view.
-    private boolean wantsLease;
-    private int ask;
-    private long askedAt;
-    private long heldUntil = Long.MIN_VALUE;
-    private final Set<Life> grants = new HashSet<>();
 
     /** @param doors names in the installation, at least */
     public ViewDecider(Life self, int doors, Sight sight, long seed, Actions actions) {
@@ -118,9 +106,6 @@
         if (phase != Phase.IDLE && now - triedAt >= TRY_NS) {
             giveUp(now);
         }
-        if (wantsLease && in() && now - askedAt >= LEASE_NS / ASKS) {
-            askForLease(now);
-        }
         List<Life> there = sight.there(JOIN_NS);
         List<Life> wanted = wanted(there);
         if (wanted.equals(last.lives()) || !there.contains(self)) {
@@ -134,25 +119,6 @@
         }
     }
 
-    private void askForLease(long now) {
-        ask++;
-        askedAt = now;
-        grants.clear();
-        granted(self, heard(self, new Agree.Ask(last.number(), ask)));
-        for (Life each : last.lives()) {
-            if (!each.equals(self)) {
-                actions.say(each, new Agree.Ask(last.number(), ask));
-            }
-        }
-    }
-
-    private void granted(Life by, Agree answer) {
-        if (answer instanceof Agree.Grant grant && grant.after() == last.number() && grant.ask() == ask && last.has(by)
-                && grants.add(by) && grants.size() == last.majority()) {
-            heldUntil = askedAt + LEASE_NS;
-        }
-    }
-
     /** The view that this member would have: the last, without whom is gone, with whom is there. */
     private List<Life> wanted(List<Life> there) {
         Set<Life> wanted = new HashSet<>();
@@ -226,7 +192,6 @@
 
     /** An answer to what was said before. */
     public void answered(Life from, Agree answer, long now) {
-        granted(from, answer);
         if (answer instanceof Agree.Refusal refusal) {
             refused(refusal, now);
         } else if (answer instanceof Agree.Promise promise) {
@@ -307,10 +272,6 @@
             accepted = accept.next();
             return new Agree.Accepted(accept.after(), acceptedAt);
         }
-        if (what instanceof Agree.Ask asked && asked.after() == last.number() && last.has(from) && in()
-                && (accepted == null || accepted.has(from))) {
-            return new Agree.Grant(asked.after(), asked.ask());
-        }
         if (what instanceof Agree.Decided decided) {
             learn(decided.view());
         }
@@ -337,7 +298,6 @@
         gone.removeAll(view.lives());
         actions.decided(view, gone, view.has(self));
         if (before.has(self) && !view.has(self)) {
-            heldUntil = Long.MIN_VALUE;
             actions.expelled();
         }
     }
@@ -346,27 +306,6 @@
     public void renewed(Life life) {
         self = life;
         phase = Phase.IDLE;
-        heldUntil = Long.MIN_VALUE;
-    }
-
-    /** From now on this life asks for leases of its view. */
-    public void wantLease() {
-        wantsLease = true;
-    }
-
-    /**
-     * Until when this life holds a lease of its view: a majority of the view's lives had, later than {@link #LEASE_NS} before
-     * that, neither learned of nor accepted a view without it. Whoever decides such a view needs one of them; so the lease is
-     * over {@link #LEASE_NS} after any such view was agreed, on a clock that runs alike.
-     */
-    public long heldUntil() {
-        return heldUntil;
-    }
-
-    /** All that what it does next depends on but times and chance, for explorations. */
-    public String state() {
-        return last + " promised " + promised + " accepted " + acceptedAt + accepted + " " + phase + " " + ballot + value
-                + electors.stream().sorted().toList() + promises + acceptances.stream().sorted().toList();
     }
 
     /** The last view that is known. */
--- a/stand-ins/src/main/java/nettletrail/site/SiteClients.java
+++ b/stand-ins/src/main/java/nettletrail/site/SiteClients.java
@@ -103,12 +103,6 @@
         return this;
     }
 
-    /** Ids are counted from here on: two crowds at one site must not share any. Before the start. */
-    public SiteClients numberedFrom(long first) {
-        number = first;
-        return this;
-    }
-
     /** Sends so many new requests a second, with exponential gaps, until {@link #stop}. */
     public void start(double rate) {
         loop.execute(() -> {
