Shards: a joiner waits until the member that it replaces is out

Need: a machine replaced at another address joined half a second later, while its predecessor still counted as heard of: a group of 2k + 2 with one dead. Ruled out: only asking for more recent signs of life, since the dead one was heard of within two heartbeats of the request. Change: a joiner enters an odd group once it has asked for the silence after which a member makes way (2.5 s); by then a dead predecessor is taken out first, and the group stays odd. Groups that grow at the first start take their joiners 2.5 s later, once for all of them.

--- a/control/src/main/java/nettletrail/control/shard/GroupChanges.java
+++ b/control/src/main/java/nettletrail/control/shard/GroupChanges.java
@@ -18,8 +18,8 @@
  */
 final class GroupChanges {
 
-  /** A process that asks to join. */
-  private record Joiner(Member member, long askedAt) {}
+  /** A process that asks to join, since when, and when it asked last. */
+  private record Joiner(Member member, long firstAskedAt, long askedAt) {}
 
   private static final int HEARTBEATS_TO_BE_ALIVE = 2;
 
@@ -31,7 +31,9 @@
   }
 
   void onJoinRequest(Member member, long now) {
-    joiners.put(member.getId(), new Joiner(member, now));
+    Joiner before = joiners.get(member.getId());
+    long firstAskedAt = before == null ? now : before.firstAskedAt();
+    joiners.put(member.getId(), new Joiner(member, firstAskedAt, now));
   }
 
   /** The group that should follow, or null if it should stay. */
@@ -62,23 +64,33 @@
   private ReplicaGroup wanted(ReplicaGroup group, Member self, MemberContacts contacts, long now) {
     joiners.values().removeIf(joiner -> now - joiner.askedAt() > settings.joinerFresh());
     joiners.keySet().removeIf(group::contains);
-    Member joiner = firstJoiner();
+    Joiner joiner = firstJoiner();
     if (joiner == null) {
       return withoutDead(group, self, contacts, now);
     }
     boolean odd = group.size() % 2 == 1;
     if (!odd) {
-      return group.with(joiner);
+      return group.with(joiner.member());
     }
-    Member replaced = sameAddress(group, self, joiner);
+    Member replaced = sameAddress(group, self, joiner.member());
     if (replaced == null) {
       replaced = silentFor(group, self, contacts, now, settings.replaceAfter());
     }
     if (replaced != null) {
       return group.without(replaced.getId());
     }
+    return mayGrow(joiner, group, self, contacts, now) ? group.with(joiner.member()) : null;
+  }
+
+  /**
+   * A joiner mostly takes the place of a member that has just died. It waits until that one would
+   * be known dead and leaves first: beside it, it would make the group even with one member dead.
+   */
+  private boolean mayGrow(
+      Joiner joiner, ReplicaGroup group, Member self, MemberContacts contacts, long now) {
+    boolean waitedLongEnough = now - joiner.firstAskedAt() >= settings.replaceAfter();
     boolean allHeard = silentFor(group, self, contacts, now, settings.joinerFresh()) == null;
-    return allHeard ? group.with(joiner) : null;
+    return waitedLongEnough && allHeard;
   }
 
   private ReplicaGroup withoutDead(
@@ -90,10 +102,10 @@
     return dead == null ? null : group.without(dead.getId());
   }
 
-  private Member firstJoiner() {
+  private Joiner firstJoiner() {
     List<String> ids = new ArrayList<>(joiners.keySet());
     ids.sort(null);
-    return ids.isEmpty() ? null : joiners.get(ids.get(0)).member();
+    return ids.isEmpty() ? null : joiners.get(ids.get(0));
   }
 
   private static Member sameAddress(ReplicaGroup group, Member self, Member joiner) {
