Fleet emulator: story of a new machine and another that lose their disks

Need: the case in which a joiner entered beside the dead member that it replaced. Given five machines, when one is replaced and then the new one and another lose their disks, the configuration is still served.

--- a/fleet-emulator/src/test/java/nettletrail/emulator/story/LossStoriesTest.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/story/LossStoriesTest.java
@@ -214,4 +214,22 @@
     story.then("it is acknowledged", story.operator().newest() == order);
     story.approve();
   }
+
+  @Test
+  void aNewMachineAndAnotherLoseTheirDisksSoonAfterAReplacement() {
+    Story story = Story.givenFleet(22, 5, 2);
+    CoreNode replaced = story.followers().get(0);
+    CoreNode wiped = story.followers().get(1);
+    CoreNode successor = story.troubles().replace(replaced);
+    story.pass(1_400 * MILLISECOND);
+    for (CoreNode lost : List.of(successor, wiped)) {
+      story.troubles().wipe(lost);
+      story.pass(100 * MILLISECOND);
+      story.troubles().start(lost);
+    }
+    story.when("one of five is replaced, and the new one and another lose their disks 1.4 s later");
+    story.then("an order is acknowledged", story.orderIsAcknowledged());
+    story.then("it is read back", story.readBack() == story.operator().newest());
+    story.approve();
+  }
 }
