A door takes the retry window from its settings; bodies may take a sixteenth of memory

Need: the window was assumed to be 10 s whatever the settings say; an eighth of the memory (53 MB) came near the bound of direct memory (64 MB).

--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -41,7 +41,7 @@
   private static final int LEAST_CONNECTIONS = 64;
 
   /** Part of the machine's memory that bodies of requests may take. */
-  private static final int BODY_MEMORY_DIVISOR = 8;
+  private static final int BODY_MEMORY_DIVISOR = 16;
 
   private static final long BYTES_A_MEGABYTE = 1 << 20;
   private static final long DRAIN_MARGIN_MS = 500;
@@ -216,6 +216,7 @@
         settings.zone(),
         bounds.retryRatio(),
         bounds.retrySlack(),
+        bounds.retryWindow().toMillis(),
         Math.max(LEAST_CONNECTIONS, settings.limits().fileLimit() - RESERVED_DESCRIPTORS),
         settings.limits().memoryMegabytes() * BYTES_A_MEGABYTE / BODY_MEMORY_DIVISOR,
         RouterSettings.DEFAULT_CONNECT_TIMEOUT_MS,
