--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/MeasuredNetwork.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/MeasuredNetwork.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -150,7 +151,7 @@
     byte[] frame = encode(message, to);
     int bytes = MessageSizes.FRAME_HEADER_BYTES + frame.length;
     if (endpoints.get(from).isDoor() || endpoints.get(to).isDoor()) {
-      doorBytesByMessage.merge(message.getClass().getSimpleName(), (long) bytes, Long::sum);
+      doorBytesByMessage.merge(figureName(message), (long) bytes, Long::sum);
     }
     long left = endpoints.get(from).process().transmit(bytes);
     long delay = region(from) == region(to) ? WITHIN_REGION : BETWEEN_REGIONS;
@@ -161,6 +162,12 @@
     time.at(arrival, () -> arrive(link, target, life, frame));
   }
 
+  /** The message's name as figures spell theirs, in small letters joined by underscores. */
+  private static String figureName(SpecificRecord message) {
+    String name = message.getClass().getSimpleName();
+    return name.replaceAll("(?<=[a-z])(?=[A-Z])", "_").toLowerCase(Locale.ROOT);
+  }
+
   private void arrive(Link link, Endpoint target, long life, byte[] frame) {
     MeasuredProcess process = target.process();
     if (!links.contains(link) || !process.running() || process.life() != life) {
