An order is confirmed only if the committed configuration names it

An owner that was cut off with a write in hand took any committed version with the write's number, or a later one, as proof that its own write was committed. Another owner may have used that number meanwhile: when the cut ended within the order's 900 ms and the newest version arrived (VersionReply) before a message that deposes, the operator got 200 for an order that was never taken, beside the one that was.

Ruled out: comparing ballots only. A new owner writes the version that it found again under its own ballot, so an order that was taken would be left without its acknowledgement. The committed value names every order that was taken, so the digest decides.

--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -29,14 +29,14 @@
     final WaitingOrder waiting;
     final Ballot ballot;
     final long sequence;
-    final long edition;
+    final ByteBuffer digest;
     boolean answered;
 
-    WriteInFlight(WaitingOrder waiting, ShardVersion version, long edition) {
+    WriteInFlight(WaitingOrder waiting, ShardVersion version, ByteBuffer digest) {
       this.waiting = waiting;
       this.ballot = version.getBallot();
       this.sequence = version.getSequence();
-      this.edition = edition;
+      this.digest = digest;
     }
   }
 
@@ -104,21 +104,33 @@
     return OrderReplies.document(order.getCall(), state.edition(), state.document());
   }
 
+  /**
+   * That a version with the number of the write is committed does not prove that it is this write:
+   * another owner may have used the number. The order is confirmed only if the committed value
+   * names it.
+   */
   private void settleWrite(long now) {
     if (inFlight == null) {
       return;
     }
-    if (!inFlight.ballot.equals(replica.token())) {
-      answerWrite(unknownOutcome(inFlight.waiting));
+    if (replica.committed().getSequence() >= inFlight.sequence) {
+      answerWrite(committedOutcome());
       inFlight = null;
-    } else if (replica.committed().getSequence() >= inFlight.sequence) {
-      answerWrite(OrderReplies.taken(inFlight.waiting.order().getCall(), inFlight.edition));
+    } else if (!inFlight.ballot.equals(replica.token())) {
+      answerWrite(unknownOutcome(inFlight.waiting));
       inFlight = null;
     } else if (now - inFlight.waiting.receivedAt() >= settings.orderTimeout()) {
       answerWrite(unknownOutcome(inFlight.waiting));
     }
   }
 
+  private OrderForwardReply committedOutcome() {
+    long taken = state().editionTakenBy(inFlight.digest);
+    return taken >= 0
+        ? OrderReplies.taken(inFlight.waiting.order().getCall(), taken)
+        : unknownOutcome(inFlight.waiting);
+  }
+
   private void answerWrite(OrderForwardReply reply) {
     if (!inFlight.answered) {
       inFlight.answered = true;
@@ -183,7 +195,7 @@
       throws InvalidConfigurationException {
     ConfigurationRules.CheckedDocument document = check(waiting.order(), state);
     ShardVersion version = replica.write(state.after(document, digest).encode(), now);
-    inFlight = new WriteInFlight(waiting, version, document.edition());
+    inFlight = new WriteInFlight(waiting, version, digest);
   }
 
   private ConfigurationRules.CheckedDocument check(OrderForward order, ConfigurationState state)
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/ScriptedOwner.java
@@ -0,0 +1,171 @@
+package nettletrail.control.shard;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import nettletrail.protocol.Accept;
+import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Member;
+import nettletrail.protocol.OwnerHeartbeat;
+import nettletrail.protocol.OwnerHeartbeatReply;
+import nettletrail.protocol.PreVote;
+import nettletrail.protocol.PreVoteReply;
+import nettletrail.protocol.Prepare;
+import nettletrail.protocol.PrepareReply;
+import nettletrail.protocol.ShardBeat;
+import nettletrail.protocol.ShardBeatReply;
+import nettletrail.protocol.ShardVersion;
+import nettletrail.store.NodeIdentity;
+import org.apache.avro.specific.SpecificRecord;
+
+/**
+ * The core process {@value #SELF} with two peers that are played by the test: they vote for it and
+ * store what it writes for as long as they are connected, and say nothing otherwise. Its disk is
+ * immediate, and time passes only when the test says so.
+ */
+final class ScriptedOwner {
+  static final String SELF = "10.0.0.1:7680";
+  static final String PEER = "10.0.0.2:7680";
+  static final String OTHER_PEER = "10.0.0.3:7680";
+
+  private static final List<String> ADDRESSES = List.of(SELF, PEER, OTHER_PEER);
+  private static final long TICK = SimulatedCluster.millis(50);
+  private static final int SHARDS = 1;
+  private static final long SEED = 1;
+
+  final CoreShards shards;
+  final List<CoreAction.AnswerOrder> answers = new ArrayList<>();
+  final List<CoreAction.Send> sent = new ArrayList<>();
+  final Map<String, ShardVersion> stored = new HashMap<>();
+  boolean connected = true;
+  long now = SimulatedCluster.millis(1_000);
+  private long lastCall;
+
+  ScriptedOwner() {
+    this.shards =
+        new CoreShards(
+            ShardSettings.defaults(),
+            new CoreStart(NodeIdentity.founding(SELF), ADDRESSES, true, SHARDS, Map.of()),
+            SEED,
+            now,
+            new TextRules());
+  }
+
+  /** Lets time pass until the process owns the configuration. */
+  static ScriptedOwner elected() {
+    ScriptedOwner owner = new ScriptedOwner();
+    while (!owner.shards.owns(CoreShards.CONFIGURATION_SHARD, owner.now)) {
+      owner.pass(TICK);
+    }
+    return owner;
+  }
+
+  /** Lets time pass, with a tick at the end of each period. */
+  void pass(long span) {
+    long end = now + span;
+    while (now < end) {
+      now = Math.min(end, now + TICK);
+      perform(shards.tick(now));
+    }
+  }
+
+  /** An operator's PUT at this process; returns the number of the call. */
+  long put(long ifMatch, String document) {
+    return submit("PUT", Long.toString(ifMatch), document);
+  }
+
+  /** An operator's GET at this process; returns the number of the call. */
+  long get() {
+    return submit("GET", "", "");
+  }
+
+  private long submit(String method, String ifMatch, String body) {
+    lastCall++;
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    perform(shards.submit(lastCall, method, ifMatch, bytes, now));
+    return lastCall;
+  }
+
+  /** The process gets a message. */
+  void receive(String from, SpecificRecord message) {
+    perform(shards.receive(from, message, now));
+  }
+
+  /** The status of the answer to a call; 0 while there is none. */
+  int status(long call) {
+    return answers.stream()
+        .filter(answer -> answer.call() == call)
+        .mapToInt(CoreAction.AnswerOrder::status)
+        .findFirst()
+        .orElse(0);
+  }
+
+  private void perform(List<CoreAction> actions) {
+    for (CoreAction action : actions) {
+      if (action instanceof CoreAction.Send send) {
+        sent.add(send);
+        answerAsPeer(send);
+      } else if (action instanceof CoreAction.AnswerOrder answer) {
+        answers.add(answer);
+      } else if (action instanceof CoreAction.StorePromise promise) {
+        perform(shards.stored(promise.ticket(), StoreOutcome.STORED, now));
+      } else if (action instanceof CoreAction.StoreVersion version) {
+        perform(shards.stored(version.ticket(), StoreOutcome.STORED, now));
+      }
+    }
+  }
+
+  private void answerAsPeer(CoreAction.Send send) {
+    if (!connected) {
+      return;
+    }
+    SpecificRecord reply = replyOf(send.address(), send.message());
+    if (reply != null) {
+      receive(send.address(), reply);
+    }
+  }
+
+  private SpecificRecord replyOf(String address, SpecificRecord message) {
+    Member peer = NodeIdentity.founding(address);
+    if (message instanceof PreVote request) {
+      return new PreVoteReply(
+          request.getShard(), peer.getId(), request.getBallot(), true, request.getBallot());
+    } else if (message instanceof Prepare request) {
+      return new PrepareReply(
+          request.getShard(),
+          peer.getId(),
+          request.getBallot(),
+          true,
+          request.getBallot(),
+          stored.get(address));
+    } else if (message instanceof Accept request) {
+      ShardVersion version = request.getVersion();
+      stored.put(address, version);
+      return new AcceptReply(
+          request.getShard(),
+          peer.getId(),
+          version.getBallot(),
+          version.getSequence(),
+          true,
+          version.getBallot(),
+          "");
+    } else if (message instanceof OwnerHeartbeat heartbeat) {
+      List<ShardBeatReply> replies =
+          heartbeat.getShards().stream().map(beat -> granted(address, beat)).toList();
+      return new OwnerHeartbeatReply(peer.getId(), heartbeat.getSentAt(), replies);
+    }
+    return null;
+  }
+
+  private ShardBeatReply granted(String address, ShardBeat beat) {
+    ShardVersion held = stored.get(address);
+    return new ShardBeatReply(
+        beat.getShard(),
+        true,
+        beat.getBallot(),
+        held == null ? null : held.getBallot(),
+        held == null ? 0L : held.getSequence());
+  }
+}
