Answers that rest on the owner's lease are checked again as they are written

A read, a 412 or a 400 is decided while the lease holds, but the process may be stopped for any time before the answer leaves, and an answer may wait in a connection behind that of an earlier pipelined call (up to 900 ms). Each such answer now carries the end of the lease: it is checked at the moment of writing to the caller's connection (503 instead) and of sending to the process that passed the order on (dropped). That process bounds it by the time that a call may take, so that a reply that was held up on the way, or found after the process itself was stopped, is not given late. Acknowledgements rest on a commit and stay valid for ever.

Ruled out: asking for the lease again when writing. The end that was known when the answer was decided is never later and needs no way back to the decider.

--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -14,8 +14,9 @@
  *
  * <p>An order that was taken before is acknowledged again; one that builds on another edition than
  * the current one gets 412; an invalid one 400; any other is written and acknowledged once
- * committed. Refusals are given only while the lease holds and no write is in flight, so they rest
- * on the newest committed value. A write whose outcome is unknown gets 503.
+ * committed. Reads and refusals are given only while the lease holds and no write is in flight, so
+ * they rest on the newest committed value, and leave the process before the lease ends. A write
+ * whose outcome is unknown gets 503.
  */
 final class ConfigurationRegister {
 
@@ -165,7 +166,7 @@
   private void judge(WaitingOrder waiting, long now) {
     OrderForward order = waiting.order();
     if (order.getMethod().equals("GET")) {
-      outbox.send(waiting.address(), read(order));
+      outbox.sendUntil(waiting.address(), read(order), replica.leaseUntil());
       return;
     }
     ConfigurationState state = state();
@@ -213,9 +214,10 @@
   }
 
   private void refuse(WaitingOrder waiting, int status, ConfigurationState state, String reason) {
-    outbox.send(
+    outbox.sendUntil(
         waiting.address(),
-        OrderReplies.refused(waiting.order().getCall(), status, state.edition(), reason));
+        OrderReplies.refused(waiting.order().getCall(), status, state.edition(), reason),
+        replica.leaseUntil());
   }
 
   /** Reads {@code 5}, {@code "5"} or {@code W/"5"}. */
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -290,7 +290,7 @@
     } else if (message instanceof OrderForward order) {
       register.onOrder(peer, order, now);
     } else if (message instanceof OrderForwardReply reply) {
-      orders.onReply(reply);
+      orders.onReply(reply, CoreAction.ALWAYS);
     }
   }
 
@@ -373,10 +373,14 @@
   }
 
   private void deliverLoopback(long now) {
-    SpecificRecord message = outbox.pollLoopback();
-    while (message != null) {
-      dispatch(self.getAddress(), message, now);
-      message = outbox.pollLoopback();
+    Outbox.Loopback own = outbox.pollLoopback();
+    while (own != null) {
+      if (own.message() instanceof OrderForwardReply reply) {
+        orders.onReply(reply, own.validUntil());
+      } else {
+        dispatch(self.getAddress(), own.message(), now);
+      }
+      own = outbox.pollLoopback();
     }
   }
 
--- a/control/src/main/java/nettletrail/control/shard/OrderRouter.java
+++ b/control/src/main/java/nettletrail/control/shard/OrderRouter.java
@@ -12,6 +12,11 @@
  * Passes the operator's calls that arrived at this process to the owner of the configuration shard,
  * which may be this process, and relays the answers. A call waits some time for an owner to be
  * known; one without an answer in time gets 503.
+ *
+ * <p>An answer that rests on the owner's lease is true of an instant between the arrival of the
+ * call and its own arrival here. It is valid for no longer than a call may take, so that one that
+ * was held up in this process or on its way is not given late; at the owner itself for no longer
+ * than its lease.
  */
 final class OrderRouter {
 
@@ -27,6 +32,10 @@
       this.order = order;
       this.receivedAt = receivedAt;
     }
+
+    boolean isRead() {
+      return order.getMethod().equals("GET");
+    }
   }
 
   private final ShardSettings settings;
@@ -48,12 +57,11 @@
       long call, String method, String ifMatch, byte[] body, String ownerAddress, long now) {
     if (!method.equals("GET") && !method.equals("PUT") && !method.equals("PATCH")) {
       ByteBuffer error = OrderReplies.error("only GET, PUT and PATCH");
-      answer(call, OrderReplies.METHOD_NOT_ALLOWED, "", error);
+      answer(call, OrderReplies.METHOD_NOT_ALLOWED, "", error, CoreAction.ALWAYS);
       return;
     }
     if (pending.size() >= settings.orderQueue()) {
-      ByteBuffer error = OrderReplies.error("too many calls wait");
-      answer(call, OrderReplies.UNAVAILABLE, "", error);
+      unavailable(call, "too many calls wait");
       return;
     }
     lastForward++;
@@ -71,7 +79,11 @@
     }
   }
 
-  void onReply(OrderForwardReply reply) {
+  /**
+   * Takes an owner's answer; sentUntil is the end of the owner's lease if that is this process, or
+   * {@link CoreAction#ALWAYS}.
+   */
+  void onReply(OrderForwardReply reply, long sentUntil) {
     PendingCall call = pending.get(reply.getCall());
     if (call == null) {
       return;
@@ -81,7 +93,10 @@
       return;
     }
     pending.remove(reply.getCall());
-    answer(call.call, reply.getStatus(), reply.getEdition(), reply.getBody());
+    boolean taken = reply.getStatus() == OrderReplies.OK && !call.isRead();
+    long validUntil =
+        taken ? CoreAction.ALWAYS : Math.min(sentUntil, call.receivedAt + settings.orderTimeout());
+    answer(call.call, reply.getStatus(), reply.getEdition(), reply.getBody(), validUntil);
   }
 
   /** Passes on what waits for an owner and gives up on what took too long. */
@@ -101,13 +116,18 @@
 
   private void giveUp(PendingCall call, String reason) {
     pending.remove(call.order.getCall());
-    answer(call.call, OrderReplies.UNAVAILABLE, "", OrderReplies.error(reason));
+    unavailable(call.call, reason);
+  }
+
+  private void unavailable(long call, String reason) {
+    ByteBuffer error = OrderReplies.error(reason);
+    answer(call, OrderReplies.UNAVAILABLE, "", error, CoreAction.ALWAYS);
   }
 
-  private void answer(long call, int status, String edition, ByteBuffer body) {
+  private void answer(long call, int status, String edition, ByteBuffer body, long validUntil) {
     ByteBuffer copy = body.duplicate();
     byte[] bytes = new byte[copy.remaining()];
     copy.get(bytes);
-    outbox.add(new CoreAction.AnswerOrder(call, status, edition, bytes));
+    outbox.add(new CoreAction.AnswerOrder(call, status, edition, bytes, validUntil));
   }
 }
--- a/control/src/main/java/nettletrail/control/shard/Outbox.java
+++ b/control/src/main/java/nettletrail/control/shard/Outbox.java
@@ -15,10 +15,13 @@
 final class Outbox {
 
   private final String selfAddress;
-  private final Deque<SpecificRecord> loopback = new ArrayDeque<>();
+  private final Deque<Loopback> loopback = new ArrayDeque<>();
   private List<CoreAction> actions = new ArrayList<>();
   private long lastTicket;
 
+  /** A message to this process itself; valid as {@link CoreAction.Send} says. */
+  record Loopback(SpecificRecord message, long validUntil) {}
+
   Outbox(String selfAddress) {
     this.selfAddress = selfAddress;
   }
@@ -28,10 +31,15 @@
   }
 
   void send(String address, SpecificRecord message) {
+    sendUntil(address, message, CoreAction.ALWAYS);
+  }
+
+  /** Sends a message that must not leave from an instant on. */
+  void sendUntil(String address, SpecificRecord message, long validUntil) {
     if (address.equals(selfAddress)) {
-      loopback.add(message);
+      loopback.add(new Loopback(message, validUntil));
     } else {
-      actions.add(new CoreAction.Send(address, message));
+      actions.add(new CoreAction.Send(address, message, validUntil));
     }
   }
 
@@ -54,7 +62,7 @@
   }
 
   /** The next message that this process sent to itself, or null. */
-  SpecificRecord pollLoopback() {
+  Loopback pollLoopback() {
     return loopback.poll();
   }
 
--- a/control/src/main/java/nettletrail/control/shard/ShardReplica.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardReplica.java
@@ -83,6 +83,11 @@
     return ownership == null ? null : ownership.ballot();
   }
 
+  /** The end of the lease; only while {@link #owns}. */
+  long leaseUntil() {
+    return ownership.leaseUntil();
+  }
+
   /** How long the lease as owner still runs, in nanoseconds; 0 if there is none. */
   long leaseLeft(long now) {
     return owns(now) ? ownership.leaseUntil() - now : 0;
--- a/control/src/test/java/nettletrail/control/shard/ExploredShard.java
+++ b/control/src/test/java/nettletrail/control/shard/ExploredShard.java
@@ -211,9 +211,9 @@
   }
 
   private void collect(int index) {
-    SpecificRecord own = outboxes[index].pollLoopback();
+    Outbox.Loopback own = outboxes[index].pollLoopback();
     while (own != null) {
-      pending.add(new Pending(index, index, lives[index], own, null));
+      pending.add(new Pending(index, index, lives[index], own.message(), null));
       own = outboxes[index].pollLoopback();
     }
     for (CoreAction action : outboxes[index].drain()) {
--- a/control/src/test/java/nettletrail/control/shard/OwnerFencingTest.java
+++ b/control/src/test/java/nettletrail/control/shard/OwnerFencingTest.java
@@ -1,12 +1,16 @@
 package nettletrail.control.shard;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.OrderForward;
+import nettletrail.protocol.OrderForwardReply;
 import nettletrail.protocol.ShardVersion;
 import nettletrail.protocol.VersionReply;
 import nettletrail.store.NodeIdentity;
@@ -15,6 +19,7 @@
 /** What an owner says that was cut off while another process took over from it. */
 class OwnerFencingTest {
   private static final int OK = 200;
+  private static final int PRECONDITION_FAILED = 412;
   private static final int UNAVAILABLE = 503;
 
   @Test
@@ -35,6 +40,76 @@
     assertEquals(OK, owner.status(call));
   }
 
+  @Test
+  void givenAReadAtTheOwnerThenItsAnswerIsValidUntilTheLeaseEnds() {
+    ScriptedOwner owner = ownerWithFirstConfiguration();
+    owner.connected = false;
+    owner.pass(SimulatedCluster.millis(400));
+    long call = owner.get();
+    assertEquals(OK, owner.status(call));
+    assertIsEndOfLease(owner, owner.answer(call).validUntil());
+  }
+
+  @Test
+  void givenARefusalAtTheOwnerThenItsAnswerIsValidUntilTheLeaseEnds() {
+    ScriptedOwner owner = ownerWithFirstConfiguration();
+    owner.connected = false;
+    owner.pass(SimulatedCluster.millis(400));
+    long call = owner.put(2, "5 on another edition");
+    assertEquals(PRECONDITION_FAILED, owner.status(call));
+    assertIsEndOfLease(owner, owner.answer(call).validUntil());
+  }
+
+  @Test
+  void givenAReadForAnotherProcessThenTheReplyIsValidUntilTheLeaseEnds() {
+    ScriptedOwner owner = ownerWithFirstConfiguration();
+    owner.receive(ScriptedOwner.PEER, new OrderForward(7L, "GET", "", ByteBuffer.allocate(0)));
+    CoreAction.Send reply = owner.sent.get(owner.sent.size() - 1);
+    assertEquals(OK, assertInstanceOf(OrderForwardReply.class, reply.message()).getStatus());
+    assertIsEndOfLease(owner, reply.validUntil());
+  }
+
+  @Test
+  void givenATakenOrderWhenItIsAcknowledgedThenThatIsValidForEver() {
+    ScriptedOwner owner = ownerWithFirstConfiguration();
+    assertEquals(CoreAction.ALWAYS, owner.answer(owner.put(3, "5 next")).validUntil());
+    assertEquals(CoreAction.ALWAYS, owner.answer(owner.put(3, "5 next")).validUntil());
+  }
+
+  @Test
+  void givenALeaseThatHasEndedWhenOrdersComeThenNoneIsRefusedOrTakenOrRead() {
+    ScriptedOwner owner = ownerWithFirstConfiguration();
+    owner.connected = false;
+    owner.pass(ShardSettings.defaults().lease());
+    long read = owner.get();
+    long stale = owner.put(2, "5 on another edition");
+    long invalid = owner.put(3, "1 not above");
+    long valid = owner.put(3, "5 next");
+    owner.pass(ShardSettings.defaults().orderTimeout());
+    for (long call : List.of(read, stale, invalid, valid)) {
+      assertEquals(UNAVAILABLE, owner.status(call));
+    }
+  }
+
+  @Test
+  void givenAProcessThatWasStoppedWhenAReplyToAnOldCallIsFoundThenItIsValidNoMore() {
+    ScriptedOwner process = new ScriptedOwner();
+    process.followPeer();
+    long call = process.get();
+    CoreAction.Send forwarded = process.sent.get(process.sent.size() - 1);
+    OrderForward order = assertInstanceOf(OrderForward.class, forwarded.message());
+    process.now += ShardSettings.defaults().orderTimeout();
+    process.receive(
+        ScriptedOwner.PEER,
+        OrderReplies.refused(order.getCall(), PRECONDITION_FAILED, 3, "another edition"));
+    assertTrue(process.answer(call).validUntil() <= process.now);
+  }
+
+  private static void assertIsEndOfLease(ScriptedOwner owner, long instant) {
+    assertTrue(owner.shards.owns(CoreShards.CONFIGURATION_SHARD, instant - 1));
+    assertFalse(owner.shards.owns(CoreShards.CONFIGURATION_SHARD, instant));
+  }
+
   private static ScriptedOwner ownerWithFirstConfiguration() {
     ScriptedOwner owner = ScriptedOwner.elected();
     long call = owner.put(0, "3 first");
--- a/control/src/test/java/nettletrail/control/shard/ScriptedOwner.java
+++ b/control/src/test/java/nettletrail/control/shard/ScriptedOwner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import nettletrail.protocol.Accept;
 import nettletrail.protocol.AcceptReply;
+import nettletrail.protocol.Ballot;
 import nettletrail.protocol.Member;
 import nettletrail.protocol.OwnerHeartbeat;
 import nettletrail.protocol.OwnerHeartbeatReply;
@@ -93,13 +94,23 @@
     perform(shards.receive(from, message, now));
   }
 
+  /** The process grants a peer the lease. */
+  void followPeer() {
+    Ballot ballot = new Ballot(1L, NodeIdentity.founding(PEER).getId());
+    String recipient = NodeIdentity.founding(SELF).getId();
+    ShardBeat beat = new ShardBeat(CoreShards.CONFIGURATION_SHARD, recipient, ballot, 0L);
+    receive(PEER, new OwnerHeartbeat(ballot.getNode(), now, List.of(beat)));
+  }
+
+  /** The answer to a call, or null while there is none. */
+  CoreAction.AnswerOrder answer(long call) {
+    return answers.stream().filter(answer -> answer.call() == call).findFirst().orElse(null);
+  }
+
   /** The status of the answer to a call; 0 while there is none. */
   int status(long call) {
-    return answers.stream()
-        .filter(answer -> answer.call() == call)
-        .mapToInt(CoreAction.AnswerOrder::status)
-        .findFirst()
-        .orElse(0);
+    CoreAction.AnswerOrder answer = answer(call);
+    return answer == null ? 0 : answer.status();
   }
 
   private void perform(List<CoreAction> actions) {
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -80,6 +80,7 @@
   private final CoreShards shards;
   private final CoreRegistry registry;
   private final Links links;
+  private final ValidMessageSender sender;
   private final ControlServer server;
   private final CoreStatus status;
   private List<String> seeds;
@@ -108,6 +109,7 @@
     this.registry = new CoreRegistry(registrySettings(settings, life), this, now);
     Hello hello = new Hello(settings.node(), self.getAddress(), ROLE, life, PROTOCOL_VERSION);
     this.links = new Links(loop, LinkSettings.defaults(), hello, this);
+    this.sender = new ValidMessageSender(links::send, System::nanoTime);
     this.server = new ControlServer(loop, ControlSettings.defaults(), this);
     this.status = new CoreStatus(settings, shards, registry, storage, loop, server);
     LOG.info("{} core {} starts as {}", LogEvent.CORE_STARTS, settings.node(), self.getId());
@@ -245,13 +247,13 @@
   private void run(List<CoreAction> actions) {
     for (CoreAction action : actions) {
       if (action instanceof CoreAction.Send send) {
-        links.send(send.address(), send.message());
+        sender.send(send.address(), send.message(), send.validUntil());
       } else if (action instanceof CoreAction.StorePromise promise) {
         storage.store(promise, outcome -> stored(promise.ticket(), outcome));
       } else if (action instanceof CoreAction.StoreVersion version) {
         storage.store(version, outcome -> stored(version.ticket(), outcome));
       } else if (action instanceof CoreAction.AnswerOrder answer) {
-        server.answer(answer.call(), answer.status(), answer.body());
+        server.answer(answer.call(), answer.status(), answer.body(), answer.validUntil());
       } else if (action instanceof CoreAction.CommittedConfiguration committed) {
         committed(committed);
       }
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlAnswer.java
@@ -18,8 +18,12 @@
  * @param json body
  * @param allow the field Allow; empty for none
  * @param location the field Location; empty for none
+ * @param validUntil steady instant from which on 503 is written in its place
  */
-record ControlAnswer(int status, byte[] json, String allow, String location) {
+record ControlAnswer(int status, byte[] json, String allow, String location, long validUntil) {
+  /** The {@code validUntil} of an answer that may be written at any time. */
+  static final long ALWAYS = Long.MAX_VALUE;
+
   /**
    * Keeps answers below 4 KiB however their text is escaped; longer ones don't count for a backend.
    */
@@ -29,8 +33,20 @@
 
   /** An answer with a body; null or no bytes stand for an empty object. */
   static ControlAnswer of(int status, byte[] json) {
+    return of(status, json, ALWAYS);
+  }
+
+  /** An answer with a body that must not be written from an instant on. */
+  static ControlAnswer of(int status, byte[] json, long validUntil) {
     boolean empty = json == null || json.length == 0;
-    return new ControlAnswer(status, empty ? EMPTY_OBJECT : json, "", "");
+    return new ControlAnswer(status, empty ? EMPTY_OBJECT : json, "", "", validUntil);
+  }
+
+  /** What is to be written at this instant: this answer while it is valid, then 503. */
+  ControlAnswer asOf(long now) {
+    return now < validUntil
+        ? this
+        : error(HttpResponseStatus.SERVICE_UNAVAILABLE, "the answer came too late");
   }
 
   /** An answer that tells the caller what is wrong. */
@@ -43,13 +59,13 @@
   /** An answer to a method that the path doesn't have. */
   static ControlAnswer wrongMethod(String allow) {
     ControlAnswer error = error(HttpResponseStatus.METHOD_NOT_ALLOWED, "this path allows " + allow);
-    return new ControlAnswer(error.status(), error.json(), allow, "");
+    return new ControlAnswer(error.status(), error.json(), allow, "", ALWAYS);
   }
 
   /** An answer that sends the caller elsewhere with the same call. */
   static ControlAnswer redirect(String location) {
     int status = HttpResponseStatus.TEMPORARY_REDIRECT.code();
-    return new ControlAnswer(status, EMPTY_OBJECT, "", location);
+    return new ControlAnswer(status, EMPTY_OBJECT, "", location, ALWAYS);
   }
 
   /** The response, with all its fields but Connection. */
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
@@ -11,13 +11,15 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.LongSupplier;
 import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * One caller's connection: hands its calls on as they come and writes their answers in the same
- * order.
+ * order. An answer may wait for that of an earlier call, so whether it is still valid is checked
+ * when it is written.
  */
 final class ControlConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final Logger LOG = LoggerFactory.getLogger(ControlConnection.class);
@@ -35,12 +37,15 @@
   private final ControlSettings settings;
   private final Deque<Call> waiting = new ArrayDeque<>();
   private final RequestClock clock;
+  private final LongSupplier steadyClock;
   private Channel channel;
 
-  ControlConnection(Desk desk, ControlSettings settings, RequestClock clock) {
+  ControlConnection(
+      Desk desk, ControlSettings settings, RequestClock clock, LongSupplier steadyClock) {
     this.desk = desk;
     this.settings = settings;
     this.clock = clock;
+    this.steadyClock = steadyClock;
   }
 
   /** One request of this connection and, at some time, its answer. */
@@ -103,7 +108,7 @@
   }
 
   private void write(Call call) {
-    FullHttpResponse response = call.answer.toResponse();
+    FullHttpResponse response = call.answer.asOf(steadyClock.getAsLong()).toResponse();
     HttpUtil.setKeepAlive(response, call.keepAlive);
     ChannelFuture written = channel.write(response);
     if (!call.keepAlive) {
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import nettletrail.protocol.event.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,6 +40,7 @@
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
   private static final int CHECK_MILLIS = 500;
 
+  private final LongSupplier steadyClock;
   private final EventLoop loop;
   private final ControlSettings settings;
   private final ControlCalls calls;
@@ -53,6 +55,13 @@
 
   /** A server that doesn't listen yet. */
   public ControlServer(EventLoop loop, ControlSettings settings, ControlCalls calls) {
+    this(loop, settings, calls, System::nanoTime);
+  }
+
+  /** A server whose answers are checked against this clock as they are written. */
+  ControlServer(
+      EventLoop loop, ControlSettings settings, ControlCalls calls, LongSupplier steadyClock) {
+    this.steadyClock = steadyClock;
     this.loop = loop;
     this.settings = settings;
     this.calls = calls;
@@ -101,6 +110,14 @@
     answer(call, ControlAnswer.of(status, json));
   }
 
+  /**
+   * As {@link #answer(long, int, byte[])}, but 503 is written if the steady clock has reached
+   * validUntil by the time of writing.
+   */
+  public void answer(long call, int status, byte[] json, long validUntil) {
+    answer(call, ControlAnswer.of(status, json, validUntil));
+  }
+
   private void answer(long call, ControlAnswer answer) {
     requireLoop();
     ControlConnection.Call open = openCalls.remove(call);
@@ -215,7 +232,7 @@
                   MAX_REQUEST_LINE_BYTES, settings.maxHeaderBytes(), MAX_CHUNK_BYTES))
           .addLast(new HttpObjectAggregator(settings.maxBodyBytes()))
           .addLast(new FlowControlHandler())
-          .addLast(new ControlConnection(desk, settings, clock));
+          .addLast(new ControlConnection(desk, settings, clock, steadyClock));
     }
   }
 }
--- a/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/http/ControlServerTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import nettletrail.fleet.http.HttpCaller.Answer;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendState;
@@ -40,6 +41,7 @@
 
   private final EventLoopGroup group = new NioEventLoopGroup(1);
   private final BlockingQueue<Taken> taken = new LinkedBlockingQueue<>();
+  private final AtomicLong clock = new AtomicLong();
   private ControlServer server;
   private InetSocketAddress address;
 
@@ -50,7 +52,7 @@
 
   private void listen(ControlSettings settings) throws Exception {
     EventLoop loop = group.next();
-    server = new ControlServer(loop, settings, new RecordingCalls());
+    server = new ControlServer(loop, settings, new RecordingCalls(), clock::get);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     address = (InetSocketAddress) server.listen(any).sync().channel().localAddress();
   }
@@ -98,9 +100,13 @@
   }
 
   private void answer(Taken call, int status, String json) throws Exception {
+    answer(call, status, json, ControlAnswer.ALWAYS);
+  }
+
+  private void answer(Taken call, int status, String json, long validUntil) throws Exception {
     onLoop(
         () -> {
-          server.answer(call.call(), status, json.getBytes(StandardCharsets.UTF_8));
+          server.answer(call.call(), status, json.getBytes(StandardCharsets.UTF_8), validUntil);
           return null;
         });
   }
@@ -281,6 +287,23 @@
     }
   }
 
+  @Test
+  void answerThatWaitsForAnEarlierOneIsNotWrittenOnceItIsValidNoMore() throws Exception {
+    long validUntil = 1_000;
+    clock.set(validUntil - 1);
+    try (HttpCaller caller = new HttpCaller(address)) {
+      caller.request("GET", CONFIGURATION, "");
+      caller.request("GET", CONFIGURATION, "");
+      Taken first = take();
+      Taken second = take();
+      answer(second, 200, "{\"call\":2}", validUntil);
+      clock.set(validUntil);
+      answer(first, 200, "{\"call\":1}", validUntil + 1);
+      assertEquals("{\"call\":1}", caller.read().body());
+      assertEquals(503, caller.read().status());
+    }
+  }
+
   @Test
   void noMorePipelinedCallsAreTakenThanTheBound() throws Exception {
     try (HttpCaller caller = new HttpCaller(address)) {
