4,096 taken orders are remembered in 20 bytes each; a forgotten one is never refused

Need: an order that was taken is acknowledged again or left without a clear answer, never refused.

Ruled out: pruning by time; clocks of owners differ, and a bound of bytes is needed anyway.

Change: class OrderHistory. Editions rise and each order builds on the one before, so at most one order was taken on top of an edition: it is found by binary search and compared by 16 bytes of its digest. 1,100 changes take some 22 KB of each version, the bound of 4,096 some 82 KB (512 took 19 KB). An order that builds on an edition from before the history gets 503. Digests of 32 bytes that are on disk are still recognised; a process of the earlier version doesn't recognise those of 16.

Tests: OrderHistoryTest; OrderOutcomeTest: 600 changes and a change of owner between order and repeat, both operators with the same bytes, PATCH and PUT to one document, a repeat that overtakes its first sending, an owner that dies before its answer, answers lost ten times, orders that wait behind a write.

--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -175,12 +175,23 @@
       refuse(waiting, OrderReplies.BAD_REQUEST, state, "If-Match must name an edition");
       return;
     }
-    ByteBuffer digest = ConfigurationState.digest(order, ifMatch);
-    long taken = state.editionTakenBy(digest);
-    if (taken >= 0) {
-      outbox.send(waiting.address(), OrderReplies.taken(order.getCall(), taken));
-      return;
+    ByteBuffer digest = OrderHistory.digest(order, ifMatch);
+    switch (state.history().outcomeOf(ifMatch, digest)) {
+      case TAKEN -> {
+        long edition = state.history().editionAfter(ifMatch);
+        outbox.send(waiting.address(), OrderReplies.taken(order.getCall(), edition));
+      }
+      case FORGOTTEN ->
+          outbox.send(
+              waiting.address(),
+              OrderReplies.unavailable(order.getCall(), "it is not known whether it was taken"));
+      case NOT_TAKEN -> judgeNew(waiting, state, ifMatch, digest, now);
     }
+  }
+
+  /** Judges an order that was not taken before. */
+  private void judgeNew(
+      WaitingOrder waiting, ConfigurationState state, long ifMatch, ByteBuffer digest, long now) {
     if (ifMatch != state.edition()) {
       refuse(waiting, OrderReplies.PRECONDITION_FAILED, state, "another edition is current");
       return;
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
@@ -3,14 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
 import java.util.List;
 import nettletrail.protocol.ConfigurationChange;
 import nettletrail.protocol.ConfigurationValue;
-import nettletrail.protocol.OrderForward;
 import org.apache.avro.io.BinaryEncoder;
 import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
@@ -18,21 +13,20 @@
 import org.apache.avro.specific.SpecificDatumWriter;
 
 /**
- * A value of the configuration shard: the document in force and the digests of the last orders that
- * were taken. Immutable.
+ * A value of the configuration shard: the document in force and the orders that led to it.
+ * Immutable.
  */
 final class ConfigurationState {
 
-  /** How many orders that were taken are remembered. */
-  static final int REMEMBERED_CHANGES = 512;
-
   static final ConfigurationState EMPTY =
       new ConfigurationState(new ConfigurationValue(0L, ByteBuffer.allocate(0), List.of()));
 
   private final ConfigurationValue value;
+  private final OrderHistory history;
 
   private ConfigurationState(ConfigurationValue value) {
     this.value = value;
+    this.history = new OrderHistory(value.getChanges());
   }
 
   /** Decodes the value of a version; an empty one is {@link #EMPTY}. */
@@ -79,43 +73,15 @@
     return bytes;
   }
 
-  /** The edition that exactly this order made when it was taken, or -1. */
-  long editionTakenBy(ByteBuffer digest) {
-    for (ConfigurationChange change : value.getChanges()) {
-      if (change.getDigest().equals(digest)) {
-        return change.getEdition();
-      }
-    }
-    return -1;
-  }
-
-  /** The orders that were taken and are remembered, the oldest first. */
-  List<ConfigurationChange> changes() {
-    return List.copyOf(value.getChanges());
+  /** The orders that were taken and are remembered. */
+  OrderHistory history() {
+    return history;
   }
 
   /** The state after a document was taken. */
   ConfigurationState after(ConfigurationRules.CheckedDocument document, ByteBuffer digest) {
-    List<ConfigurationChange> changes = new ArrayList<>(value.getChanges());
-    changes.add(new ConfigurationChange(document.edition(), digest));
-    while (changes.size() > REMEMBERED_CHANGES) {
-      changes.remove(0);
-    }
+    List<ConfigurationChange> changes = history.with(document.edition(), digest).orders();
     return new ConfigurationState(
         new ConfigurationValue(document.edition(), ByteBuffer.wrap(document.json()), changes));
   }
-
-  /** Tells orders apart: method, the edition that they build on, and body. */
-  static ByteBuffer digest(OrderForward order, long ifMatch) {
-    MessageDigest digest;
-    try {
-      digest = MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException impossible) {
-      throw new IllegalStateException(impossible);
-    }
-    String head = order.getMethod() + "\n" + ifMatch + "\n";
-    digest.update(head.getBytes(StandardCharsets.UTF_8));
-    digest.update(order.getBody().duplicate());
-    return ByteBuffer.wrap(digest.digest());
-  }
 }
--- a/control/src/main/java/nettletrail/control/shard/StoredConfiguration.java
+++ b/control/src/main/java/nettletrail/control/shard/StoredConfiguration.java
@@ -23,6 +23,6 @@
   public static StoredConfiguration of(ShardVersion version) {
     ConfigurationState state = ConfigurationState.decode(version.getValue());
     return new StoredConfiguration(
-        version.getSequence(), state.edition(), state.documentBytes(), state.changes());
+        version.getSequence(), state.edition(), state.documentBytes(), state.history().orders());
   }
 }
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/OrderHistoryTest.java
@@ -0,0 +1,98 @@
+package nettletrail.control.shard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.List;
+import nettletrail.control.shard.OrderHistory.Outcome;
+import nettletrail.protocol.ConfigurationChange;
+import nettletrail.protocol.OrderForward;
+import org.junit.jupiter.api.Test;
+
+/** What is known of orders that come again, and what it costs to know it. */
+class OrderHistoryTest {
+
+  private static final int EDITION_STEP = 3;
+
+  private static ByteBuffer digest(long ifMatch, String body) {
+    ByteBuffer bytes = ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8));
+    return OrderHistory.digest(new OrderForward(1L, "PUT", "" + ifMatch, bytes), ifMatch);
+  }
+
+  /** Orders with the editions 3, 6, 9 and so on, each on top of the one before. */
+  private static OrderHistory historyOf(int orders) {
+    OrderHistory history = new OrderHistory(List.of());
+    for (long number = 1; number <= orders; number++) {
+      long ifMatch = (number - 1) * EDITION_STEP;
+      history = history.with(ifMatch + EDITION_STEP, digest(ifMatch, "order " + number));
+    }
+    return history;
+  }
+
+  private static Outcome outcome(OrderHistory history, long ifMatch, String body) {
+    return history.outcomeOf(ifMatch, digest(ifMatch, body));
+  }
+
+  @Test
+  void givenTakenOrders_whenTheyComeAgain_thenEachIsKnownByItsEdition() {
+    OrderHistory history = historyOf(1_100);
+    for (int number = 1; number <= 1_100; number++) {
+      long ifMatch = (long) (number - 1) * EDITION_STEP;
+      assertEquals(Outcome.TAKEN, outcome(history, ifMatch, "order " + number));
+      assertEquals(ifMatch + EDITION_STEP, history.editionAfter(ifMatch));
+    }
+  }
+
+  @Test
+  void givenTakenOrders_whenAnotherBuildsOnTheSameEdition_thenItWasNotTaken() {
+    OrderHistory history = historyOf(10);
+    assertEquals(Outcome.NOT_TAKEN, outcome(history, 0, "other"));
+    assertEquals(Outcome.NOT_TAKEN, outcome(history, 27, "other"));
+    assertEquals(Outcome.NOT_TAKEN, outcome(history, 30, "new"));
+    assertEquals(Outcome.NOT_TAKEN, outcome(history, 4, "on an edition that never was"));
+    assertEquals(Outcome.NOT_TAKEN, outcome(new OrderHistory(List.of()), 0, "first"));
+  }
+
+  @Test
+  void givenMoreOrdersThanAreRemembered_whenOneOfTheFirstComesAgain_thenItIsNotSaidToBeNotTaken() {
+    OrderHistory history = historyOf(OrderHistory.MOST_ORDERS + 5);
+    assertEquals(OrderHistory.MOST_ORDERS, history.orders().size());
+    assertEquals(Outcome.FORGOTTEN, outcome(history, 0, "order 1"));
+    assertEquals(Outcome.FORGOTTEN, outcome(history, 12, "order 5"));
+    assertEquals(Outcome.TAKEN, outcome(history, 15, "order 6"));
+    assertEquals(Outcome.NOT_TAKEN, outcome(history, 18, "other"));
+  }
+
+  @Test
+  void givenWholeDigestOfAnEarlierVersion_whenTheOrderComesAgain_thenItIsTaken()
+      throws NoSuchAlgorithmException {
+    MessageDigest whole = MessageDigest.getInstance("SHA-256");
+    whole.update("PUT\n0\nbody".getBytes(StandardCharsets.UTF_8));
+    ByteBuffer stored = ByteBuffer.wrap(whole.digest());
+    OrderHistory history = new OrderHistory(List.of(new ConfigurationChange(3L, stored)));
+    assertEquals(Outcome.TAKEN, outcome(history, 0, "body"));
+    assertEquals(Outcome.NOT_TAKEN, outcome(history, 0, "other"));
+  }
+
+  @Test
+  void givenLongDay_whenEncoded_thenTheHistoryStaysSmall() {
+    assertTrue(encodedBytes(1_100) <= 22_500, encodedBytes(1_100) + " bytes");
+    assertTrue(encodedBytes(OrderHistory.MOST_ORDERS) <= 84_000);
+    assertEquals(
+        encodedBytes(OrderHistory.MOST_ORDERS), encodedBytes(OrderHistory.MOST_ORDERS + 100), 200);
+  }
+
+  private static int encodedBytes(int orders) {
+    ConfigurationState state = ConfigurationState.EMPTY;
+    byte[] document = new byte[0];
+    for (long edition = 1; edition <= orders; edition++) {
+      ByteBuffer digest = digest(edition - 1, "order");
+      state = state.after(new ConfigurationRules.CheckedDocument(edition, document), digest);
+    }
+    return state.encode().length;
+  }
+}
--- a/control/src/test/java/nettletrail/control/shard/OrderOutcomeTest.java
+++ b/control/src/test/java/nettletrail/control/shard/OrderOutcomeTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import nettletrail.protocol.ConfirmQuery;
 import nettletrail.protocol.ConfirmReply;
+import nettletrail.protocol.OrderForwardReply;
 import nettletrail.protocol.VersionQuery;
 import nettletrail.protocol.VersionReply;
 import org.apache.avro.specific.SpecificRecord;
@@ -49,4 +52,124 @@
     }
     assertTrue(cases > 0, "in no run did the order still wait when the next version came");
   }
+
+  /** Takes that many orders after edition 3, each at another machine; the last edition. */
+  private static long takeOrders(SimulatedCluster cluster, OperatorCalls operator, int orders) {
+    for (long edition = 4; edition < 4 + orders; edition++) {
+      SimulatedCore core = cluster.core((int) (edition % cluster.cores().size()));
+      assertEquals(200, operator.put(core, edition - 1, edition + " later"));
+    }
+    return 3 + orders;
+  }
+
+  @Test
+  void givenHundredsOfLaterChanges_whenAnOrderIsRepeated_thenTheWinnerIsTakenAndTheLoserRefused() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(21, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    assertEquals(200, operator.put(cluster.core(0), 0, "3 winner"));
+    assertEquals(412, operator.put(cluster.core(1), 0, "3 loser"));
+    long last = takeOrders(cluster, operator, 600);
+    operator.awaitOwner().crash();
+    operator.awaitOwner();
+    for (SimulatedCore core : cluster.runningCores()) {
+      for (int repeat = 0; repeat < 3; repeat++) {
+        assertEquals(200, operator.put(core, 0, "3 winner"));
+        assertEquals(412, operator.put(core, 0, "3 loser"));
+      }
+      assertEquals(last + " later", operator.read(core));
+    }
+  }
+
+  @Test
+  void givenBothOperatorsSendTheSameBytes_whenAtOnce_thenBothHearOfTheOneChange() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(22, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    AtomicReference<CoreAction.AnswerOrder> one = operator.send(cluster.core(0), "PUT", "0", "3 a");
+    AtomicReference<CoreAction.AnswerOrder> two = operator.send(cluster.core(1), "PUT", "0", "3 a");
+    assertEquals("3", operator.await(one).edition());
+    assertEquals(200, operator.await(two).status());
+    assertEquals(1, operator.awaitOwner().shards.configuration().changes().size());
+  }
+
+  @Test
+  void givenPatchAndPutThatLeadToTheSameDocument_whenOneIsTaken_thenTheOtherIsRefused() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(23, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    assertEquals(200, operator.put(cluster.core(0), 0, "3 first"));
+    assertEquals(200, operator.patch(cluster.core(1), 3, "4 more"));
+    assertEquals(412, operator.put(cluster.core(2), 3, "4 first more"));
+    assertEquals(200, operator.put(cluster.core(2), 4, "5 next"));
+    assertEquals(200, operator.patch(cluster.core(0), 3, "4 more"));
+    assertEquals(412, operator.put(cluster.core(0), 3, "4 first more"));
+  }
+
+  @Test
+  void givenRepeatThatOvertakesItsFirstSending_whenTheFirstComesLast_thenItIsTakenOnce() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(24, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    SimulatedCore owner = operator.awaitOwner();
+    SimulatedCore slow = operator.followers().get(0);
+    SimulatedCore fast = operator.followers().get(1);
+    slow.frozenUntil = cluster.now() + millis(800);
+    AtomicReference<CoreAction.AnswerOrder> first = operator.send(slow, "PUT", "0", "3 once");
+    assertEquals(200, operator.put(fast, 0, "3 once"));
+    assertEquals(200, operator.put(fast, 3, "5 after it"));
+    assertEquals("3", operator.await(first).edition());
+    assertEquals("5 after it", operator.read(owner));
+    assertEquals(2, owner.shards.configuration().changes().size());
+  }
+
+  @Test
+  void givenOwnerThatDiesBetweenCommitAndAnswer_whenTheOrderIsRepeated_thenItIsTakenAgain() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(25, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    SimulatedCore owner = operator.awaitOwner();
+    SimulatedCore other = operator.followers().get(0);
+    cluster.lose(message -> message instanceof OrderForwardReply);
+    AtomicReference<CoreAction.AnswerOrder> lost = operator.send(other, "PUT", "0", "3 lost");
+    assertTrue(cluster.runUntil(() -> owner.shards.committedSequence() > 0, millis(500)));
+    owner.crash();
+    cluster.heal();
+    assertEquals(503, operator.await(lost).status());
+    operator.awaitOwner();
+    assertEquals(412, operator.put(other, 0, "4 of the other operator"));
+    assertEquals(200, operator.put(other, 0, "3 lost"));
+    owner.start(cluster.seeds(), false);
+    cluster.runFor(millis(2_500));
+    assertEquals(200, operator.put(owner, 0, "3 lost"));
+  }
+
+  @Test
+  void givenAnswersThatAreLostAgainAndAgain_whenOneComesThrough_thenTheOrderWasTakenOnce() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(26, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    List<SimulatedCore> followers = operator.followers();
+    cluster.lose(message -> message instanceof OrderForwardReply);
+    for (int repeat = 0; repeat < 10; repeat++) {
+      assertEquals(503, operator.put(followers.get(repeat % 2), 0, "3 once"));
+    }
+    cluster.heal();
+    assertEquals(200, operator.put(followers.get(0), 0, "3 once"));
+    assertEquals(1, operator.awaitOwner().shards.configuration().changes().size());
+  }
+
+  @Test
+  void givenOrdersThatWaitBehindAWrite_whenItCommits_thenEachIsJudgedAnewAfterIt() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(27, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    SimulatedCore owner = operator.awaitOwner();
+    List<AtomicReference<CoreAction.AnswerOrder>> answers = new ArrayList<>();
+    answers.add(operator.send(owner, "PUT", "0", "3 first"));
+    answers.add(operator.send(owner, "PUT", "0", "3 other"));
+    answers.add(operator.send(owner, "PUT", "0", "3 first"));
+    answers.add(operator.send(owner, "PATCH", "3", "5 more"));
+    answers.add(operator.send(owner, "PUT", "3", "6 too late"));
+    answers.add(operator.send(owner, "PUT", "0", "3 other"));
+    answers.add(operator.send(owner, "GET", "", ""));
+    answers.add(operator.send(owner, "PUT", "5", "4 not above"));
+    List<Integer> statuses = new ArrayList<>();
+    answers.forEach(answer -> statuses.add(operator.await(answer).status()));
+    assertEquals(List.of(200, 412, 200, 200, 412, 412, 200, 400), statuses);
+    assertEquals("5 first more", ClusterInvariants.text(answers.get(6).get().body()));
+  }
 }
