--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -30,13 +30,15 @@
     final WaitingOrder waiting;
     final Ballot ballot;
     final long sequence;
+    final long ifMatch;
     final ByteBuffer digest;
     boolean answered;
 
-    WriteInFlight(WaitingOrder waiting, ShardVersion version, ByteBuffer digest) {
+    WriteInFlight(WaitingOrder waiting, ShardVersion version, long ifMatch, ByteBuffer digest) {
       this.waiting = waiting;
       this.ballot = version.getBallot();
       this.sequence = version.getSequence();
+      this.ifMatch = ifMatch;
       this.digest = digest;
     }
   }
@@ -126,10 +128,12 @@
   }
 
   private OrderForwardReply committedOutcome() {
-    long taken = state().editionTakenBy(inFlight.digest);
-    return taken >= 0
-        ? OrderReplies.taken(inFlight.waiting.order().getCall(), taken)
-        : unknownOutcome(inFlight.waiting);
+    OrderHistory history = state().history();
+    if (history.outcomeOf(inFlight.ifMatch, inFlight.digest) != OrderHistory.Outcome.TAKEN) {
+      return unknownOutcome(inFlight.waiting);
+    }
+    long edition = history.editionAfter(inFlight.ifMatch);
+    return OrderReplies.taken(inFlight.waiting.order().getCall(), edition);
   }
 
   private void answerWrite(OrderForwardReply reply) {
@@ -207,7 +211,7 @@
       throws InvalidConfigurationException {
     ConfigurationRules.CheckedDocument document = check(waiting.order(), state);
     ShardVersion version = replica.write(state.after(document, digest).encode(), now);
-    inFlight = new WriteInFlight(waiting, version, digest);
+    inFlight = new WriteInFlight(waiting, version, state.edition(), digest);
   }
 
   private ConfigurationRules.CheckedDocument check(OrderForward order, ConfigurationState state)
--- a/control/src/test/java/nettletrail/control/shard/OwnerFencingTest.java
+++ b/control/src/test/java/nettletrail/control/shard/OwnerFencingTest.java
@@ -127,9 +127,7 @@
     OrderForward order = new OrderForward(1L, "PUT", "3", ByteBuffer.wrap(json));
     ConfigurationState state =
         ConfigurationState.decode(before.getValue())
-            .after(
-                new ConfigurationRules.CheckedDocument(5, json),
-                ConfigurationState.digest(order, 3));
+            .after(new ConfigurationRules.CheckedDocument(5, json), OrderHistory.digest(order, 3));
     return new VersionReply(
         CoreShards.CONFIGURATION_SHARD,
         new ShardVersion(
