Quota at doors: given-back tokens keep their expiry, replies their life

Two faults of a door's account, found by going through a change of owner and a restart case by case:

- Tokens of a former owner that were taken and given back after the new owner's first grant came back as the new owner's, so they lasted up to a second longer than granted, beside what the new owner had refilled.
A lot now never holds more than was granted for it.
- Requests of each life of a door began at number 1, so a reply to the former life's request could answer the new life's (a core process that was frozen while the door restarted).

Ruled out: dropping all that is given back after a change of owner (tokens of requests that no backend ran would be lost for nothing); the life in the reply (a change of the schema for what the number can carry).

--- a/control/src/main/java/nettletrail/control/door/GrantClient.java
+++ b/control/src/main/java/nettletrail/control/door/GrantClient.java
@@ -62,10 +62,17 @@
     Set<String> tenantsAsked = Set.of();
   }
 
+  /**
+   * Holds nothing.
+   *
+   * @param life of the door's process; requests are numbered from it on, so that a reply to a
+   *     former life is never taken for one to this life
+   */
   GrantClient(String door, long life, OwnerLookup ownerLookup) {
     this.door = door;
     this.life = life;
     this.ownerLookup = ownerLookup;
+    this.lastRequest = life >>> 1;
   }
 
   /**
--- a/control/src/main/java/nettletrail/control/door/TenantTokens.java
+++ b/control/src/main/java/nettletrail/control/door/TenantTokens.java
@@ -50,12 +50,14 @@
 
   /** Tokens that run out together. */
   private static final class Lot {
-    static final Lot EMPTY = new Lot(0, 0);
+    static final Lot EMPTY = new Lot(0, 0, 0);
 
+    final long granted;
     final long expiresAt;
     long tokens;
 
-    Lot(long tokens, long expiresAt) {
+    Lot(long granted, long tokens, long expiresAt) {
+      this.granted = granted;
       this.tokens = tokens;
       this.expiresAt = expiresAt;
     }
@@ -69,6 +71,10 @@
         tokens = Math.max(0, tokens - spent);
       }
     }
+
+    void giveBack(long returned) {
+      tokens = Math.min(granted, tokens + returned);
+    }
   }
 
   TenantTokens(String tenant, long now) {
@@ -92,14 +98,13 @@
 
   /**
    * Returns tokens of a request that never ran. Only what wasn't reported as used yet can be used
-   * again: the owner has refilled for the rest already.
+   * again: the owner has refilled for the rest already. A former owner's tokens don't come back as
+   * the present one's, with which they would last longer than was granted.
    */
   void giveBack(long tokens) {
     long returned = Math.min(tokens, usedTotal - reportedTotal);
     usedTotal -= returned;
-    if (lot.tokens + returned > 0 && lot != Lot.EMPTY) {
-      lot.tokens += returned;
-    }
+    lot.giveBack(returned);
   }
 
   void queued(long tokens) {
@@ -133,7 +138,7 @@
     long keepable = Math.min(lastReport.getWantedTokens(), lastReport.getHeldTokens());
     returnsTokens = grant.getTokens() < keepable;
     grantedInFull = grant.getTokens() >= lastReport.getWantedTokens();
-    lot = new Lot(Math.max(0, grant.getTokens() - usedSince), expiresAt);
+    lot = new Lot(grant.getTokens(), Math.max(0, grant.getTokens() - usedSince), expiresAt);
     pressure = grant.getPressure();
     doorsServing = grant.getDoors();
     return usable(now) > before;
--- a/control/src/test/java/nettletrail/control/door/GrantClientTest.java
+++ b/control/src/test/java/nettletrail/control/door/GrantClientTest.java
@@ -21,21 +21,19 @@
   private static final String TENANT = "acme";
   private static final int SHARD = ShardMap.shardOf(TENANT);
 
-  private final GrantClient client =
-      new GrantClient(
-          "door",
-          1,
-          new GrantClient.OwnerLookup() {
-            @Override
-            public Optional<String> owner(int shard, long now) {
-              return Optional.of("core");
-            }
-
-            @Override
-            public void denied(int shard, String address, long now) {
-              denials++;
-            }
-          });
+  private final GrantClient.OwnerLookup owners =
+      new GrantClient.OwnerLookup() {
+        @Override
+        public Optional<String> owner(int shard, long now) {
+          return Optional.of("core");
+        }
+
+        @Override
+        public void denied(int shard, String address, long now) {
+          denials++;
+        }
+      };
+  private GrantClient client = new GrantClient("door", 1, owners);
   private int denials;
   private long now = 5_000 * MILLIS;
 
@@ -119,6 +117,33 @@
     assertEquals(0, client.usable(TENANT, now));
   }
 
+  @Test
+  void givenAFormerOwnersTokensGivenBackWhenTheNewOwnerGrantsLessThenTheyDontLastLonger() {
+    reply(askFor(100), 1, 100);
+    after(350);
+    GrantRequest request = askFor(100);
+    assertTrue(client.take(TENANT, 40, now));
+    reply(request, 2, 10);
+    client.giveBack(TENANT, 40);
+    assertEquals(60, client.usable(TENANT, now));
+    after(401);
+    assertEquals(10, client.usable(TENANT, now));
+  }
+
+  @Test
+  void givenARestartedDoorWhenAReplyToItsFormerLifeComesThenItIsDropped() {
+    client = new GrantClient("door", 1_000_000, owners);
+    client.limits(Map.of(TENANT, new QuotaLimit(100, 100)));
+    GrantRequest formerRequest = askFor(100);
+    client = new GrantClient("door", 2_000_000, owners);
+    client.limits(Map.of(TENANT, new QuotaLimit(100, 100)));
+    GrantRequest request = askFor(50);
+    reply(formerRequest, 1, 100);
+    assertEquals(0, client.usable(TENANT, now));
+    reply(request, 1, 50);
+    assertEquals(50, client.usable(TENANT, now));
+  }
+
   @Test
   void givenASecondOfUseWhenTheOwnerIsAskedThenTokensAreWantedAhead() {
     reply(askFor(10_000), 1, 10_000);
--- a/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
+++ b/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
@@ -71,6 +71,16 @@
     assertTrue(ask(OTHER, 0, CAPACITY, 0) <= 20 * 10 + 20, "only what refilled since");
   }
 
+  @Test
+  void givenASilentDoorWhenItsTokensHaveRunOutForASecondThenOthersHaveTheWholeRateAgain() {
+    after(60_000);
+    ask(ONE, 0, CAPACITY, 0);
+    after(TERMS.outstandingMs(LIMIT));
+    ask(OTHER, 0, 1, 0);
+    after(1_000);
+    assertTrue(ask(OTHER, 1, CAPACITY, 0) >= 10_000);
+  }
+
   @Test
   void givenARestartedDoorWhenItAsksThenItsFormerLifesTokensStillCount() {
     after(60_000);
