A door puts its first configuration in force once a majority has confirmed it

A door that starts knows nothing that it could hold against an old configuration. If the first core process that it reached was cut off from the others, it listened, called itself ready and refused or passed on requests by what that process held, until another link delivered the newer one: for the whole cut if there was no other.

The first configuration of a process now waits until some core process says that at most 1.5 s ago a majority knew nothing newer. Until then the door is not ready and answers 503. Heartbeats go each 100 ms while it waits, so in calm times this costs one exchange. Later configurations need no confirmation: they are committed and newer than what is in force.

Ruled out: confirming each configuration, which would delay every change by up to a heartbeat; using the old one after a while without a confirmation, which is the fault itself.

--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -23,7 +23,7 @@
 
 /**
  * The door's view of the control plane: it dials all core processes, sends them heartbeats, follows
- * their feeds and keeps the newest configuration.
+ * their feeds and keeps the newest configuration, whose first one has to be confirmed.
  *
  * <p>Pure: every method takes what happened and the steady clock in nanoseconds, and returns what
  * has to be done. One thread.
@@ -31,7 +31,10 @@
 public final class DoorControl {
   private static final long MILLIS = 1_000_000L;
   private static final long HEARTBEAT_EVERY = 400 * MILLIS;
-  private static final long HEARTBEAT_WHEN_OWNER_MISSING = 100 * MILLIS;
+
+  /** While the door waits for an owner to be known, or for its configuration to be confirmed. */
+  private static final long HEARTBEAT_WHEN_WAITING = 100 * MILLIS;
+
   private static final long UNDIAL_AFTER = 30_000 * MILLIS;
   private static final long REACHABLE = 2_000 * MILLIS;
   private static final long HAND_OVER_ENDS_EVERY = 500 * MILLIS;
@@ -45,9 +48,9 @@
   private final OwnerDirectory owners = new OwnerDirectory();
   private final DoorCount doorCount = new DoorCount();
   private final KeyLease keys;
+  private final ConfigurationGate configuration;
   private final GrantClient grants;
   private Set<String> seeds;
-  private long configurationSequence;
   private long lastTick;
   private long endsHandedOverAt;
   private boolean draining;
@@ -56,6 +59,7 @@
   public DoorControl(DoorControlSettings settings, long now) {
     this.settings = settings;
     this.keys = new KeyLease(settings.revokeMs());
+    this.configuration = new ConfigurationGate(keys);
     this.grants = new GrantClient(settings.door(), settings.life(), new Owners());
     this.seeds = new HashSet<>(settings.seeds());
     this.lastTick = now;
@@ -100,7 +104,8 @@
     if (message instanceof DoorHeartbeatReply reply) {
       heartbeatReply(link, reply, actions, now);
     } else if (message instanceof ConfigurationPush push) {
-      configuration(push, actions);
+      configuration.pushed(push);
+      putConfigurationInForce(actions, now);
     } else if (message instanceof FeedSnapshot snapshot) {
       snapshot(link, snapshot, actions, now);
     } else if (message instanceof FeedEvents events) {
@@ -127,7 +132,8 @@
   /** What is due outside of the ticks: to be called after a request found too few quota tokens. */
   public List<DoorAction> poll(long now) {
     List<DoorAction> actions = new ArrayList<>();
-    long heartbeatEvery = grants.ownerMissing() ? HEARTBEAT_WHEN_OWNER_MISSING : HEARTBEAT_EVERY;
+    boolean waits = grants.ownerMissing() || configuration.awaitsConfirmation();
+    long heartbeatEvery = waits ? HEARTBEAT_WHEN_WAITING : HEARTBEAT_EVERY;
     for (CoreLink link : links.values()) {
       if (link.heartbeatDue(heartbeatEvery, now)) {
         actions.add(new DoorAction.SendToCore(link.address(), heartbeat(link, now)));
@@ -142,7 +148,7 @@
 
   /** The sequence of the configuration in force, 0 for none; never goes back. */
   public long configurationSequence() {
-    return configurationSequence;
+    return configuration.inForceSequence();
   }
 
   /**
@@ -196,7 +202,7 @@
         settings.zone(),
         settings.life(),
         now,
-        configurationSequence,
+        configuration.heldSequence(),
         link.feed(),
         link.offset(),
         draining);
@@ -205,7 +211,8 @@
   private void heartbeatReply(
       CoreLink link, DoorHeartbeatReply reply, List<DoorAction> actions, long now) {
     link.replied(reply.getDoors(), now);
-    keys.confirmed(reply);
+    configuration.confirmed(reply);
+    putConfigurationInForce(actions, now);
     owners.told(link.address(), reply.getOwners(), now);
     doorCount.tick(links.values(), now);
     if (reply.getFeed() == link.feed() && reply.getFeedOffset() == link.offset()) {
@@ -215,14 +222,16 @@
     actions.addAll(dialNew(members, now));
   }
 
-  private void configuration(ConfigurationPush push, List<DoorAction> actions) {
-    if (push.getSequence() > configurationSequence) {
-      configurationSequence = push.getSequence();
-      keys.holds(configurationSequence);
-      actions.add(
-          new DoorAction.ConfigurationChanged(
-              push.getSequence(), push.getEdition(), push.getDocument().asReadOnlyBuffer()));
-    }
+  private void putConfigurationInForce(List<DoorAction> actions, long now) {
+    configuration
+        .takeDue(now)
+        .ifPresent(
+            due ->
+                actions.add(
+                    new DoorAction.ConfigurationChanged(
+                        due.getSequence(),
+                        due.getEdition(),
+                        due.getDocument().asReadOnlyBuffer())));
   }
 
   private void snapshot(CoreLink link, FeedSnapshot snapshot, List<DoorAction> actions, long now) {
--- a/control/src/main/java/nettletrail/control/door/KeyLease.java
+++ b/control/src/main/java/nettletrail/control/door/KeyLease.java
@@ -57,6 +57,11 @@
     }
   }
 
+  /** Whether a majority confirmed what the door holds at most so long ago, in nanoseconds. */
+  boolean confirmedWithin(long span, long now) {
+    return held && now - (heldUntil - lasts) <= span;
+  }
+
   /** The end, or empty when nothing was ever confirmed. */
   OptionalLong until() {
     return held ? OptionalLong.of(heldUntil) : OptionalLong.empty();
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/door/FirstConfigurationTest.java
@@ -0,0 +1,114 @@
+package nettletrail.control.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.DoorHeartbeat;
+import nettletrail.protocol.DoorHeartbeatReply;
+import org.apache.avro.specific.SpecificRecord;
+import org.junit.jupiter.api.Test;
+
+/** What a door puts in force that has just started and reaches a core process that is cut off. */
+class FirstConfigurationTest {
+  private static final long MILLIS = 1_000_000L;
+  private static final String CUT_CORE = "10.0.0.1:7680";
+  private static final String CORE = "10.0.0.2:7680";
+  private static final long REVOKE_MS = 60_000;
+  private static final long OLD = 7;
+  private static final long NEW = 9;
+  private static final long FRESH_MS = 200;
+  private static final long STALE_MS = 15_000;
+
+  private final List<Long> inForce = new ArrayList<>();
+  private long now = 5_000 * MILLIS;
+  private final DoorControl door =
+      new DoorControl(
+          new DoorControlSettings("door", "zone", 1, REVOKE_MS, List.of(CUT_CORE, CORE)), now);
+
+  FirstConfigurationTest() {
+    perform(door.tick(now));
+    perform(door.linkUp(CUT_CORE, now));
+    perform(door.linkUp(CORE, now));
+  }
+
+  @Test
+  void givenACutCoreFirstWhenItPushesThenNothingIsInForce() {
+    receive(CUT_CORE, push(OLD));
+    receive(CUT_CORE, confirmation(OLD, STALE_MS));
+    assertEquals(List.of(), inForce);
+    assertEquals(0, door.configurationSequence());
+  }
+
+  @Test
+  void givenACutCoreFirstWhenAnotherPushesAndConfirmsThenOnlyThatIsInForce() {
+    receive(CUT_CORE, push(OLD));
+    receive(CUT_CORE, confirmation(OLD, STALE_MS));
+    receive(CORE, push(NEW));
+    receive(CORE, confirmation(NEW, FRESH_MS));
+    receive(CUT_CORE, push(OLD));
+    assertEquals(List.of(NEW), inForce);
+  }
+
+  @Test
+  void givenACutCoreFirstWhenTheOthersHaveSomethingNewerThenTheirConfirmationIsNotForTheOld() {
+    receive(CUT_CORE, push(OLD));
+    receive(CORE, confirmation(NEW, FRESH_MS));
+    assertEquals(List.of(), inForce);
+    receive(CORE, push(NEW));
+    assertEquals(List.of(NEW), inForce);
+  }
+
+  @Test
+  void givenNothingNewerWhenACoreConfirmsThenTheFirstIsInForceAtOnce() {
+    receive(CORE, push(OLD));
+    receive(CORE, confirmation(OLD, FRESH_MS));
+    assertEquals(List.of(OLD), inForce);
+  }
+
+  @Test
+  void givenAConfigurationInForceWhenItsConfirmationIsOldThenNewerOnesStillComeIntoForce() {
+    receive(CORE, push(OLD));
+    receive(CORE, confirmation(OLD, FRESH_MS));
+    now += STALE_MS * MILLIS;
+    receive(CUT_CORE, push(NEW));
+    receive(CORE, push(OLD));
+    assertEquals(List.of(OLD, NEW), inForce);
+  }
+
+  @Test
+  void givenAnUnconfirmedFirstWhenItWaitsThenTheCoreIsAskedMoreOften() {
+    perform(door.poll(now));
+    receive(CUT_CORE, push(OLD));
+    now += 100 * MILLIS;
+    long asked = door.poll(now).stream().filter(FirstConfigurationTest::isHeartbeat).count();
+    assertEquals(2, asked);
+  }
+
+  private static boolean isHeartbeat(DoorAction action) {
+    return action instanceof DoorAction.SendToCore send && send.message() instanceof DoorHeartbeat;
+  }
+
+  private void receive(String core, SpecificRecord message) {
+    perform(door.received(core, message, now));
+  }
+
+  private void perform(List<DoorAction> actions) {
+    for (DoorAction action : actions) {
+      if (action instanceof DoorAction.ConfigurationChanged changed) {
+        inForce.add(changed.sequence());
+      }
+    }
+  }
+
+  private static ConfigurationPush push(long sequence) {
+    return new ConfigurationPush(sequence, sequence, ByteBuffer.allocate(0));
+  }
+
+  private DoorHeartbeatReply confirmation(long sequence, long ageMs) {
+    return new DoorHeartbeatReply(
+        CORE, now, true, ageMs, sequence, 1L, 0L, 1, List.of(), List.of());
+  }
+}
