At most one version is on its way to a replica; a fetch never queues behind another

Need: a replica that is behind must catch up under steady changes. An owner sent each version to each replica at once, and again after 500 ms whatever the link still held; a process that was behind asked for the whole version every 250 ms. On a thin link (200 KB/s, documents of 100 KB, 400 changes in 20 s) messages waited up to 188 s for those before them, and the replica did not catch up.

Ruled out: a resend time from a measured rate; a heartbeat that passes the same link behind the version tells it without one.

Change: VersionTransfer holds one replica's version under way. The newest follows at the acknowledgement, those between are skipped. VersionFetches asks a peer again only after it answered a later query, another peer after a second.

Tests: CatchUpTest with links of bounded rate. A replica away for 400 changes gets under 1.2 times the bytes of one away for 40; one with a full disk holds the newest 2.5 s after it has room. ClusterInvariants also checks after each event that the owner knows every acknowledged change.

--- a/control/src/main/java/nettletrail/control/shard/ConfirmationRounds.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfirmationRounds.java
@@ -21,8 +21,8 @@
   private final Outbox outbox;
   private final long startedAt;
   private final Confirmation confirmation = new Confirmation();
+  private final VersionFetches fetches;
   private long askDueAt;
-  private long versionAskedAt;
 
   ConfirmationRounds(
       ShardReplica replica,
@@ -38,7 +38,7 @@
     this.outbox = outbox;
     this.startedAt = now;
     this.askDueAt = now;
-    this.versionAskedAt = now - settings.confirm();
+    this.fetches = new VersionFetches(settings);
   }
 
   /**
@@ -58,6 +58,7 @@
     }
     ReplicaGroup group = new ReplicaGroup(committed.getMembers());
     confirmation.retain(group);
+    fetches.retain(group);
     for (Member member : group.members()) {
       outbox.send(member.getAddress(), query);
     }
@@ -93,8 +94,8 @@
       replica.learnCommitted(accepted);
     }
     boolean behind = reply.getCommittedSequence() > committedSequence();
-    if (behind && now - versionAskedAt >= settings.confirm()) {
-      versionAskedAt = now;
+    if (behind && fetches.isDue(peer, reply.getSentAt(), now)) {
+      fetches.asked(peer, now);
       outbox.send(peer, new VersionQuery(CoreShards.CONFIGURATION_SHARD));
     }
   }
@@ -104,6 +105,7 @@
   }
 
   void onVersionReply(VersionReply reply) {
+    fetches.answered();
     if (reply.getVersion() != null) {
       replica.learnCommitted(reply.getVersion());
     }
--- a/control/src/main/java/nettletrail/control/shard/Ownership.java
+++ b/control/src/main/java/nettletrail/control/shard/Ownership.java
@@ -32,8 +32,12 @@
   private static final class Progress {
     long grantAskedAt = ReplicaGroup.NEVER;
     long heardAt;
-    VersionStamp sent;
-    long sentAt;
+    final VersionTransfer transfer;
+
+    Progress(long heardAt, ShardSettings settings) {
+      this.heardAt = heardAt;
+      this.transfer = new VersionTransfer(settings);
+    }
   }
 
   private final int shard;
@@ -106,24 +110,31 @@
     proposal = new ShardVersion(ballot, sequence, group.members(), from.getValue());
     acknowledged.clear();
     for (Member member : group.members()) {
-      sendVersion(member, now);
+      if (!progress(member.getId()).transfer.isUnderWay()) {
+        sendVersion(member, now);
+      }
     }
   }
 
   private void sendVersion(Member member, long now) {
-    Progress progress = progress(member.getId());
-    progress.sent = VersionStamp.of(newest());
-    progress.sentAt = now;
+    progress(member.getId()).transfer.start(VersionStamp.of(newest()), now);
     outbox.send(member.getAddress(), new Accept(shard, member.getId(), ballot, newest()));
   }
 
   /** Returns true if this committed the version in flight. */
   boolean onAcceptReply(AcceptReply reply, long now) {
-    progress(reply.getSender()).heardAt = now;
+    Progress progress = progress(reply.getSender());
+    progress.heardAt = now;
     if (!reply.getAccepted()) {
       return false;
     }
-    return acknowledge(reply.getSender(), new VersionStamp(reply.getBallot(), reply.getSequence()));
+    VersionStamp held = new VersionStamp(reply.getBallot(), reply.getSequence());
+    progress.transfer.onHeld(held);
+    boolean behind = isBehind(reply.getSender(), held);
+    if (behind && !progress.transfer.isUnderWay()) {
+      sendVersion(member(reply.getSender()), now);
+    }
+    return acknowledge(reply.getSender(), held);
   }
 
   /** Returns true if this committed the version in flight. */
@@ -135,20 +146,20 @@
     }
     progress.grantAskedAt = Math.max(progress.grantAskedAt, askedAt);
     VersionStamp held = new VersionStamp(reply.getAcceptedBallot(), reply.getAcceptedSequence());
-    resendIfBehind(sender, progress, held, now);
+    progress.transfer.onHeld(held);
+    if (isBehind(sender, held) && progress.transfer.isDue(askedAt, now)) {
+      sendVersion(member(sender), now);
+    }
     return acknowledge(sender, held);
   }
 
-  private void resendIfBehind(String id, Progress progress, VersionStamp held, long now) {
-    Member member = new ReplicaGroup(members()).find(id);
-    VersionStamp target = VersionStamp.of(newest());
-    if (member == null || held.compareTo(target) >= 0) {
-      return;
-    }
-    boolean justSent = target.equals(progress.sent) && now - progress.sentAt < settings.resend();
-    if (!justSent) {
-      sendVersion(member, now);
-    }
+  /** True for a member of the newest group that holds less than the newest version. */
+  private boolean isBehind(String id, VersionStamp held) {
+    return member(id) != null && held.compareTo(VersionStamp.of(newest())) < 0;
+  }
+
+  private Member member(String id) {
+    return new ReplicaGroup(members()).find(id);
   }
 
   private boolean acknowledge(String sender, VersionStamp held) {
@@ -215,8 +226,7 @@
   private Progress progress(String id) {
     Progress progress = progressOf.get(id);
     if (progress == null) {
-      progress = new Progress();
-      progress.heardAt = startedAt;
+      progress = new Progress(startedAt, settings);
       progressOf.put(id, progress);
     }
     return progress;
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/CatchUpTest.java
@@ -0,0 +1,162 @@
+package nettletrail.control.shard;
+
+import static nettletrail.control.shard.SimulatedCluster.millis;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A replica that is behind, under a configuration that changes all the time. */
+class CatchUpTest {
+
+  private static final int DOCUMENT_BYTES = 100_000;
+  private static final int THIN_LINK_BYTES_PER_SECOND = 200_000;
+  private static final long CHANGE_PERIOD = millis(50);
+  private static final int CHANGES = 400;
+
+  /** The time that four documents need on the thin link, and some for the rest. */
+  private static final long CATCH_UP_LIMIT = millis(2_500);
+
+  private static final String TEXT = "x".repeat(DOCUMENT_BYTES);
+
+  /**
+   * Changes the configuration at a steady pace, each change at one machine, until it is stopped.
+   */
+  private static final class SteadyChanges {
+    private final SimulatedCluster cluster;
+    private final OperatorCalls operator;
+    private final SimulatedCore core;
+    private final int changes;
+    private long edition;
+    private int refused;
+
+    SteadyChanges(SimulatedCluster cluster, SimulatedCore core, int changes) {
+      this.cluster = cluster;
+      this.operator = new OperatorCalls(cluster);
+      this.core = core;
+      this.changes = changes;
+    }
+
+    /** Makes all changes; one is taken before the next is sent. */
+    void run() {
+      for (int change = 0; change < changes; change++) {
+        long end = cluster.now() + CHANGE_PERIOD;
+        long next = edition + 1;
+        String document = next + " " + TEXT;
+        refused += operator.put(core, edition, document) == OrderReplies.OK ? 0 : 1;
+        edition = next;
+        cluster.runFor(Math.max(0, end - cluster.now()));
+      }
+      assertEquals(0, refused, "changes that were not taken");
+    }
+
+    long edition() {
+      return edition;
+    }
+  }
+
+  private static long acceptedEdition(SimulatedCore core) {
+    return ConfigurationState.decode(core.disk.shards().get(0).version().getValue()).edition();
+  }
+
+  private static long bytesTo(SimulatedCluster cluster, SimulatedCore core) {
+    long bytes = 0;
+    for (SimulatedCore other : cluster.cores()) {
+      bytes += cluster.bandwidth().carried(SimulatedCluster.link(other.address, core.address));
+    }
+    return bytes;
+  }
+
+  private static void limitLinksTo(SimulatedCluster cluster, SimulatedCore core) {
+    for (SimulatedCore other : cluster.cores()) {
+      String link = SimulatedCluster.link(other.address, core.address);
+      cluster.bandwidth().limit(link, THIN_LINK_BYTES_PER_SECOND);
+    }
+  }
+
+  private static long longestQueueTo(SimulatedCluster cluster, SimulatedCore core) {
+    long longest = 0;
+    for (SimulatedCore other : cluster.cores()) {
+      String link = SimulatedCluster.link(other.address, core.address);
+      longest = Math.max(longest, cluster.bandwidth().longestQueue(link));
+    }
+    return longest;
+  }
+
+  @Test
+  void givenThinLinkToAReplica_whenLargeDocumentsChangeAllTheTime_thenNothingQueuesBehindAnother() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(31, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    SimulatedCore owner = operator.awaitOwner();
+    SimulatedCore thin = operator.followers().get(0);
+    limitLinksTo(cluster, thin);
+    SteadyChanges changes = new SteadyChanges(cluster, owner, CHANGES);
+    changes.run();
+    long oneDocument = DOCUMENT_BYTES * 1_000_000_000L / THIN_LINK_BYTES_PER_SECOND;
+    long longest = longestQueueTo(cluster, thin);
+    assertTrue(longest <= 22 * oneDocument / 10, "waited on the link: " + longest / 1e9 + " s");
+    cluster.runFor(CATCH_UP_LIMIT);
+    assertEquals(changes.edition(), acceptedEdition(thin));
+    assertEquals(changes.edition(), thin.announced.edition());
+  }
+
+  @Test
+  void givenReplicaThatWasAwayForAllChanges_whenItReturns_thenOneVersionBringsItUp() {
+    assertTrue(bytesOfCatchUp(CHANGES) < 1.2 * bytesOfCatchUp(CHANGES / 10));
+  }
+
+  private static long bytesOfCatchUp(int changeCount) {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(32, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    SimulatedCore owner = operator.awaitOwner();
+    SimulatedCore away = operator.followers().get(0);
+    away.crash();
+    SteadyChanges changes = new SteadyChanges(cluster, owner, changeCount);
+    changes.run();
+    long before = bytesTo(cluster, away);
+    away.start(cluster.seeds(), false);
+    cluster.runFor(CATCH_UP_LIMIT);
+    assertEquals(changes.edition(), acceptedEdition(away));
+    assertNotNull(away.announced);
+    assertEquals(changes.edition(), away.announced.edition());
+    return bytesTo(cluster, away) - before;
+  }
+
+  @Test
+  void givenFullDiskThroughAllChanges_whenItHasRoomAgain_thenTheReplicaHoldsTheNewest() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(33, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    SimulatedCore owner = operator.awaitOwner();
+    SimulatedCore full = operator.followers().get(0);
+    full.storageFails = true;
+    SteadyChanges changes = new SteadyChanges(cluster, owner, CHANGES);
+    changes.run();
+    cluster.runFor(millis(5_000));
+    full.storageFails = false;
+    cluster.runFor(millis(2_500));
+    assertEquals(changes.edition(), acceptedEdition(full));
+    assertEquals(changes.edition(), full.announced.edition());
+  }
+
+  @Test
+  void givenOnlyAStaleReplicaBesideTheNewest_whenTheOwnerIsLost_thenNobodyLeadsWithOldState() {
+    for (long seed = 1; seed <= 30; seed++) {
+      SimulatedCluster cluster = OperatorCalls.settledCluster(seed, 3);
+      OperatorCalls operator = new OperatorCalls(cluster);
+      List<SimulatedCore> followers = operator.followers();
+      SimulatedCore stale = followers.get(0);
+      stale.crash();
+      SimulatedCore owner = operator.awaitOwner();
+      for (int edition = 1; edition <= 20; edition++) {
+        assertEquals(200, operator.put(owner, edition - 1, edition + " small"));
+      }
+      owner.crash();
+      stale.start(cluster.seeds(), false);
+      SimulatedCore next = operator.awaitOwner();
+      assertEquals(20, next.announced.edition(), "seed " + seed);
+      assertEquals("20 small", operator.read(stale), "seed " + seed);
+    }
+  }
+}
--- a/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
+++ b/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
@@ -41,6 +41,20 @@
       }
     }
     cluster.runningCores().forEach(this::checkConfirmation);
+    checkOwnerHoldsTheNewest();
+  }
+
+  /** Whoever owns the configuration knows every change that was acknowledged. */
+  private void checkOwnerHoldsTheNewest() {
+    SimulatedCore owner = cluster.owner(CoreShards.CONFIGURATION_SHARD);
+    if (owner == null || acknowledged.isEmpty()) {
+      return;
+    }
+    long known = owner.announced == null ? 0 : owner.announced.edition();
+    Acknowledged newest = acknowledged.get(acknowledged.size() - 1);
+    if (known < newest.edition()) {
+      throw new AssertionError(owner.address + " owns edition " + known + " after " + newest);
+    }
   }
 
   private void checkConfirmation(SimulatedCore core) {
--- a/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedCluster.java
@@ -35,6 +35,7 @@
                   : Long.compare(left.order(), right.order()));
   private final Map<String, SimulatedCore> cores = new LinkedHashMap<>();
   private final Map<String, Long> lastArrival = new HashMap<>();
+  private final SimulatedBandwidth bandwidth = new SimulatedBandwidth();
   private final Set<String> cutLinks = new HashSet<>();
   private Predicate<SpecificRecord> lost = message -> false;
   private final Map<Long, Consumer<CoreAction.AnswerOrder>> callers = new HashMap<>();
@@ -233,7 +234,7 @@
     lost = message -> false;
   }
 
-  private static String link(String from, String to) {
+  static String link(String from, String to) {
     return from + ">" + to;
   }
 
@@ -250,7 +251,8 @@
       return;
     }
     String link = link(from, to);
-    long arrival = now + 200_000 + (long) (random.nextDouble() * maximumDelay);
+    long delay = 200_000 + (long) (random.nextDouble() * maximumDelay);
+    long arrival = bandwidth.transmitted(link, message, now) + delay;
     arrival = Math.max(arrival, lastArrival.getOrDefault(link, 0L) + 1);
     lastArrival.put(link, arrival);
     at(
@@ -263,6 +265,11 @@
         });
   }
 
+  /** What the links carry, and how fast. */
+  SimulatedBandwidth bandwidth() {
+    return bandwidth;
+  }
+
   // The operator's side
 
   /** Sends a call to a machine; the callback hears the answer, if there is one. */
