Offsets of a former feed are no acknowledgement of a new one

Cause: a core process that restarted took over how far each door had read the feed of its former life as an acknowledgement of its new feed, whose offsets begin again at 0. Until the new feed had grown past that, every end of a backend counted as known to all live doors and was acknowledged at once, also at a core process that was cut off from the others and from those doors.

Change: what a door acknowledged of one feed is dropped when another one is sent to it, and when its link is new, until its heartbeat says where it stands.

--- a/control/src/main/java/nettletrail/control/registry/DoorSession.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -38,10 +38,12 @@
     return door;
   }
 
+  /** What the door read before is unknown until its first heartbeat: it may be a new process. */
   void linkUp() {
     linkUp = true;
     greeted = false;
     pushedSequence = 0;
+    acknowledgedOffset = 0;
   }
 
   void linkDown() {
@@ -126,7 +128,13 @@
     return acknowledgedOffset;
   }
 
+  /**
+   * Offsets of two feeds don't compare: what the door read of another one is no acknowledgement.
+   */
   void feedSent(long ofFeed, long offset, long now) {
+    if (ofFeed != feed) {
+      acknowledgedOffset = 0;
+    }
     feed = ofFeed;
     sentOffset = offset;
     feedSentAt = now;
--- a/control/src/test/java/nettletrail/control/RegistryStoriesTest.java
+++ b/control/src/test/java/nettletrail/control/RegistryStoriesTest.java
@@ -81,6 +81,22 @@
     assertTrue(ids(0).isEmpty());
   }
 
+  @Test
+  void givenDoorsThatReadAFormerFeedFurtherWhenABackendClosesAtTheRestartedCoreThenTheyDontCount() {
+    beat(4_000, List.of("a", "b"));
+    changeOften("a", 20);
+    fleet.kill("core-0");
+    fleet.run(500);
+    fleet.restart("core-0");
+    fleet.run(1_000);
+    fleet.cutOff("core-0");
+    long call = fleet.call(0, "PUT", ControlFleet.backend("b", BackendState.CLOSING, 50));
+    fleet.run(700);
+    assertNull(fleet.answers.get(call));
+    fleet.run(200);
+    assertEquals(503, fleet.answers.get(call));
+  }
+
   @Test
   void givenACutPeerWhenItIsBackThenHintsBringItUpAndADeletedBackendStaysAway() {
     fleet.run(1_000);
@@ -273,6 +289,16 @@
         .toList();
   }
 
+  /** Each call says something new, so that the feeds grow. */
+  private void changeOften(String id, int changes) {
+    for (int change = 1; change <= changes; change++) {
+      callSequence++;
+      Backend report = ControlFleet.backend(id, BackendState.READY, callSequence);
+      fleet.call(0, "PUT", Backend.newBuilder(report).setSlots(change).build());
+      fleet.run(20);
+    }
+  }
+
   private void restartCore() {
     for (int core = 0; core < 3; core++) {
       fleet.kill("core-" + core);
