Router: once a byte of a request may have left, only the backend proves that it has not run

A whole 200 or 500 with the request's id that came before a long body was all written counted as NOT_WRITTEN: the client got 503, or another backend got the request, though it had run. So did a reset half-way through the body. A backend may begin before it has read the body, so both tell nothing. WriteMonitor asks the kernel for each partial write; NOT_WRITTEN means now that no byte left. An early answer counts like a later one; a connection whose request is not written to its end is closed with it, so that nothing but the rest of that body is sent on it.

An answer without a length is whole at the orderly end (FIN) of its connection and cut at a reset; both were told apart by ALLOW_HALF_CLOSURE, whose event comes for a FIN only. It is passed on whole with a length, since the router holds it until its end; a stream is passed on event by event, and a FIN in the middle of an event is a break. Other codings than chunked, chunks of HTTP/1.0 and 101 are no answers. On a reused connection an answer without an id proves nothing, whatever its status. A request that may have run is not sent again if the route in force then forbids it, and a stream whose events have no ids is not taken up elsewhere, where all of it was left out and it looked whole.

Ruled out: NOT_WRITTEN by the write's promise alone, which is not done while part has left.

--- a/router/src/main/java/nettletrail/router/AnswerHandler.java
+++ b/router/src/main/java/nettletrail/router/AnswerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import nettletrail.configuration.RouteKind;
+import nettletrail.router.upstream.AnswerFraming;
 import nettletrail.router.upstream.AttemptFailure;
 import nettletrail.router.upstream.UpstreamPool;
 
@@ -21,7 +22,7 @@
   void began(Exchange exchange, HttpResponse head) {
     if (exchange.relay instanceof StreamAnswer stream && stream.hasBegun()) {
       if (isStream(exchange, head)) {
-        stream.resumeWithNextBackend();
+        stream.resumeWithNextBackend(head);
       } else {
         exchange.rejected = new BufferedAnswer(head, exchange.client.allocator());
       }
@@ -67,6 +68,8 @@
   void ended(Exchange exchange) {
     if (exchange.rejected != null) {
       rejectedEnded(exchange);
+    } else if (exchange.relay instanceof StreamAnswer stream && stream.isCutInsideEvent()) {
+      sender.failed(exchange, AttemptFailure.BROKEN);
     } else if (exchange.relay instanceof StreamAnswer stream) {
       exchange.backend.succeeded(System.nanoTime());
       exchange.sendOver(true);
@@ -104,7 +107,7 @@
     boolean failure = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     exchange.backend.served(!failure, System.nanoTime());
     completion.over(exchange);
-    boolean bodiless = AnswerRules.isBodiless(head, exchange.isHeadRequest());
+    boolean bodiless = AnswerFraming.of(head, exchange.isHeadRequest()) == AnswerFraming.NO_BODY;
     exchange.client.forward(head, answer.body(), bodiless);
     answer.drop();
   }
--- a/router/src/main/java/nettletrail/router/AnswerRules.java
+++ b/router/src/main/java/nettletrail/router/AnswerRules.java
@@ -42,11 +42,4 @@
         || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
         || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
   }
-
-  /** Whether an answer has no body, whatever its length header says. */
-  static boolean isBodiless(HttpResponse head, boolean toHeadRequest) {
-    return toHeadRequest
-        || head.status().equals(HttpResponseStatus.NO_CONTENT)
-        || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
-  }
 }
--- a/router/src/main/java/nettletrail/router/AttemptSender.java
+++ b/router/src/main/java/nettletrail/router/AttemptSender.java
@@ -107,6 +107,10 @@
       completion.refuse(exchange, exchange.resolution.refusal());
       return false;
     }
+    if (exchange.mayHaveRun() && !exchange.isIdempotent()) {
+      completion.unserved(exchange); // the routing in force forbids what the one before allowed
+      return false;
+    }
     if (!exchange.resolution.hasSameDestination(before)) {
       loop.execute(() -> moved(exchange));
       return false;
@@ -205,7 +209,8 @@
   }
 
   private boolean mayTryAgain(Exchange exchange) {
-    return exchange.sends < exchange.route().attempts()
+    return exchange.canGoOnElsewhere()
+        && exchange.sends < exchange.route().attempts()
         && exchange.service.budget.has(control.doorCount(), System.nanoTime())
         && exchange.service.backends.hasUntried(exchange.tried);
   }
--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -68,7 +68,7 @@
   /** Grows with each send that is begun, so that a late return knows that it is late. */
   int attemptNumber;
 
-  /** The send in hand has been written, as far as is known. */
+  /** The send in hand is being written or has been: it may run. */
   boolean currentSent;
 
   /** When the send in hand was written, or its answer last gave something. */
@@ -139,6 +139,14 @@
     return kind == RouteKind.REPEATABLE || kind == RouteKind.STREAM && route().resume();
   }
 
+  /**
+   * Whether another backend can go on where the answer stands: at its beginning, or behind an event
+   * that has an id.
+   */
+  boolean canGoOnElsewhere() {
+    return relay == null || !relay.hasBegun() || relay.resumeAfter() >= 0;
+  }
+
   /** Whether any backend may have run it. */
   boolean mayHaveRun() {
     return mayHaveRunBefore || currentSent;
--- a/router/src/main/java/nettletrail/router/ResponseHead.java
+++ b/router/src/main/java/nettletrail/router/ResponseHead.java
@@ -1,6 +1,7 @@
 package nettletrail.router;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Iterator;
 import java.util.Locale;
 import java.util.Map;
@@ -42,7 +43,8 @@
     while (all.hasNext()) {
       Map.Entry<CharSequence, CharSequence> header = all.next();
       CharSequence name = header.getKey();
-      boolean keptLength = length == LENGTH_AS_ANSWERED && isContentLength(name);
+      boolean keptLength =
+          length == LENGTH_AS_ANSWERED && mayTellLength(answer) && isContentLength(name);
       boolean dropped =
           RequestHeaders.isHopByHop(name) && !keptLength
               || !listed.isEmpty() && listed.contains(name.toString().toLowerCase(Locale.ROOT));
@@ -53,6 +55,11 @@
     return end(head, length, close);
   }
 
+  /** Not a 204: some clients would wait for a body (RFC 9110 section 8.6). */
+  private static boolean mayTellLength(HttpResponse answer) {
+    return !answer.status().equals(HttpResponseStatus.NO_CONTENT);
+  }
+
   private static boolean isContentLength(CharSequence name) {
     return "content-length".contentEquals(name.toString().toLowerCase(Locale.ROOT));
   }
--- a/router/src/main/java/nettletrail/router/StreamAnswer.java
+++ b/router/src/main/java/nettletrail/router/StreamAnswer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponse;
 import nettletrail.router.stream.EventParser;
+import nettletrail.router.upstream.AnswerFraming;
 
 /**
  * An event stream that is passed on event by event. Where the route allows it, the stream is taken
@@ -21,6 +22,9 @@
   /** The last event that the client has; {@link #UNKNOWN} if it has none. */
   private long lastId;
 
+  /** The answer in hand has no length: its end is that of the backend's connection. */
+  private boolean endsWithConnection;
+
   private boolean resumed;
   private boolean gap;
   private long events;
@@ -39,15 +43,33 @@
     this.resumable = resumable;
     this.lastId = lastId;
     parser = new EventParser(allocator);
+    endsWithConnection = endsWithConnection(head);
   }
 
-  /** The answer goes on with what another backend sends. */
-  void resumeWithNextBackend() {
+  /**
+   * The answer goes on with what another backend sends.
+   *
+   * @param next the head of that backend's answer
+   */
+  void resumeWithNextBackend(HttpResponse next) {
     parser.close();
+    endsWithConnection = endsWithConnection(next);
     resumed = true;
     gap = false;
   }
 
+  private static boolean endsWithConnection(HttpResponse answer) {
+    return AnswerFraming.of(answer, false) == AnswerFraming.UNTIL_CLOSE;
+  }
+
+  /**
+   * Whether the end of the connection, which is all that tells the end of the answer, has come in
+   * the middle of an event: the backend broke off.
+   */
+  boolean isCutInsideEvent() {
+    return endsWithConnection && parser.rest() != null;
+  }
+
   /** Whether the backend left out an event: nothing of it may be passed on after that. */
   boolean hasGap() {
     return gap;
--- a/router/src/main/java/nettletrail/router/upstream/Attempt.java
+++ b/router/src/main/java/nettletrail/router/upstream/Attempt.java
@@ -29,7 +29,7 @@
   /** The id that the answer must echo, or null if the request has none. */
   String attemptId();
 
-  /** The head of the final answer; its body has an end that can be told from a break. */
+  /** The head of the final answer; it may come before the whole request is written. */
   void answerBegan(HttpResponse head);
 
   /** A part of the body; not released by the callee. */
--- a/router/src/main/java/nettletrail/router/upstream/BackendChannels.java
+++ b/router/src/main/java/nettletrail/router/upstream/BackendChannels.java
@@ -31,18 +31,18 @@
     }
 
     @Override
-    public boolean cancel() {
+    public void cancel() {
       if (over) {
-        return false;
+        return;
       }
       over = true;
       UpstreamConnection on = connection;
+      connection = null;
       if (on == null) {
         waiting.remove(this);
-        return false;
+      } else {
+        on.abort();
       }
-      connection = null;
-      return on.abort();
     }
 
     @Override
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamConnection.java
@@ -5,16 +5,14 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.concurrent.TimeUnit;
-import nettletrail.router.text.DecimalNumber;
 import nettletrail.router.upstream.BackendChannels.Ride;
 import nettletrail.upstream.AnswerDecoder;
 import nettletrail.upstream.PeekingChannel;
@@ -23,16 +21,6 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter
     implements ChannelFutureListener {
   private static final String ATTEMPT_ID = "X-Attempt-Id";
-  private static final String KEEP_ALIVE = "Keep-Alive";
-  private static final String TIMEOUT = "timeout=";
-
-  /** For how long a connection is used whose backend does not say when it closes idle ones. */
-  private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
-
-  /**
-   * Sooner than the backend by that: a request that crosses its close is lost, and may have run.
-   */
-  private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   private enum Echo {
     OURS,
@@ -44,6 +32,7 @@
   private final BackendChannels backend;
   private final UpstreamPool pool;
   private final AnswerDecoder decoder = new AnswerDecoder();
+  private final WriteMonitor monitor = new WriteMonitor();
   private Channel channel;
 
   /** From where on there are only bytes. */
@@ -56,6 +45,7 @@
 
   private boolean used;
   private HttpResponse head;
+  private AnswerFraming framing;
 
   /** What is read belongs to an answer of an earlier request. */
   private boolean skipping;
@@ -69,7 +59,7 @@
    */
   private long idleAge = -1;
 
-  private long idleLimit = DEFAULT_IDLE_NANOS;
+  private long idleLimit = IdleLimit.DEFAULT_NANOS;
   private boolean resting;
   private long restEnd;
 
@@ -80,7 +70,7 @@
 
   void addTo(Channel opened) {
     channel = opened;
-    opened.pipeline().addLast(decoder, this);
+    opened.pipeline().addLast(monitor, decoder, this);
     wire = opened.pipeline().context(decoder);
   }
 
@@ -109,7 +99,8 @@
     }
     decoder.expectAnswerTo(next.attempt.isHeadRequest());
     idleAge = used ? System.nanoTime() - idleSince : -1;
-    write = next.attempt.head().writeTo(wire, next.attempt.body(), channel.newPromise());
+    monitor.beginRequest();
+    write = next.attempt.head().writeTo(wire, next.attempt.body(), channel.newProgressivePromise());
     write.addListener(this);
     return true;
   }
@@ -122,8 +113,8 @@
   }
 
   /**
-   * Whether the whole request is in the kernel's hands: from then on it may have run. Asked of the
-   * promise itself, whose listeners may hear of it later.
+   * Whether the whole request is in the kernel's hands, so that the next bytes on this connection
+   * may be another one's. Asked of the promise itself, whose listeners may hear of it later.
    */
   private boolean isWritten() {
     return write != null && write.isSuccess();
@@ -151,13 +142,15 @@
     }
   }
 
+  /** An answer may come before the whole request is written; what it says counts all the same. */
   private void began(HttpResponse start) {
     head = start;
-    if (isInformational(start)) {
+    framing = AnswerFraming.of(start, ride.attempt.isHeadRequest());
+    if (framing == AnswerFraming.AMBIGUOUS) {
+      garbled();
       return;
     }
-    if (!hasEnd(start) || !isWritten() && !isNotRun(start)) {
-      garbled(); // a backend begins a request when its last byte has come
+    if (isInformational(start)) {
       return;
     }
     switch (echoOf(start)) {
@@ -170,18 +163,17 @@
     }
   }
 
-  /** Whose answer one is, by the id that it echoes. */
+  /**
+   * Whose answer one is, by the id that it echoes. Without an id, on a connection that was used
+   * before, it may be a late one to an earlier request.
+   */
   private Echo echoOf(HttpResponse start) {
     String expected = ride.attempt.attemptId();
     String echoed = start.headers().get(ATTEMPT_ID);
-    if (expected == null || expected.equals(echoed)) {
+    if (expected == null || expected.equals(echoed) || echoed == null && !used) {
       return Echo.OURS;
     }
-    if (echoed == null) {
-      // A late one to an earlier request would have this one sent again.
-      return used && isNotRun(start) ? Echo.UNPROVEN : Echo.OURS;
-    }
-    return used && !skipped ? Echo.EARLIER : Echo.UNPROVEN;
+    return echoed != null && used && !skipped ? Echo.EARLIER : Echo.UNPROVEN;
   }
 
   private void take(HttpContent content) {
@@ -201,6 +193,17 @@
     }
   }
 
+  /**
+   * The backend has ended its side in good order. The decoder has heard of it before: it has ended
+   * an answer that ends with its connection.
+   */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      channel.close();
+    }
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     if (ride != null) {
@@ -224,15 +227,9 @@
     ended.left();
     used = true;
     long now = System.nanoTime();
-    idleLimit = idleLimitOf(answer);
+    idleLimit = IdleLimit.of(answer);
     channel.config().setAutoRead(true);
-    boolean reusable =
-        isWritten()
-            && HttpUtil.isKeepAlive(answer)
-            && !decoder.hasMore()
-            && !skipped
-            && idleLimit > 0;
-    if (reusable && channel.isActive()) {
+    if (mayBeUsedAfter(answer) && channel.isActive()) {
       idleSince = now;
       backend.answered(this, now);
     } else {
@@ -241,53 +238,32 @@
     ended.attempt.answerEnded();
   }
 
+  private boolean mayBeUsedAfter(HttpResponse answer) {
+    boolean bothEnded = isWritten() && !decoder.hasMore() && !skipped;
+    boolean kept = HttpUtil.isKeepAlive(answer) && framing != AnswerFraming.UNTIL_CLOSE;
+    return bothEnded && kept && idleLimit > 0;
+  }
+
   private void garbled() {
     Ride ended = ride;
-    boolean sent = isWritten();
     ride = null;
     ended.left();
     channel.close();
-    ended.attempt.failed(sent ? AttemptFailure.GARBLED : AttemptFailure.NOT_WRITTEN);
+    ended.attempt.failed(failureAfterWrite(AttemptFailure.GARBLED));
   }
 
-  private static boolean isInformational(HttpResponse answer) {
-    return answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+  /** What a failure proves: nothing once a byte of the request may have left. */
+  private AttemptFailure failureAfterWrite(AttemptFailure ifBegun) {
+    return monitor.hasBegun() ? ifBegun : AttemptFailure.NOT_WRITTEN;
   }
 
-  /** To be turned away needs no whole request. */
-  private static boolean isNotRun(HttpResponse answer) {
-    return answer.headers().contains("X-Not-Run")
-        || answer.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
-  }
-
-  /**
-   * An answer ends with its length or its last chunk; the end of the connection could as well be a
-   * break.
-   */
-  private boolean hasEnd(HttpResponse answer) {
-    int status = answer.status().code();
-    return HttpUtil.isTransferEncodingChunked(answer)
-        || HttpUtil.isContentLengthSet(answer)
-        || status == HttpResponseStatus.NO_CONTENT.code()
-        || status == HttpResponseStatus.NOT_MODIFIED.code()
-        || ride.attempt.isHeadRequest();
-  }
-
-  /** For how long it may stand idle: what the backend tells of, less a margin. */
-  private static long idleLimitOf(HttpResponse answer) {
-    String told = answer.headers().get(KEEP_ALIVE);
-    if (told == null) {
-      return DEFAULT_IDLE_NANOS;
-    }
-    int at = told.indexOf(TIMEOUT);
-    long seconds = at < 0 ? -1 : DecimalNumber.parseLeading(told, at + TIMEOUT.length());
-    return seconds < 0 ? DEFAULT_IDLE_NANOS : TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN_NANOS;
+  private static boolean isInformational(HttpResponse answer) {
+    return answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
   }
 
   /** Comes before the decoder hears of the end. */
   void closed() {
     Ride broken = ride;
-    boolean sent = isWritten();
     if (broken != null && head == null && !decoder.hasMore()) {
       tellIdleAge(true);
     }
@@ -295,7 +271,7 @@
     backend.closed(this);
     if (broken != null) {
       broken.left();
-      broken.attempt.failed(sent ? AttemptFailure.BROKEN : AttemptFailure.NOT_WRITTEN);
+      broken.attempt.failed(failureAfterWrite(AttemptFailure.BROKEN));
     }
   }
 
@@ -303,12 +279,10 @@
     channel.config().setAutoRead(on);
   }
 
-  /** Closes it under its request; whether that may have run. */
-  boolean abort() {
-    boolean sent = isWritten();
+  /** Closes it under its request. */
+  void abort() {
     ride = null;
     channel.close();
-    return sent;
   }
 
   @Override
--- a/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
+++ b/router/src/main/java/nettletrail/router/upstream/UpstreamPool.java
@@ -28,10 +28,8 @@
   public interface Ticket {
     /**
      * Gives the send up: the connection, if it has one, is closed. The attempt hears nothing more.
-     *
-     * @return whether the whole request had been written, so that it may have run
      */
-    boolean cancel();
+    void cancel();
 
     /**
      * Whether more of the answer is read for now.
@@ -64,6 +62,8 @@
             .group(loop)
             .channelFactory(PeekingChannel.factory())
             .option(ChannelOption.TCP_NODELAY, true)
+            // The backend's orderly end is told apart from a reset: an answer may end with it.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs);
   }
 
--- /dev/null
+++ b/router/src/test/java/nettletrail/router/AttemptEnd.java
@@ -0,0 +1,189 @@
+package nettletrail.router;
+
+import java.io.IOException;
+
+/** The ways in which an attempt can end at a backend, and what each of them tells. */
+enum AttemptEnd {
+  // Nothing of the request left.
+  RESET_BEFORE_THE_FIRST_BYTE(Outcome.NOT_RUN, Moment.BEFORE_WRITE, c -> c.reset()),
+
+  // The backend says that it has not run it.
+  EARLY_NOT_RUN_503(Outcome.NOT_RUN, Moment.EARLY, c -> c.write(notRun("503 Service Unavailable"))),
+  EARLY_NOT_RUN_429(Outcome.NOT_RUN, Moment.EARLY, c -> c.write(notRun("429 Too Many Requests"))),
+  EARLY_NOT_RUN_400(Outcome.NOT_RUN, Moment.EARLY, c -> c.write(notRun("400 Bad Request"))),
+  EARLY_421(Outcome.NOT_RUN, Moment.EARLY, c -> c.write(whole("421 Misdirected Request", ""))),
+  NOT_RUN_503(Outcome.NOT_RUN, Moment.READ, c -> c.write(notRun("503 Service Unavailable"))),
+  MISDIRECTED(Outcome.NOT_RUN, Moment.READ, c -> c.write(whole("421 Misdirected Request", ""))),
+
+  // The connection ends and tells nothing.
+  RESET_AFTER_THE_HEAD(Outcome.MAY_HAVE_RUN, Moment.EARLY, c -> c.reset()),
+  RESET_AFTER_PART_OF_THE_BODY(Outcome.MAY_HAVE_RUN, Moment.PART_READ, c -> c.reset()),
+  END_AFTER_PART_OF_THE_BODY(Outcome.MAY_HAVE_RUN, Moment.PART_READ, c -> c.finish()),
+  RESET_AFTER_THE_WHOLE_REQUEST(Outcome.MAY_HAVE_RUN, Moment.READ, c -> c.reset()),
+  END_AFTER_THE_WHOLE_REQUEST(Outcome.MAY_HAVE_RUN, Moment.READ, c -> c.finish()),
+
+  // The backend answers, before or after it has read the body.
+  EARLY_200(
+      Outcome.ANSWERED_200, Moment.EARLY, c -> c.write(sealed("200 OK", AttemptEnd.OWN_BODY))),
+  EARLY_500(
+      Outcome.ANSWERED_500, Moment.EARLY, c -> c.write(sealed("500 Failed", AttemptEnd.OWN_BODY))),
+  EARLY_200_AFTER_100(
+      Outcome.ANSWERED_200,
+      Moment.PART_READ,
+      c -> c.write("HTTP/1.1 100 Continue\r\n\r\n" + sealed("200 OK", AttemptEnd.OWN_BODY))),
+  WHOLE_200(Outcome.ANSWERED_200, Moment.READ, c -> c.write(sealed("200 OK", AttemptEnd.OWN_BODY))),
+  WHOLE_500(
+      Outcome.ANSWERED_500, Moment.READ, c -> c.write(sealed("500 Failed", AttemptEnd.OWN_BODY))),
+  WHOLE_500_AND_MORE_BYTES(
+      Outcome.ANSWERED_500,
+      Moment.READ,
+      c -> c.write(sealed("500 Failed", AttemptEnd.OWN_BODY) + sealed("200 OK", "surplus"))),
+  NO_LENGTH_AND_END(
+      Outcome.ANSWERED_200,
+      Moment.READ,
+      c -> {
+        c.write(head("200 OK", "") + AttemptEnd.OWN_BODY);
+        c.finish();
+      }),
+  EARLY_NO_LENGTH_AND_END(
+      Outcome.ANSWERED_200,
+      Moment.PART_READ,
+      c -> {
+        c.write(head("200 OK", "") + AttemptEnd.OWN_BODY);
+        c.finish();
+      }),
+
+  // What comes is no whole answer to this request.
+  NO_LENGTH_AND_RESET(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> {
+        c.write(head("200 OK", "") + "ow");
+        c.reset();
+      }),
+  LENGTH_CUT_BY_RESET(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> {
+        c.write(head("200 OK", "Content-Length: 3\r\n") + "ow");
+        c.reset();
+      }),
+  LENGTH_CUT_BY_END(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> {
+        c.write(head("200 OK", "Content-Length: 3\r\n") + "ow");
+        c.finish();
+      }),
+  CHUNKS_CUT_BY_END(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> {
+        c.write(head("200 OK", "Transfer-Encoding: chunked\r\n") + "3\r\nown\r\n");
+        c.finish();
+      }),
+  BAD_CHUNK_SIZE(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> c.write(head("200 OK", "Transfer-Encoding: chunked\r\n") + "xyz\r\nown\r\n")),
+  CODING_BESIDE_CHUNKED(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> c.write(head("200 OK", "Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n")),
+  CHUNKS_OF_HTTP_1_0(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c ->
+          c.write(
+              head("200 OK", "Transfer-Encoding: chunked\r\n").replace("HTTP/1.1", "HTTP/1.0")
+                  + "0\r\n\r\n")),
+  TWO_FRAMINGS(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c ->
+          c.write(
+              head("200 OK", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n")),
+  NO_ANSWER_BYTES(Outcome.MAY_HAVE_RUN, Moment.READ, c -> c.write("\u0001\u0002 nothing\r\n\r\n")),
+  SWITCHED_PROTOCOL(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> c.write("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")),
+  EARLY_ANSWER_WITH_ANOTHER_ID(
+      Outcome.MAY_HAVE_RUN,
+      Moment.EARLY,
+      c ->
+          c.write(
+              sealed("200 OK", AttemptEnd.OWN_BODY)
+                  .replace("X-Attempt-Id: ", "X-Attempt-Id: other-"))),
+  NOT_RUN_WITH_ANOTHER_ID(
+      Outcome.MAY_HAVE_RUN,
+      Moment.READ,
+      c -> c.write(notRun("503 Unavailable").replace("X-Attempt-Id: ", "X-Attempt-Id: other-"))),
+  SUCCESS_WITHOUT_SEAL(
+      Outcome.MAY_HAVE_RUN, Moment.READ, c -> c.write(whole("200 OK", AttemptEnd.OWN_BODY))),
+  UNSEALED_503(Outcome.MAY_HAVE_RUN, Moment.READ, c -> c.write(whole("503 Unavailable", ""))),
+  EARLY_UNSEALED_429(Outcome.MAY_HAVE_RUN, Moment.EARLY, c -> c.write(whole("429 Many", "")));
+
+  /** A whole event, so that it is a whole body on every kind of route. */
+  static final String OWN_BODY = "id: 1\ndata: own\n\n";
+
+  /** The attempt id of each request that the table sends. */
+  static final String ID = "id-1";
+
+  /** What is known of a request once the attempt has ended. */
+  enum Outcome {
+    NOT_RUN,
+    MAY_HAVE_RUN,
+    ANSWERED_200,
+    ANSWERED_500
+  }
+
+  /** How much of the request the backend has read when the attempt ends. */
+  enum Moment {
+    /** Nothing is written yet, on a connection that is up. */
+    BEFORE_WRITE,
+    /** The head; the rest of a long body is on its way. */
+    EARLY,
+    /** The head and a part of a long body. */
+    PART_READ,
+    /** The whole request. */
+    READ
+  }
+
+  /** What the backend does. */
+  interface Act {
+    void on(RawBackend.Connection connection) throws IOException;
+  }
+
+  final Outcome outcome;
+  final Moment moment;
+  final Act act;
+
+  AttemptEnd(Outcome outcome, Moment moment, Act act) {
+    this.outcome = outcome;
+    this.moment = moment;
+    this.act = act;
+  }
+
+  private static String head(String status, String fields) {
+    return "HTTP/1.1 "
+        + status
+        + "\r\nX-Backend-Seal: seal\r\nX-Attempt-Id: "
+        + ID
+        + "\r\n"
+        + fields
+        + "\r\n";
+  }
+
+  private static String sealed(String status, String body) {
+    return head(status, "Content-Length: " + body.length() + "\r\n") + body;
+  }
+
+  private static String whole(String status, String body) {
+    return sealed(status, body).replace("X-Backend-Seal: seal\r\n", "");
+  }
+
+  private static String notRun(String status) {
+    return whole(status, "").replace("X-Attempt-Id", "X-Not-Run: 1\r\nX-Attempt-Id");
+  }
+}
--- a/router/src/test/java/nettletrail/router/ScriptedBackend.java
+++ b/router/src/test/java/nettletrail/router/ScriptedBackend.java
@@ -100,6 +100,11 @@
       write("0\r\n\r\n");
     }
 
+    /** Ends the sending side in good order (FIN). */
+    void finish() throws IOException {
+      socket.shutdownOutput();
+    }
+
     void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
