Router: answers to Expect wait for those that are owed to earlier requests

The aggregator writes 100, 413 and 417 as soon as it has read a head, also while an earlier request of the connection waits for its answer or has half of it: a 413 stood in the place of that answer, and a 100 between two chunks of a stream; a refusal also closed the connection under the request in hand. ExpectationGate holds a 100 back until all earlier answers are given, and leaves a refusal to the connection, which ends behind the answers that it owes. A connection of HTTP/1.0 ends with its answer, since nothing told such a client that it is kept.

Ruled out: answering expectations in ClientConnection itself, which sees whole requests only.

--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -31,7 +31,8 @@
  * came; what comes meanwhile waits, up to a bound, beyond which nothing more is read until it is
  * answered.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter
+    implements ExpectationGate.Connection {
   private static final int MOST_WAITING = 16;
   private static final int MOST_WAITING_BYTES = 512 << 10;
   private static final AsciiString[] ONCE =
@@ -63,6 +64,7 @@
 
   private final Owner owner;
   private final RequestDecoder decoder;
+  private final ExpectationGate expectations = new ExpectationGate(this);
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
   private Channel channel;
   private ResponseWriter writer;
@@ -100,9 +102,16 @@
   static void add(ChannelPipeline pipeline, Owner owner, Limits limits) {
     ClientConnection connection = new ClientConnection(owner, limits);
     RequestAggregator aggregator =
-        new RequestAggregator(limits.bodyBytes(), connection::bodyTooLarge);
+        new RequestAggregator(
+            limits.bodyBytes(),
+            () -> connection.refuseUnread(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE));
     // The encoder is the aggregator's, for its 100 Continue; answers are written from before it.
-    pipeline.addLast(connection.decoder, new HttpResponseEncoder(), aggregator, connection);
+    pipeline.addLast(
+        connection.decoder,
+        new HttpResponseEncoder(),
+        connection.expectations,
+        aggregator,
+        connection);
     connection.writer = new ResponseWriter(pipeline.context(RequestDecoder.class));
   }
 
@@ -138,10 +147,11 @@
       return;
     }
     readSomething = true;
+    expectations.bodyCame();
     partSince = 0;
     waitingBytes += request.content().readableBytes();
     waiting.addLast(new Waiting(request, System.nanoTime()));
-    leaving = !HttpUtil.isKeepAlive(request);
+    leaving = !HttpUtil.isKeepAlive(request) || ClientRequest.isHttp10(request);
     if (waiting.size() >= MOST_WAITING || waitingBytes >= MOST_WAITING_BYTES && open != null) {
       channel.config().setAutoRead(false);
     }
@@ -225,10 +235,16 @@
         || request.method().equals(HttpMethod.GET) && request.content().isReadable();
   }
 
-  private void bodyTooLarge() {
+  @Override
+  public boolean owesAnswers() {
+    return open != null || !waiting.isEmpty() || leaving || ended;
+  }
+
+  @Override
+  public void refuseUnread(HttpResponseStatus status) {
     if (!ended && open == null && waiting.isEmpty()) {
       leaving = true;
-      answer(new Refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0));
+      answer(new Refusal(status, 0));
     } else if (!ended) {
       leaving = true; // behind others: those are answered, then the connection ends
       Farewell.stopReading(channel.pipeline());
@@ -284,6 +300,9 @@
     partSince = 0;
     idleSince = System.nanoTime();
     handleNext();
+    if (!owesAnswers()) {
+      expectations.allAnswered();
+    }
   }
 
   /** Whether the connection ends with the answer to the request in hand. */
--- a/router/src/main/java/nettletrail/router/ClientRequest.java
+++ b/router/src/main/java/nettletrail/router/ClientRequest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import nettletrail.router.balance.PromptPrefix;
 import nettletrail.router.text.DecimalNumber;
 
@@ -38,6 +39,11 @@
 
   /** Whether the client knows no chunks (RFC 9112 section 7). */
   boolean isHttp10() {
+    return isHttp10(request);
+  }
+
+  /** Whether it is of HTTP/1.0, which knows neither chunks nor our way to keep a connection. */
+  static boolean isHttp10(HttpRequest request) {
     return request.protocolVersion().minorVersion() == 0;
   }
 
--- a/router/src/test/java/nettletrail/router/RouterConnectionTest.java
+++ b/router/src/test/java/nettletrail/router/RouterConnectionTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A router's connections to clients: framing, limits, order, ends; one rule a test. */
 @Timeout(30)
@@ -155,6 +158,114 @@
     assertEquals(200, client.read().status());
   }
 
+  /** The head of a second request, sent while the first one waits for its answer. */
+  private ScriptedBackend.Received pipeline(TestClient client, String secondFields)
+      throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    String head = "POST /once/x HTTP/1.1\r\nHost: a.example\r\n" + KEY + "\r\n";
+    client.write(
+        head
+            + "X-Attempt-Id: id-1\r\nContent-Length: 0\r\n\r\n"
+            + head
+            + "X-Attempt-Id: id-2\r\n"
+            + secondFields
+            + "\r\n");
+    return backend.take();
+  }
+
+  @Test
+  void aContinueWaitsForTheAnswersThatAreOwed() throws Exception {
+    TestClient client = fixture.client();
+    ScriptedBackend.Received first =
+        pipeline(client, "Expect: 100-continue\r\nContent-Length: 2\r\n");
+    first.answer("200 OK", "one");
+    TestClient.Answer answer = client.read();
+    assertEquals(200, answer.status());
+    assertEquals("one", answer.body());
+    assertEquals(100, client.readHead().status());
+    client.write("ab");
+    ScriptedBackend backend = fixture.backend("b2");
+    fixture.backends("s", List.of(backend.endpoint()));
+    ScriptedBackend.Received second = backend.take();
+    assertEquals("ab", second.body);
+    second.answer("200 OK", "two");
+    assertEquals("two", client.read().body());
+  }
+
+  @Test
+  void aContinueDoesNotComeInTheMiddleOfAStream() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/stream/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = backend.take();
+    request.beginStream();
+    request.event(1, "one");
+    client.readHead();
+    assertEquals(ScriptedBackend.eventText(1, "one"), client.readChunk());
+    client.write(
+        "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-2\r\n"
+            + KEY
+            + "\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    request.event(2, "two");
+    assertEquals(ScriptedBackend.eventText(2, "two"), client.readChunk());
+    request.endStream();
+    assertEquals("", client.readChunk());
+    assertEquals(100, client.readHead().status());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Expect: 100-continue\r\nContent-Length: 4194305\r\n",
+        "Expect: something-else\r\nContent-Length: 2\r\n"
+      })
+  void aRefusedExpectationIsNotTheAnswerToAnEarlierRequest(String fields) throws Exception {
+    TestClient client = fixture.client();
+    ScriptedBackend.Received first = pipeline(client, fields);
+    first.answer("200 OK", "one");
+    TestClient.Answer answer = client.read();
+    assertEquals(200, answer.status());
+    assertEquals("one", answer.body());
+    assertTrue(client.isEnded());
+  }
+
+  @Test
+  void whatFollowsARefusedExpectationIsNoRequest() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    String hidden =
+        "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: hidden\r\n"
+            + KEY
+            + "\r\nContent-Length: 0\r\n\r\n";
+    client.write(
+        "POST /once/x HTTP/1.1\r\nHost: a.example\r\n"
+            + KEY
+            + "\r\nExpect: 100-continue\r\nContent-Length: 4194305\r\n\r\n"
+            + hidden);
+    assertEquals(413, client.read().status());
+    assertTrue(client.isEnded());
+    assertEquals(0, backend.untaken());
+  }
+
+  @Test
+  void aConnectionOfHttp10EndsWithItsAnswer() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.write(
+        "POST /stream/x HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: id-1\r\n"
+            + KEY
+            + "\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n");
+    ScriptedBackend.Received request = backend.take();
+    request.beginStream();
+    request.event(1, "one");
+    request.endStream();
+    TestClient.Answer answer = client.read();
+    assertEquals(ScriptedBackend.eventText(1, "one"), answer.body());
+    assertNull(answer.header("Transfer-Encoding"));
+    assertEquals("close", answer.header("Connection"));
+    assertTrue(client.isEnded());
+  }
+
   @Test
   void aConnectionThatIsIdleForTooLongIsClosedUnlessARequestLiesUnread() throws Exception {
     ScriptedBackend backend = fixture.backend("b1");
