Doors skip configurations in quick succession: one on its way, the newest in force

Each core process pushed each version to each door, and each door put each in force (75 to 120 ms apiece on a thin processor): for five seconds the doors served next to nothing, and one had version 262 in force 2.7 s after its commit.

Ruled out: the decoding alone (a version that is not newer than the held one is dropped undecoded); a fixed pause between versions (too long for quick doors, too short for slow ones).

Change: a core process has one configuration on its way to a door at a time and pushes the newest once the door has read it; a door waits four times what the last one took, 500 ms at most, and puts the newest in force. The key lease follows the configuration in force, not the one that waits.

--- a/control/src/main/java/nettletrail/control/door/ConfigurationGate.java
+++ b/control/src/main/java/nettletrail/control/door/ConfigurationGate.java
@@ -13,6 +13,11 @@
  * newer that it might hold against the push of a core process that is cut off from the others, and
  * may reach that one first. Later ones need no confirmation: they are newer than what is in force,
  * and committed.
+ *
+ * <p>To put one in force costs processor time. The next one waits for a multiple of what the last
+ * one took, within a bound, and the newest that has come by then is put in force; so a quick
+ * succession of changes leaves most of the time to requests. The keys that may be used are those of
+ * the configuration in force, so the key lease follows that one and not what waits.
  */
 final class ConfigurationGate {
   private static final long MILLIS = 1_000_000L;
@@ -20,9 +25,16 @@
   /** How old the confirmation of the first configuration may be. */
   private static final long FIRST_CONFIRMED_WITHIN = 1_500 * MILLIS;
 
+  /** The part of the time that changes in quick succession may take is one in so many. */
+  private static final int SPACING_FACTOR = 4;
+
+  /** How long a configuration waits for the cost of the one before at most. */
+  private static final long LONGEST_SPACING = 500 * MILLIS;
+
   private final KeyLease keys;
   private long heldSequence;
   private long inForceSequence;
+  private long dueFrom = Long.MIN_VALUE;
   private ConfigurationPush waiting;
 
   /** {@code keys} is told what is held. */
@@ -34,8 +46,10 @@
   void pushed(ConfigurationPush push) {
     if (push.getSequence() > heldSequence) {
       heldSequence = push.getSequence();
-      keys.holds(heldSequence);
       waiting = push;
+      if (inForceSequence == 0) {
+        keys.holds(heldSequence);
+      }
     }
   }
 
@@ -46,19 +60,29 @@
 
   /** The configuration that comes into force now, if there is one. */
   Optional<ConfigurationPush> takeDue(long now) {
-    boolean due = inForceSequence > 0 || keys.confirmedWithin(FIRST_CONFIRMED_WITHIN, now);
-    if (waiting == null || !due) {
+    if (waiting == null || !isDue(now)) {
       return Optional.empty();
     }
     ConfigurationPush taken = waiting;
     waiting = null;
     inForceSequence = taken.getSequence();
+    keys.holds(inForceSequence);
     return Optional.of(taken);
   }
 
+  private boolean isDue(long now) {
+    boolean first = inForceSequence == 0;
+    return first ? keys.confirmedWithin(FIRST_CONFIRMED_WITHIN, now) : now >= dueFrom;
+  }
+
+  /** What was taken last is in force since now, which took so many nanoseconds. */
+  void putInForce(long took, long now) {
+    dueFrom = now + Math.min(LONGEST_SPACING, SPACING_FACTOR * took);
+  }
+
   /** Whether a first configuration is held that isn't confirmed yet. */
   boolean awaitsConfirmation() {
-    return waiting != null;
+    return waiting != null && inForceSequence == 0;
   }
 
   /** The newest sequence that was pushed, 0 for none. */
--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -146,6 +146,15 @@
     return actions;
   }
 
+  /**
+   * A configuration that {@link DoorAction.ConfigurationChanged} told is in force since now.
+   *
+   * @param took how long that kept the thread busy, in nanoseconds; the next one is spaced by it
+   */
+  public void configurationInForce(long took, long now) {
+    configuration.putInForce(took, now);
+  }
+
   /** The sequence of the configuration in force, 0 for none; never goes back. */
   public long configurationSequence() {
     return configuration.inForceSequence();
--- a/control/src/main/java/nettletrail/control/registry/DoorSession.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -106,9 +106,14 @@
     return linkUp && greeted;
   }
 
+  /**
+   * Whether the door should be sent the configuration with this sequence now. One is on its way to
+   * a door at a time: of many in quick succession those between are skipped, since each is whole.
+   */
   boolean needsConfiguration(long sequence, long now) {
-    boolean pushed = pushedSequence >= sequence && now - configurationPushedAt <= PUSH_AGAIN;
-    return ready() && configurationSequence < sequence && !pushed;
+    boolean unread = configurationSequence < pushedSequence;
+    boolean onItsWay = unread && now - configurationPushedAt <= PUSH_AGAIN;
+    return ready() && configurationSequence < sequence && !onItsWay;
   }
 
   void configurationPushed(long sequence, long now) {
--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -181,6 +181,13 @@
   }
 
   private void configurationChanged(DoorAction.ConfigurationChanged changed) {
+    long began = System.nanoTime();
+    putInForce(changed);
+    long now = System.nanoTime();
+    control.configurationInForce(now - began, now);
+  }
+
+  private void putInForce(DoorAction.ConfigurationChanged changed) {
     if (view.configurationChanged(changed.document())) {
       LOG.info(
           "{} configuration {} is in force", LogEvent.CONFIGURATION_IN_FORCE, changed.edition());
