--- a/fleet-emulator/src/test/java/nettletrail/emulator/story/Story.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/story/Story.java
@@ -11,6 +11,7 @@
 import nettletrail.emulator.fleet.Fleet;
 import nettletrail.emulator.fleet.FleetOptions;
 import nettletrail.emulator.fleet.Troubles;
+import nettletrail.emulator.judge.Violation;
 import nettletrail.emulator.world.Machine;
 import nettletrail.emulator.world.VirtualTime;
 import nettletrail.protocol.BackendState;
@@ -151,11 +152,16 @@
     return this;
   }
 
-  /** Checks the history and compares the text with the approved one. */
-  void approve() {
+  /** What the judges found, once all operators have their answers; to be asked once, at the end. */
+  List<Violation> brokenPromises() {
     waitFor(() -> fleet.operators().stream().allMatch(Operator::isIdle));
     fleet.judge().checkHistory();
-    line("And", "promises broken: " + fleet.judge().violations());
+    return fleet.judge().violations();
+  }
+
+  /** Checks the history and compares the text with the approved one. */
+  void approve() {
+    line("And", "promises broken: " + brokenPromises());
     Approvals.verify(text.toString());
   }
 }
