Stories of a core machine that is stopped or reset; late confirmations at doors

The stories of a machine that is cut off now also stop it for as long, over the end of its lease with calls waiting in its sockets, and reset its connections as the cut begins. KeyLeaseTest holds that a confirmation that is read late counts from before it was asked for, so it needs no check when it is sent.

--- /dev/null
+++ b/control/src/test/java/nettletrail/control/door/KeyLeaseTest.java
@@ -0,0 +1,54 @@
+package nettletrail.control.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import nettletrail.protocol.DoorHeartbeatReply;
+import org.junit.jupiter.api.Test;
+
+/** Until when a confirmation holds that was held up on its way or in a process that was stopped. */
+class KeyLeaseTest {
+  private static final long MILLIS = 1_000_000L;
+  private static final long REVOKE_MS = 5_000;
+  private static final long MARGIN_MS = 100;
+  private static final long ASKED_AT = 60_000 * MILLIS;
+  private static final long SEQUENCE = 7;
+
+  private final KeyLease lease = new KeyLease(REVOKE_MS);
+
+  KeyLeaseTest() {
+    lease.holds(SEQUENCE);
+  }
+
+  @Test
+  void givenAConfirmationWhenItIsReadLateThenItHoldsNoLongerThanFromBeforeItWasAskedFor() {
+    lease.confirmed(reply(SEQUENCE, 300));
+    long confirmedAt = ASKED_AT - 300 * MILLIS;
+    long until = confirmedAt + (REVOKE_MS - MARGIN_MS) * MILLIS;
+    assertEquals(OptionalLong.of(until), lease.until());
+    assertTrue(lease.confirmedWithin(300 * MILLIS, ASKED_AT));
+    assertFalse(lease.confirmedWithin(300 * MILLIS, ASKED_AT + 20_000 * MILLIS));
+  }
+
+  @Test
+  void givenALaterConfirmationWhenAnEarlierOneIsReadAfterItThenNothingIsTakenBack() {
+    lease.confirmed(reply(SEQUENCE, 300));
+    OptionalLong until = lease.until();
+    lease.confirmed(reply(SEQUENCE, 15_000));
+    assertEquals(until, lease.until());
+  }
+
+  @Test
+  void givenAConfirmationOfSomethingNewerThanIsHeldThenItDoesNotCount() {
+    lease.confirmed(reply(SEQUENCE + 1, 300));
+    assertEquals(OptionalLong.empty(), lease.until());
+  }
+
+  private static DoorHeartbeatReply reply(long sequence, long ageMs) {
+    return new DoorHeartbeatReply(
+        "10.0.0.1:7680", ASKED_AT, true, ageMs, sequence, 1L, 0L, 1, List.of(), List.of());
+  }
+}
--- a/fleet-emulator/src/test/java/nettletrail/emulator/story/CutOffCoreStoriesTest.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/story/CutOffCoreStoriesTest.java
@@ -53,7 +53,7 @@
     abstract CoreNode of(Story story);
   }
 
-  /** From whom it is cut off. */
+  /** From whom it is cut off, or that it is stopped instead. */
   private enum Cut {
     OTHER_CORES {
       @Override
@@ -81,9 +81,31 @@
         others(story, victim)
             .forEach(other -> story.troubles().cutOneWay(other.machine(), victim.machine()));
       }
+    },
+    WITH_RESETS {
+      @Override
+      void begin(Story story, CoreNode victim) {
+        story.troubles().resetConnections(victim.machine());
+        OTHER_CORES.begin(story, victim);
+      }
+    },
+    FREEZE {
+      @Override
+      void begin(Story story, CoreNode victim) {
+        story.troubles().freeze(victim.machine());
+      }
+
+      @Override
+      void end(Story story, CoreNode victim) {
+        story.troubles().thaw(victim.machine());
+      }
     };
 
     abstract void begin(Story story, CoreNode victim);
+
+    void end(Story story, CoreNode victim) {
+      story.troubles().healCuts();
+    }
   }
 
   static Stream<Arguments> cuts() {
@@ -138,7 +160,7 @@
       orderAt(story, victim, atVictim);
     }
     story.pass(5 * MILLISECOND);
-    story.troubles().healCuts();
+    cut.end(story, victim);
     story.pass(3 * SECOND);
   }
 
