A version whose predecessors can't be removed is stored all the same

Need: old files go, also when a disk fails in the middle of that. A version was durable and then reported as failed because the removal of an older file failed. The replica did not acknowledge it, and each resend wrote another file, so a disk that refuses removals filled up faster.

Change: a failed removal leaves the file to a later write; the version counts as stored.

--- a/store/src/main/java/nettletrail/store/VersionStore.java
+++ b/store/src/main/java/nettletrail/store/VersionStore.java
@@ -18,8 +18,9 @@
  * time.
  *
  * <p>Each version is a new file, numbered in the order of writing; once it is durable, all but the
- * newest {@value #KEPT_VERSIONS} are removed. A write that throws may or may not be there after a
- * restart.
+ * newest {@value #KEPT_VERSIONS} are removed. A file that can't be removed stays until a later
+ * write, and does not make the version less durable. A write that throws may or may not be there
+ * after a restart.
  */
 public final class VersionStore {
 
@@ -105,9 +106,13 @@
     return versions;
   }
 
-  private void removeOldest() throws StorageException {
+  private void removeOldest() {
     while (versionFiles.size() > KEPT_VERSIONS) {
-      directory.remove(versionFiles.firstEntry().getValue());
+      try {
+        directory.remove(versionFiles.firstEntry().getValue());
+      } catch (StorageException stays) {
+        return;
+      }
       versionFiles.pollFirstEntry();
     }
   }
--- a/store/src/test/java/nettletrail/store/SimulatedDirectory.java
+++ b/store/src/test/java/nettletrail/store/SimulatedDirectory.java
@@ -30,6 +30,7 @@
   private Map<String, Content> names = new HashMap<>();
   private Map<String, Content> durableNames = new HashMap<>();
   private double failureRate;
+  private boolean removalsFail;
 
   SimulatedDirectory(Random random) {
     this.random = random;
@@ -40,6 +41,11 @@
     subdirectories.values().forEach(directory -> directory.failWith(rate));
   }
 
+  /** Makes each removal fail without effect, or lets it work again. */
+  void failRemovals(boolean fail) {
+    removalsFail = fail;
+  }
+
   void losePower() {
     for (NameChange change : unsyncedChanges) {
       if (random.nextBoolean()) {
@@ -143,6 +149,9 @@
 
   @Override
   public void remove(String name) throws StorageException {
+    if (removalsFail) {
+      throw new StorageException(StorageException.Step.REMOVE, name, "injected", null);
+    }
     attempt(StorageException.Step.REMOVE, name, () -> change(target -> target.remove(name)));
   }
 
