--- a/control/src/test/java/nettletrail/control/shard/OrderOutcomeTest.java
+++ b/control/src/test/java/nettletrail/control/shard/OrderOutcomeTest.java
@@ -172,4 +172,22 @@
     assertEquals(List.of(200, 412, 200, 200, 412, 412, 200, 400), statuses);
     assertEquals("5 first more", ClusterInvariants.text(answers.get(6).get().body()));
   }
+
+  @Test
+  void givenEightLargeOrdersAtOnce_whenRepeatedForAHundredChanges_thenOneIsTakenEachTime() {
+    SimulatedCluster cluster = OperatorCalls.settledCluster(28, 3);
+    OperatorCalls operator = new OperatorCalls(cluster);
+    String text = "x".repeat(100_000);
+    for (long edition = 1; edition <= 100; edition++) {
+      List<AtomicReference<CoreAction.AnswerOrder>> answers = new ArrayList<>();
+      for (int number = 0; number < 8; number++) {
+        String document = edition + " " + number + text;
+        String ifMatch = Long.toString(edition - 1);
+        answers.add(operator.send(cluster.core(number % 3), "PUT", ifMatch, document));
+      }
+      answers.forEach(operator::await);
+      assertEquals(1, answers.stream().filter(answer -> answer.get().status() == 200).count());
+      assertEquals(7, answers.stream().filter(answer -> answer.get().status() == 412).count());
+    }
+  }
 }
