Core: a late acknowledgement or answer of another life or process finds nothing to match

Updates of the registry were numbered from 1 for each peer and each life of a process. The answer to a former life's update, handled by a peer that had been stopped, came on the link of the new life and covered whatever that had sent under the same number: a backend's `closing` could count as known to another core process that had never heard of it. The same after a peer had been forgotten and came back. Numbers come from one counter of the process now, which starts at the life's random id.

An answer to a forwarded order is taken only from the process that the order was passed to last; its number (random per life already) is kept when the order goes from one owner to another, so that an answer of the first could have counted for the second.

Ruled out: naming the life in the messages, which changes the schema for no more than this gives.

Tests: CorePeersTest (two cases) and OrderRouterTest (five). With the old numbering both cases of the first fail; without the check of the sender two of the second.

--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -73,7 +73,7 @@
     this.registry = new BackendRegistry(settings.beatMs(), now);
     this.feed = new Feed(settings.address(), settings.feed());
     this.doors = new DoorSessions(feed, registry);
-    this.peers = new CorePeers(settings.address());
+    this.peers = new CorePeers(settings.address(), settings.feed());
     this.grants = new GrantOwner(settings.grants());
     this.nextDigest = now + DIGEST_EVERY;
   }
--- a/control/src/main/java/nettletrail/control/registry/CorePeers.java
+++ b/control/src/main/java/nettletrail/control/registry/CorePeers.java
@@ -14,21 +14,37 @@
 
 /** The other core processes: which can be reached, and what each of them has to be told. */
 public final class CorePeers {
+  /** Numbers of updates of one life, before those of another life may begin. */
+  private static final int UPDATE_NUMBER_BITS = 24;
+
   private final String self;
   private final Map<String, Peer> peers = new LinkedHashMap<>();
+  private long lastUpdate;
 
   private static final class Peer {
     final HintedHandoff hints;
     boolean reachable;
 
-    Peer(String self) {
-      hints = new HintedHandoff(self);
+    Peer(HintedHandoff hints) {
+      this.hints = hints;
     }
   }
 
-  /** {@code self}: this process's address. */
-  public CorePeers(String self) {
+  /**
+   * Knows no peer yet.
+   *
+   * @param self this process's address
+   * @param life of this process; keeps the numbers of its updates apart from those of other lives,
+   *     whose acknowledgements may come late
+   */
+  public CorePeers(String self, long life) {
     this.self = self;
+    this.lastUpdate = life << UPDATE_NUMBER_BITS;
+  }
+
+  private long nextUpdate() {
+    lastUpdate++;
+    return lastUpdate;
   }
 
   /**
@@ -108,6 +124,7 @@
   }
 
   private Peer peer(String address) {
-    return peers.computeIfAbsent(address, unseen -> new Peer(self));
+    return peers.computeIfAbsent(
+        address, unseen -> new Peer(new HintedHandoff(self, this::nextUpdate)));
   }
 }
--- a/control/src/main/java/nettletrail/control/registry/HintedHandoff.java
+++ b/control/src/main/java/nettletrail/control/registry/HintedHandoff.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.RegistryUpdate;
 import nettletrail.protocol.RegistryUpdateReply;
@@ -22,8 +23,8 @@
   private static final long UNSENT = 0;
 
   private final String sender;
+  private final LongSupplier updateNumbers;
   private final Map<String, Hint> hints = new LinkedHashMap<>();
-  private long lastUpdate;
   private long pause = FIRST_PAUSE;
   private long resendAt;
 
@@ -36,9 +37,15 @@
     }
   }
 
-  /** {@code sender}: the address that this process goes by. */
-  public HintedHandoff(String sender) {
+  /**
+   * Holds nothing yet.
+   *
+   * @param sender the address that this process goes by
+   * @param updateNumbers gives each update its number; none twice, in this life or another
+   */
+  public HintedHandoff(String sender, LongSupplier updateNumbers) {
     this.sender = sender;
+    this.updateNumbers = updateNumbers;
   }
 
   /** Keeps a report until it is acknowledged; the oldest one leaves when there are too many. */
@@ -95,19 +102,18 @@
   }
 
   private Optional<RegistryUpdate> update(long now, boolean again) {
-    List<Backend> batch = new ArrayList<>();
-    long number = lastUpdate + 1;
-    for (Hint hint : hints.values()) {
-      if (batch.size() < MOST_IN_UPDATE && (again || hint.sentIn == UNSENT)) {
-        hint.sentIn = number;
-        batch.add(hint.backend);
-      }
-    }
+    List<Hint> batch =
+        hints.values().stream()
+            .filter(hint -> again || hint.sentIn == UNSENT)
+            .limit(MOST_IN_UPDATE)
+            .toList();
     if (batch.isEmpty()) {
       return Optional.empty();
     }
-    lastUpdate = number;
+    long number = updateNumbers.getAsLong();
+    batch.forEach(hint -> hint.sentIn = number);
     resendAt = now + pause;
-    return Optional.of(new RegistryUpdate(sender, number, batch));
+    List<Backend> backends = batch.stream().map(hint -> hint.backend).toList();
+    return Optional.of(new RegistryUpdate(sender, number, backends));
   }
 }
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -290,7 +290,7 @@
     } else if (message instanceof OrderForward order) {
       register.onOrder(peer, order, now);
     } else if (message instanceof OrderForwardReply reply) {
-      orders.onReply(reply, CoreAction.ALWAYS);
+      orders.onReply(peer, reply, CoreAction.ALWAYS);
     }
   }
 
@@ -376,7 +376,7 @@
     Outbox.Loopback own = outbox.pollLoopback();
     while (own != null) {
       if (own.message() instanceof OrderForwardReply reply) {
-        orders.onReply(reply, own.validUntil());
+        orders.onReply(self.getAddress(), reply, own.validUntil());
       } else {
         dispatch(self.getAddress(), own.message(), now);
       }
--- a/control/src/main/java/nettletrail/control/shard/OrderRouter.java
+++ b/control/src/main/java/nettletrail/control/shard/OrderRouter.java
@@ -25,7 +25,9 @@
     final long call;
     final OrderForward order;
     final long receivedAt;
-    boolean forwarded;
+
+    /** The process whose answer counts; empty while it was passed to none, or that was no owner. */
+    String forwardedTo = "";
 
     PendingCall(long call, OrderForward order, long receivedAt) {
       this.call = call;
@@ -74,22 +76,25 @@
 
   private void forward(PendingCall call, String ownerAddress) {
     if (!ownerAddress.isEmpty()) {
-      call.forwarded = true;
+      call.forwardedTo = ownerAddress;
       outbox.send(ownerAddress, call.order);
     }
   }
 
   /**
-   * Takes an owner's answer; sentUntil is the end of the owner's lease if that is this process, or
-   * {@link CoreAction#ALWAYS}.
+   * Takes an owner's answer, and leaves one of a process that the call was not passed to last.
+   *
+   * @param peer who sent it
+   * @param sentUntil the end of the owner's lease if that is this process, or {@link
+   *     CoreAction#ALWAYS}
    */
-  void onReply(OrderForwardReply reply, long sentUntil) {
+  void onReply(String peer, OrderForwardReply reply, long sentUntil) {
     PendingCall call = pending.get(reply.getCall());
-    if (call == null) {
+    if (call == null || !call.forwardedTo.equals(peer)) {
       return;
     }
     if (reply.getStatus() == OrderReplies.NOT_OWNER) {
-      call.forwarded = false;
+      call.forwardedTo = "";
       return;
     }
     pending.remove(reply.getCall());
@@ -106,9 +111,9 @@
       long age = now - call.receivedAt;
       if (age >= settings.orderTimeout()) {
         giveUp(call, "the owner does not answer");
-      } else if (!call.forwarded && age >= settings.orderHold()) {
+      } else if (call.forwardedTo.isEmpty() && age >= settings.orderHold()) {
         giveUp(call, "no owner is known");
-      } else if (!call.forwarded) {
+      } else if (call.forwardedTo.isEmpty()) {
         forward(call, ownerAddress);
       }
     }
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/registry/CorePeersTest.java
@@ -0,0 +1,53 @@
+package nettletrail.control.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
+import nettletrail.protocol.RegistryUpdate;
+import nettletrail.protocol.RegistryUpdateReply;
+import org.junit.jupiter.api.Test;
+
+/** To which update an acknowledgement of another core process belongs. */
+class CorePeersTest {
+  private static final String PEER = "10.0.0.2:7000";
+  private static final long FIRST_LIFE = 41;
+  private static final long NEXT_LIFE = 42;
+
+  @Test
+  void givenARestartWhenAnAcknowledgementOfTheFormerLifeComesThenItCoversNothing() {
+    CorePeers former = new CorePeers("self", FIRST_LIFE);
+    RegistryUpdate late = update(former, "b-former", 0);
+    CorePeers next = new CorePeers("self", NEXT_LIFE);
+    RegistryUpdate own = update(next, "b-next", 0);
+    assertTrue(next.acknowledged(PEER, reply(late)).isEmpty());
+    assertEquals("b-next", next.acknowledged(PEER, reply(own)).get(0).getId());
+  }
+
+  @Test
+  void givenAPeerThatLeftAndIsBackWhenAnAcknowledgementOfBeforeComesThenItCoversNothing() {
+    CorePeers peers = new CorePeers("self", FIRST_LIFE);
+    RegistryUpdate late = update(peers, "b-before", 0);
+    peers.down(PEER);
+    peers.members(List.of());
+    assertTrue(peers.none());
+    update(peers, "b-after", 1);
+    assertTrue(peers.acknowledged(PEER, reply(late)).isEmpty());
+  }
+
+  private static RegistryUpdate update(CorePeers peers, String backend, long now) {
+    peers.up(PEER, List.of(backend(backend)), now);
+    RegistryAction.SendToCore send = (RegistryAction.SendToCore) peers.send(now).get(0);
+    return (RegistryUpdate) send.message();
+  }
+
+  private static RegistryUpdateReply reply(RegistryUpdate update) {
+    return new RegistryUpdateReply(PEER, update.getUpdate());
+  }
+
+  private static Backend backend(String id) {
+    return new Backend(id, "s", "a:1", "z", "v", 1, BackendState.CLOSING, 0L, "", List.of(), 1L);
+  }
+}
--- a/control/src/test/java/nettletrail/control/registry/HintedHandoffTest.java
+++ b/control/src/test/java/nettletrail/control/registry/HintedHandoffTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendState;
 import nettletrail.protocol.RegistryUpdate;
@@ -14,7 +15,8 @@
 class HintedHandoffTest {
   private static final long MILLIS = 1_000_000L;
 
-  private final HintedHandoff handoff = new HintedHandoff("self");
+  private final AtomicLong lastUpdate = new AtomicLong();
+  private final HintedHandoff handoff = new HintedHandoff("self", lastUpdate::incrementAndGet);
 
   @Test
   void givenAReportWhenItIsNotAcknowledgedThenItIsSentAgainAfterGrowingPauses() {
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/shard/OrderRouterTest.java
@@ -0,0 +1,99 @@
+package nettletrail.control.shard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import nettletrail.protocol.OrderForward;
+import org.junit.jupiter.api.Test;
+
+/** Which answer belongs to which call that was passed to another core process. */
+class OrderRouterTest {
+  private static final String SELF = "10.0.0.1:7000";
+  private static final String OWNER = "10.0.0.2:7000";
+  private static final String NEXT_OWNER = "10.0.0.3:7000";
+  private static final byte[] BODY = {};
+  private static final long EDITION = 5;
+
+  private final ShardSettings settings = ShardSettings.defaults();
+  private final Outbox outbox = new Outbox(SELF);
+  private final OrderRouter router = new OrderRouter(settings, outbox, 100);
+
+  @Test
+  void givenCallsInHand_whenAnswersCross_thenEachGoesToItsCall() {
+    long first = forward(1, OWNER);
+    long second = forward(2, OWNER);
+    router.onReply(OWNER, OrderReplies.taken(second, EDITION), CoreAction.ALWAYS);
+    router.onReply(OWNER, OrderReplies.unavailable(first, ""), CoreAction.ALWAYS);
+    List<CoreAction.AnswerOrder> answers = answers();
+    assertEquals(List.of(2L, 1L), answers.stream().map(CoreAction.AnswerOrder::call).toList());
+    assertEquals(List.of(200, 503), answers.stream().map(CoreAction.AnswerOrder::status).toList());
+  }
+
+  @Test
+  void givenACall_whenAnotherProcessAnswersUnderItsNumber_thenThatIsLeft() {
+    long number = forward(1, OWNER);
+    router.onReply(NEXT_OWNER, OrderReplies.taken(number, EDITION), CoreAction.ALWAYS);
+    assertTrue(answers().isEmpty());
+    router.onReply(OWNER, OrderReplies.taken(number, EDITION), CoreAction.ALWAYS);
+    assertEquals(1, answers().size());
+  }
+
+  @Test
+  void givenACallPassedOnAgain_whenTheFormerOwnerAnswersToo_thenOnlyTheNewOneCounts() {
+    long number = forward(1, OWNER);
+    router.onReply(OWNER, OrderReplies.notOwner(number), CoreAction.ALWAYS);
+    router.tick(NEXT_OWNER, 1);
+    assertEquals(number, forwarded(NEXT_OWNER).getCall());
+    router.onReply(
+        OWNER,
+        OrderReplies.refused(number, OrderReplies.PRECONDITION_FAILED, EDITION, ""),
+        CoreAction.ALWAYS);
+    assertTrue(answers().isEmpty());
+    router.onReply(NEXT_OWNER, OrderReplies.taken(number, EDITION), CoreAction.ALWAYS);
+    assertEquals(200, answers().get(0).status());
+  }
+
+  @Test
+  void givenACallThatWasGivenUp_whenItsAnswerComes_thenNobodyGetsIt() {
+    long number = forward(1, OWNER);
+    router.tick(OWNER, settings.orderTimeout());
+    assertEquals(503, answers().get(0).status());
+    long next = forward(2, OWNER);
+    router.onReply(OWNER, OrderReplies.taken(number, EDITION), CoreAction.ALWAYS);
+    assertTrue(answers().isEmpty());
+    router.onReply(OWNER, OrderReplies.taken(next, EDITION), CoreAction.ALWAYS);
+    assertEquals(2, answers().get(0).call());
+  }
+
+  @Test
+  void givenARestart_whenAnAnswerOfTheFormerLifeComes_thenItsNumberIsNobodys() {
+    OrderRouter former = new OrderRouter(settings, outbox, 1 << 20);
+    former.submit(1, "PUT", "3", BODY, OWNER, 0);
+    long late = forwarded(OWNER).getCall();
+    forward(1, OWNER);
+    router.onReply(OWNER, OrderReplies.taken(late, EDITION), CoreAction.ALWAYS);
+    assertTrue(answers().isEmpty());
+  }
+
+  private long forward(long call, String owner) {
+    router.submit(call, "PUT", "3", BODY, owner, 0);
+    return forwarded(owner).getCall();
+  }
+
+  /** The one order that was passed on, to that process. */
+  private OrderForward forwarded(String owner) {
+    List<CoreAction> actions = outbox.drain();
+    assertEquals(1, actions.size());
+    CoreAction.Send send = (CoreAction.Send) actions.get(0);
+    assertEquals(owner, send.address());
+    return (OrderForward) send.message();
+  }
+
+  private List<CoreAction.AnswerOrder> answers() {
+    List<CoreAction.AnswerOrder> answers = new ArrayList<>();
+    outbox.drain().forEach(action -> answers.add((CoreAction.AnswerOrder) action));
+    return answers;
+  }
+}
