Control interface: a refused body or a 100 is never the answer to an earlier call

Netty's aggregator answers Expect and bodies that are too large as soon as it has read the head. On a connection whose earlier call still waited (an order that another process decides takes its time) a 413 or a 100 stood in the place of that call's answer, and an operator's call ends for good at a 413. CallAggregator passes over expectations then and lets the refusal wait for its turn. A call behind one that ends its connection was still carried out, although nobody could get its answer: it is not taken.

--- a/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.LongSupplier;
@@ -40,6 +41,9 @@
   private final LongSupplier steadyClock;
   private Channel channel;
 
+  /** The connection closes with the answer to the last call that was taken. */
+  private boolean ending;
+
   ControlConnection(
       Desk desk, ControlSettings settings, RequestClock clock, LongSupplier steadyClock) {
     this.desk = desk;
@@ -73,19 +77,36 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (ending) {
+      return; // it would get no answer
+    }
     clock.requestEnded(System.nanoTime());
     boolean readable = request.decoderResult().isSuccess();
     Call call = new Call(readable && HttpUtil.isKeepAlive(request));
+    ending = !call.keepAlive;
     waiting.addLast(call);
     clock.callsWaiting(waiting.size());
     channel.config().setAutoRead(waiting.size() < settings.maxPipelined());
     if (readable) {
       take(call, request);
     } else {
-      refuse(call, request.decoderResult().cause().toString());
+      refuseUnreadable(call, request.decoderResult().cause());
     }
   }
 
+  /** Whether a call that came before waits for its answer. */
+  boolean owesAnswers() {
+    return !waiting.isEmpty();
+  }
+
+  private static void refuseUnreadable(Call call, Throwable cause) {
+    HttpResponseStatus status =
+        cause instanceof TooLongHttpContentException
+            ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+            : HttpResponseStatus.BAD_REQUEST;
+    call.answer(ControlAnswer.error(status, cause.toString()));
+  }
+
   private void take(Call call, FullHttpRequest request) {
     try {
       desk.take(call, ControlRequest.parse(request));
--- a/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
+++ b/fleet/src/main/java/nettletrail/fleet/http/ControlServer.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flow.FlowControlHandler;
@@ -224,15 +223,16 @@
       RequestClock clock = new RequestClock(settings);
       connections.put(channel, clock);
       channel.closeFuture().addListener(closed -> connections.remove(channel));
+      ControlConnection connection = new ControlConnection(desk, settings, clock, steadyClock);
       channel
           .pipeline()
           .addLast(clock)
           .addLast(
               new HttpServerCodec(
                   MAX_REQUEST_LINE_BYTES, settings.maxHeaderBytes(), MAX_CHUNK_BYTES))
-          .addLast(new HttpObjectAggregator(settings.maxBodyBytes()))
+          .addLast(new CallAggregator(settings.maxBodyBytes(), connection::owesAnswers))
           .addLast(new FlowControlHandler())
-          .addLast(new ControlConnection(desk, settings, clock, steadyClock));
+          .addLast(connection);
     }
   }
 }
