Door: deadlines only move nearer, queued requests follow their route, drains refuse what can't end

The deadline now only moves nearer, and its timer with it. - The time of a request counted from its body's last byte; it counts from its head. A body that is still coming at the route's timeout is answered with 408 instead of after idle_ms. - A request that waited while its route moved went to a backend of the former service; one whose service was removed waited until it was refused. Both go to the queue of the new service. - The attempts of a route are looked at again directly before a repeat. - 404 and 401 need a routing that is confirmed to be the newest; without that the answer is 503. - A Connection header could take away the headers by which the backend runs a request. - A drain that found no connection left ended while the listener still accepted; it closes the listener in that turn. A request that comes after the idle connections were closed and whose deadline lies behind the end of the drain is refused with 503. While draining, a silent backend is no reason to give a send up: what the next backend refuses would end the answer. Ruled out: a shorter timeout that cuts sends already under way; closing the listener at once, since clients are still sent here while few doors are ready; keeping the first send alive beside a second.

--- a/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
@@ -84,6 +84,11 @@
     return keysNeedConfirmation ? control.keysHeld(nowNanos) : routing != null;
   }
 
+  @Override
+  public boolean routingConfirmed(long nowNanos) {
+    return control.keysHeld(nowNanos);
+  }
+
   @Override
   public List<BackendEndpoint> backends(String service) {
     return endpoints.computeIfAbsent(service, this::readyEndpoints);
--- a/router/src/main/java/nettletrail/router/AttemptSender.java
+++ b/router/src/main/java/nettletrail/router/AttemptSender.java
@@ -31,6 +31,7 @@
   private final Set<Exchange> watched = new LinkedHashSet<>();
 
   private boolean checkScheduled;
+  private boolean draining;
 
   /**
    * @param requeue takes an exchange that the routing has moved to another service before it was
@@ -53,15 +54,20 @@
 
   /** Looks the request up in the routing in force. */
   void resolve(Exchange exchange, long now) {
-    exchange.resolution =
+    exchange.resolved(
         Resolution.of(
-            control.routing(), exchange.request, control.keysConfirmed(now), exchange.draw);
+            control.routing(),
+            exchange.request,
+            control.keysConfirmed(now),
+            control.routingConfirmed(now),
+            exchange.draw));
   }
 
   void send(Exchange exchange) {
     long now = System.nanoTime();
     int doors = control.doorCount();
-    Service configured = exchange.resolution.service();
+    Service configured = exchange.resolution().service();
+    expireAtDeadline(exchange, now);
     BackendLoad backend =
         exchange.service.backends.choose(exchange.choice(), configured.engine(), doors, now);
     exchange.service.backends.takeEjected().forEach(pool::closeIdle);
@@ -91,6 +97,20 @@
     }
   }
 
+  /** From its first send on, its time ends at its deadline and no sooner. */
+  private void expireAtDeadline(Exchange exchange, long now) {
+    exchange.cancelTimer();
+    long left = Math.max(0, exchange.deadline() - now);
+    exchange.timer = loop.schedule(() -> deadlineReached(exchange), left, TimeUnit.NANOSECONDS);
+  }
+
+  private void deadlineReached(Exchange exchange) {
+    exchange.timer = null;
+    if (!exchange.isOver()) {
+      completion.expired(exchange);
+    }
+  }
+
   private boolean isStillDue(Exchange exchange) {
     if (!exchange.client.look() || exchange.isOver()) {
       completion.abandon(exchange);
@@ -101,17 +121,20 @@
       completion.expired(exchange);
       return false;
     }
-    Resolution before = exchange.resolution;
+    long deadlineBefore = exchange.deadline();
     resolve(exchange, now);
-    if (exchange.resolution.refusal() != null) {
-      completion.refuse(exchange, exchange.resolution.refusal());
+    if (exchange.resolution().refusal() != null) {
+      completion.refuse(exchange, exchange.resolution().refusal());
       return false;
     }
     if (exchange.mayHaveRun() && !exchange.isIdempotent()) {
       completion.unserved(exchange); // the routing in force forbids what the one before allowed
       return false;
     }
-    if (!exchange.resolution.hasSameDestination(before)) {
+    if (exchange.deadline() != deadlineBefore) {
+      expireAtDeadline(exchange, now);
+    }
+    if (!exchange.isForItsQueue()) {
       loop.execute(() -> moved(exchange));
       return false;
     }
@@ -124,14 +147,15 @@
 
   private boolean countSend(Exchange exchange, long now) {
     int doors = control.doorCount();
-    if (exchange.sends > 0 && !exchange.service.budget.take(doors, now)) {
+    boolean isRepeat = exchange.sends > 0;
+    if (isRepeat && !(hasAttemptLeft(exchange) && exchange.service.budget.take(doors, now))) {
       completion.unserved(exchange);
       return false;
     }
     if (!exchange.charged) {
       exchange.charged = true;
       exchange.service.budget.firstSend(now);
-      counters.charge(exchange.tenantName, exchange.inputTokens(), now);
+      counters.charge(exchange.tenantName(), exchange.inputTokens(), now);
     }
     exchange.sends++;
     exchange.tried.add(exchange.backend.endpoint().id());
@@ -208,9 +232,13 @@
     }
   }
 
+  private static boolean hasAttemptLeft(Exchange exchange) {
+    return exchange.sends < exchange.route().attempts();
+  }
+
   private boolean mayTryAgain(Exchange exchange) {
     return exchange.canGoOnElsewhere()
-        && exchange.sends < exchange.route().attempts()
+        && hasAttemptLeft(exchange)
         && exchange.service.budget.has(control.doorCount(), System.nanoTime())
         && exchange.service.backends.hasUntried(exchange.tried);
   }
@@ -227,8 +255,16 @@
 
   // ---- Silence ----
 
+  /**
+   * The process ends soon: no answer is given up for its backend's silence from now on, since what
+   * another backend refuses would then end here.
+   */
+  void drain() {
+    draining = true;
+  }
+
   private void watch(Exchange exchange) {
-    if (!exchange.isIdempotent()) {
+    if (draining || !exchange.isIdempotent()) {
       return;
     }
     watched.add(exchange);
@@ -245,7 +281,7 @@
   private void checkStalled() {
     checkScheduled = false;
     long now = System.nanoTime();
-    watched.removeIf(Exchange::isOver);
+    watched.removeIf(exchange -> draining || exchange.isOver());
     for (Exchange exchange : new ArrayList<>(watched)) {
       if (exchange.currentSent && exchange.isStalled(now) && mayTryAgain(exchange)) {
         stalled(exchange);
--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -17,6 +18,7 @@
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.Limits;
 import nettletrail.core.Unread;
@@ -55,16 +57,20 @@
 
     boolean isDraining();
 
+    /** When a request must be answered whose head came at {@code since}; nothing if unknown. */
+    OptionalLong deadline(HttpRequest head, long since);
+
     void opened(ClientConnection connection);
 
     void closed(ClientConnection connection);
   }
 
-  private record Waiting(FullHttpRequest request, long readAt) {}
+  private record Waiting(FullHttpRequest request, long arrivedAt) {}
 
   private final Owner owner;
   private final RequestDecoder decoder;
   private final ExpectationGate expectations = new ExpectationGate(this);
+  private final PartialRequest partial = new PartialRequest();
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
   private Channel channel;
   private ResponseWriter writer;
@@ -108,6 +114,7 @@
     // The encoder is the aggregator's, for its 100 Continue; answers are written from before it.
     pipeline.addLast(
         connection.decoder,
+        connection.partial,
         new HttpResponseEncoder(),
         connection.expectations,
         aggregator,
@@ -150,7 +157,7 @@
     expectations.bodyCame();
     partSince = 0;
     waitingBytes += request.content().readableBytes();
-    waiting.addLast(new Waiting(request, System.nanoTime()));
+    waiting.addLast(new Waiting(request, partial.since()));
     leaving = !HttpUtil.isKeepAlive(request) || ClientRequest.isHttp10(request);
     if (waiting.size() >= MOST_WAITING || waitingBytes >= MOST_WAITING_BYTES && open != null) {
       channel.config().setAutoRead(false);
@@ -203,14 +210,14 @@
         if (!channel.config().isAutoRead()) {
           channel.config().setAutoRead(true);
         }
-        handle(next.request(), next.readAt());
+        handle(next.request(), next.arrivedAt());
       }
     } finally {
       handling = false;
     }
   }
 
-  private void handle(FullHttpRequest request, long readAt) {
+  private void handle(FullHttpRequest request, long arrivedAt) {
     HeadRules.Fault fault = HeadRules.fault(request, ONCE);
     boolean odd = isOdd(request);
     if (odd || fault != null) {
@@ -220,7 +227,7 @@
       return;
     }
     String target = HeadRules.target(request.method(), request.uri());
-    ClientRequest taken = new ClientRequest(request, target, readAt);
+    ClientRequest taken = new ClientRequest(request, target, arrivedAt);
     Exchange exchange = owner.arrived(this, taken);
     open = exchange;
     owner.start(exchange);
@@ -350,12 +357,34 @@
 
   /** Whether no request is in hand, waits or is in part here. */
   private boolean isIdle() {
-    return !ended && open == null && waiting.isEmpty() && partSince == 0 && writer.unwritten() == 0;
+    return isResting() && !hasPart() && writer.unwritten() == 0;
+  }
+
+  /** Whether no whole request is here and another one may come. */
+  private boolean isResting() {
+    return !ended && open == null && waiting.isEmpty();
+  }
+
+  private boolean hasPart() {
+    return partSince != 0 || partial.head() != null;
   }
 
   /** Whether a part of a request lies here and none is in hand. */
   private boolean isHalf() {
-    return !ended && open == null && waiting.isEmpty() && partSince != 0;
+    return isResting() && hasPart();
+  }
+
+  /** Whether the part of a request has stood too long, or the whole would come too late. */
+  private boolean isPartOverdue(long now, long mostNanos) {
+    if (partSince != 0 && now - partSince > mostNanos) {
+      return true;
+    }
+    HttpRequest head = partial.head();
+    if (head == null) {
+      return false;
+    }
+    OptionalLong deadline = owner.deadline(head, partial.since());
+    return deadline.isPresent() && now - deadline.getAsLong() > 0;
   }
 
   /** Whether it has taken nothing of its answers for so long. */
@@ -374,7 +403,7 @@
     long partNanos = Math.max(idleNanos, TimeUnit.MILLISECONDS.toNanos(limits.headerMs()));
     if (isDeaf(now, ended ? MOST_DEAF_AT_END_NANOS : idleNanos)) {
       channel.close();
-    } else if (isHalf() && now - partSince > partNanos) {
+    } else if (isHalf() && isPartOverdue(now, partNanos)) {
       if (look() && isHalf()) {
         leaving = true;
         answer(new Refusal(HttpResponseStatus.REQUEST_TIMEOUT, 0));
--- a/router/src/main/java/nettletrail/router/ClientRequest.java
+++ b/router/src/main/java/nettletrail/router/ClientRequest.java
@@ -14,8 +14,6 @@
  * #release}.
  */
 final class ClientRequest {
-  private static final String MODEL = "X-Model";
-
   private final FullHttpRequest request;
   private final String target;
   private final String path;
@@ -23,14 +21,19 @@
 
   /**
    * @param target path and query
-   * @param arrivedAt when it was read, ns
+   * @param arrivedAt when its head was read, ns
    */
   ClientRequest(FullHttpRequest request, String target, long arrivedAt) {
     this.request = request;
     this.target = target;
     this.arrivedAt = arrivedAt;
+    path = pathOf(target);
+  }
+
+  /** The path of a target, without its query. */
+  static String pathOf(String target) {
     int query = target.indexOf('?');
-    path = query < 0 ? target : target.substring(0, query);
+    return query < 0 ? target : target.substring(0, query);
   }
 
   HttpMethod method() {
@@ -85,7 +88,7 @@
 
   /** How long the client waits, ms; -1 if it does not say. */
   long timeLeftMs() {
-    return DecimalNumber.parse(request.headers().get(RequestHeaders.TIME_LEFT));
+    return RequestDeadline.timeLeftMs(request.headers());
   }
 
   /** The id of the last event that the client has; -1 if it names none. */
@@ -101,7 +104,8 @@
   /** What its prompt shares with others. */
   PromptPrefix promptPrefix() {
     return PromptPrefix.parse(
-        request.headers().get(RequestHeaders.PROMPT_PREFIX), request.headers().get(MODEL));
+        request.headers().get(RequestHeaders.PROMPT_PREFIX),
+        request.headers().get(RequestHeaders.MODEL));
   }
 
   void release() {
--- a/router/src/main/java/nettletrail/router/Completion.java
+++ b/router/src/main/java/nettletrail/router/Completion.java
@@ -53,6 +53,11 @@
     refuse(exchange, Refusal.unavailable(RetryAfter.whenFullMs(random)));
   }
 
+  /** This door ends before the request would: another one can take it at once. */
+  void drained(Exchange exchange) {
+    refuse(exchange, Refusal.unavailable(0));
+  }
+
   /** No backend of the service is known. */
   void withoutBackends(Exchange exchange) {
     refuse(exchange, Refusal.unavailable(afterOutageMs(exchange)));
@@ -151,7 +156,7 @@
   private void settle(Exchange exchange, long now) {
     if (exchange.charged) {
       counters.settle(
-          exchange.tenantName,
+          exchange.tenantName(),
           exchange.inputTokens(),
           exchange.mayHaveRun(),
           exchange.outputTokens(),
--- a/router/src/main/java/nettletrail/router/ControlView.java
+++ b/router/src/main/java/nettletrail/router/ControlView.java
@@ -20,6 +20,14 @@
    */
   boolean keysConfirmed(long nowNanos);
 
+  /**
+   * Whether the routing was confirmed lately enough to be the newest that requests may be refused
+   * for good by it: with 401 or 404, after which clients don't try again.
+   *
+   * @param nowNanos the steady clock
+   */
+  boolean routingConfirmed(long nowNanos);
+
   /**
    * The backends of a service that are ready for requests; empty if there are none. Not to be
    * changed.
--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -50,10 +50,14 @@
   private final AnswerHandler answers;
   private final Completion completion;
   State state = State.WAITING;
-  Resolution resolution;
+  private Resolution resolution;
+
+  /** When it must be answered, ns; nearer only, never later, once a route is known. */
+  private long deadline;
+
   ServiceState service;
-  String tenantName = "";
-  int rank;
+  private String tenantName = "";
+  private int rank;
   Future<?> timer;
 
   /** Tokens of the quota that are taken; 0 if none are. */
@@ -125,6 +129,36 @@
     return rank;
   }
 
+  /** It waits for this service from now on, as the routing now says. */
+  void queuedIn(ServiceState next) {
+    service = next;
+    tenantName = resolution.tenantName();
+    rank = resolution.priority();
+  }
+
+  /** Whether the routing still sends it where it waited, for the same tenant. */
+  boolean isForItsQueue() {
+    return resolution.service().name().equals(service.name)
+        && resolution.tenantName().equals(tenantName);
+  }
+
+  Resolution resolution() {
+    return resolution;
+  }
+
+  /**
+   * What the routing says of it now. A route with a shorter timeout moves the deadline nearer; one
+   * with a longer timeout leaves it, so that no further send outlasts an earlier one.
+   */
+  void resolved(Resolution latest) {
+    boolean isFirst = resolution == null;
+    resolution = latest;
+    if (latest.route() != null) {
+      long ofRoute = RequestDeadline.of(latest.route(), request.headers(), request.arrivedAt());
+      deadline = isFirst || ofRoute - deadline < 0 ? ofRoute : deadline;
+    }
+  }
+
   Route route() {
     return resolution.route();
   }
@@ -154,9 +188,7 @@
 
   /** When it must be answered, ns. */
   long deadline() {
-    long most = route().timeoutMs();
-    long told = request.timeLeftMs();
-    return request.arrivedAt() + (told < 0 ? most : Math.min(most, told)) * NANOS_PER_MS;
+    return deadline;
   }
 
   long timeLeftMs(long now) {
--- a/router/src/main/java/nettletrail/router/QuotaGate.java
+++ b/router/src/main/java/nettletrail/router/QuotaGate.java
@@ -29,7 +29,7 @@
 
   /** Whether a request that has just come may wait for tokens. */
   boolean admits(Exchange exchange, long now) {
-    Tenant tenant = exchange.resolution.tenant();
+    Tenant tenant = exchange.resolution().tenant();
     if (tenant == null || tenant.ratePerSecond() <= 0) {
       return true;
     }
@@ -53,17 +53,17 @@
 
   /** Takes what the exchange costs, once; whether it has it. */
   boolean take(Exchange exchange, long now) {
-    long cost = exchange.resolution.quotaCost(exchange.tokens);
+    long cost = exchange.resolution().quotaCost(exchange.tokens);
     if (cost == 0 || exchange.quotaTaken > 0) {
       return true;
     }
-    String tenant = exchange.resolution.tenantName();
+    String tenant = exchange.resolution().tenantName();
     if (!control.quota().take(tenant, cost, now)) {
       exchange.quotaShort = true;
       return false;
     }
     lastTaken.put(tenant, now);
-    companion(exchange.resolution.tenant(), now).used(cost);
+    companion(exchange.resolution().tenant(), now).used(cost);
     exchange.quotaTaken = cost;
     exchange.quotaTenant = tenant;
     return true;
@@ -74,7 +74,7 @@
    * get theirs.
    */
   boolean isStarved(Exchange exchange, long now) {
-    Long last = lastTaken.get(exchange.tenantName);
+    Long last = lastTaken.get(exchange.tenantName());
     return last == null || now - last > STARVED_NANOS;
   }
 
--- a/router/src/main/java/nettletrail/router/RequestDispatcher.java
+++ b/router/src/main/java/nettletrail/router/RequestDispatcher.java
@@ -44,6 +44,12 @@
   private final Completion completion;
   private final AttemptSender sender;
   private final AnswerHandler answers;
+  private boolean draining;
+
+  /** Draining only: requests that come later than the one must be over by the other, ns. */
+  private long drainLateFrom;
+
+  private long drainEnd;
 
   RequestDispatcher(
       EventLoop loop, RouterSettings settings, ControlView control, UpstreamPool pool) {
@@ -72,8 +78,12 @@
       return;
     }
     sender.resolve(exchange, now);
-    if (exchange.resolution.refusal() != null) {
-      completion.refuse(exchange, exchange.resolution.refusal());
+    if (exchange.resolution().refusal() != null) {
+      completion.refuse(exchange, exchange.resolution().refusal());
+      return;
+    }
+    if (isTooLateForDrain(exchange)) {
+      completion.drained(exchange);
       return;
     }
     if (!quota.admits(exchange, now)) {
@@ -83,11 +93,16 @@
     await(exchange, now);
   }
 
+  /** Whether it came so late in the drain that the end of the process could cut it. */
+  private boolean isTooLateForDrain(Exchange exchange) {
+    return draining
+        && exchange.request.arrivedAt() - drainLateFrom >= 0
+        && exchange.deadline() - drainEnd >= 0;
+  }
+
   /** Queues it; it may be sent at once. */
   private void await(Exchange exchange, long now) {
-    exchange.service = service(exchange.resolution.service().name());
-    exchange.tenantName = exchange.resolution.tenantName();
-    exchange.rank = exchange.resolution.priority();
+    exchange.queuedIn(service(exchange.resolution().service().name()));
     exchange.service.queue.add(exchange, now);
     pump(exchange.service);
     if (exchange.state == Exchange.State.WAITING) {
@@ -107,7 +122,9 @@
         + Math.max(usual, (long) (all * MOST_WAIT_OF_TIME_AT_START));
   }
 
-  /** The routing has moved it to another service before it was sent: it begins anew there. */
+  /**
+   * The routing has moved it to another service or tenant before it was sent: it begins anew there.
+   */
   private void requeue(Exchange exchange) {
     long now = System.nanoTime();
     exchange.service.queue.released();
@@ -134,11 +151,7 @@
 
   private void timeUp(Exchange exchange) {
     exchange.timer = null;
-    if (exchange.isOver()) {
-      return;
-    }
-    if (exchange.state == Exchange.State.SENDING) {
-      completion.expired(exchange);
+    if (exchange.state != Exchange.State.WAITING) {
       return;
     }
     exchange.service.queue.remove(exchange);
@@ -165,29 +178,36 @@
         return;
       }
       next.state = Exchange.State.SENDING;
-      if (next.resolution.refusal() != null) {
-        completion.refuse(next, next.resolution.refusal());
+      if (next.resolution().refusal() != null) {
+        completion.refuse(next, next.resolution().refusal());
+      } else if (!next.isForItsQueue()) {
+        requeue(next);
       } else {
-        schedule(next, next.deadline(), now);
         sender.send(next);
       }
     }
   }
 
-  /** Requests in flight, at most; none while there is no backend. */
+  /**
+   * Requests in flight, at most; none while there is no backend. Without a bound for a service that
+   * the routing no longer has: what waits for it goes elsewhere or is refused.
+   */
   private int bound(ServiceState service) {
     RoutingTable routing = control.routing();
-    Service configured = routing == null ? null : routing.service(service.name);
-    if (configured == null || service.backends.size() == 0) {
+    if (routing == null) {
       return 0;
     }
-    return service.bound(configured, control.doorCount());
+    Service configured = routing.service(service.name);
+    if (configured == null) {
+      return Integer.MAX_VALUE;
+    }
+    return service.backends.size() == 0 ? 0 : service.bound(configured, control.doorCount());
   }
 
   /** Whether it may go, or is to be refused, now. */
   private boolean isEligible(Exchange exchange, long now) {
     sender.resolve(exchange, now);
-    return exchange.resolution.refusal() != null || quota.take(exchange, now);
+    return exchange.resolution().refusal() != null || quota.take(exchange, now);
   }
 
   // ---- What the control plane tells ----
@@ -213,6 +233,19 @@
     }
   }
 
+  /**
+   * The process ends soon.
+   *
+   * @param lateFrom requests that come after this are refused if they could outlast the drain, ns
+   * @param end of the drain, ns
+   */
+  void drain(long lateFrom, long end) {
+    draining = true;
+    drainLateFrom = lateFrom;
+    drainEnd = end;
+    sender.drain();
+  }
+
   /** To be called a few times a second. */
   void tick(long now) {
     counters.forgetIdle(now);
--- a/router/src/main/java/nettletrail/router/RequestHead.java
+++ b/router/src/main/java/nettletrail/router/RequestHead.java
@@ -67,7 +67,9 @@
       Map.Entry<CharSequence, CharSequence> header = all.next();
       CharSequence name = header.getKey();
       boolean named =
-          !listed.isEmpty() && listed.contains(name.toString().toLowerCase(Locale.ROOT));
+          !listed.isEmpty()
+              && listed.contains(name.toString().toLowerCase(Locale.ROOT))
+              && !RequestHeaders.isEndToEnd(name);
       boolean replaced = RequestHeaders.isReplaced(name) || resumed && isLastEventId(name);
       if (!named && !replaced && !RequestHeaders.isHopByHop(name)) {
         head.add(name.toString()).add(COLON).add(header.getValue().toString()).add(LINE_END);
--- a/router/src/main/java/nettletrail/router/RequestHeaders.java
+++ b/router/src/main/java/nettletrail/router/RequestHeaders.java
@@ -17,6 +17,7 @@
   static final AsciiString SENDER = AsciiString.cached("X-Sender");
   static final AsciiString DELIVER_TO = AsciiString.cached("X-Deliver-To");
   static final AsciiString TIME_LEFT = AsciiString.cached("X-Time-Left");
+  static final AsciiString MODEL = AsciiString.cached("X-Model");
   static final AsciiString TOKEN_COUNT = AsciiString.cached("X-Token-Count");
   static final AsciiString PROMPT_PREFIX = AsciiString.cached("X-Prompt-Prefix");
   static final AsciiString PRIORITY = AsciiString.cached("Priority");
@@ -37,6 +38,9 @@
     HttpHeaderNames.CONTENT_LENGTH,
     HttpHeaderNames.EXPECT,
   };
+  private static final AsciiString[] END_TO_END = {
+    HttpHeaderNames.HOST, ATTEMPT_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX, LAST_EVENT_ID,
+  };
   private static final AsciiString[] REPLACED = {
     KEY, SENDER, DELIVER_TO, TIME_LEFT, PRIORITY,
   };
@@ -56,6 +60,14 @@
     return contains(REPLACED, name);
   }
 
+  /**
+   * Whether a header is for the backend whatever a Connection header lists: without it the backend
+   * would run another request than the client's.
+   */
+  static boolean isEndToEnd(CharSequence name) {
+    return contains(END_TO_END, name);
+  }
+
   /** The names that a message's Connection headers list, in lower case; empty for most. */
   static Set<String> listedByConnection(HttpHeaders headers) {
     if (!headers.contains(HttpHeaderNames.CONNECTION)) {
--- a/router/src/main/java/nettletrail/router/Resolution.java
+++ b/router/src/main/java/nettletrail/router/Resolution.java
@@ -22,18 +22,23 @@
    * Looks a request up.
    *
    * @param routing null if none is known
-   * @param keysConfirmed whether keys may be used, and refused, now
+   * @param keysConfirmed whether keys may be used now
+   * @param refusalsConfirmed whether the routing is known to be new enough to refuse for good by it
    * @param draw from 0 to below 1: which of the route's services the request goes to by their
    *     weights
    */
   static Resolution of(
-      RoutingTable routing, ClientRequest request, boolean keysConfirmed, double draw) {
+      RoutingTable routing,
+      ClientRequest request,
+      boolean keysConfirmed,
+      boolean refusalsConfirmed,
+      double draw) {
     if (routing == null) {
       return refused(-1, Refusal.controlPlaneMissing(request));
     }
     Route route = routing.match(request.host(), request.path());
     if (route == null) {
-      return refused(routing.edition(), Refusal.NO_ROUTE);
+      return refused(routing.edition(), finalRefusal(Refusal.NO_ROUTE, refusalsConfirmed, request));
     }
     boolean keyNeeded = routing.keysRequired() && !route.open();
     if (keyNeeded && !keysConfirmed) {
@@ -42,7 +47,8 @@
     String key = request.key();
     Tenant tenant = key == null || !keysConfirmed ? null : routing.tenantOfKey(key);
     if (keyNeeded && tenant == null) {
-      return refused(routing.edition(), Refusal.UNKNOWN_KEY);
+      return refused(
+          routing.edition(), finalRefusal(Refusal.UNKNOWN_KEY, refusalsConfirmed, request));
     }
     Service service = routing.service(drawn(route.services(), draw));
     if (service == null) {
@@ -51,6 +57,12 @@
     return new Resolution(routing.edition(), route, service, tenant, null);
   }
 
+  /** A newer routing may allow what one allows not that nobody has confirmed. */
+  private static Refusal finalRefusal(
+      Refusal refusal, boolean refusalsConfirmed, ClientRequest request) {
+    return refusalsConfirmed ? refusal : Refusal.controlPlaneMissing(request);
+  }
+
   private static Resolution refused(long edition, Refusal refusal) {
     return new Resolution(edition, null, null, null, refusal);
   }
@@ -77,11 +89,6 @@
     return last;
   }
 
-  /** Whether the request goes to the same service for the same tenant. */
-  boolean hasSameDestination(Resolution other) {
-    return service.name().equals(other.service.name()) && tenantName().equals(other.tenantName());
-  }
-
   /** The priority that a request is sent with, 0 first. */
   int priority() {
     boolean tenantHasOne = tenant != null && tenant.priority() != Tenant.NO_PRIORITY;
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -7,12 +7,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.Limits;
+import nettletrail.configuration.Route;
 import nettletrail.configuration.RoutingTable;
 import nettletrail.router.upstream.UpstreamPool;
 
@@ -42,9 +46,14 @@
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   private final int mostClients;
   private final Owner owner = new Owner();
-  private boolean listening;
+  private Channel listener;
   private boolean draining;
 
+  /** Draining only: from when on idle connections are closed, and when the rest is cut, ns. */
+  private long idleClosedFrom;
+
+  private long drainEnd;
+
   /**
    * @param loop on which everything runs
    * @param control what the control plane has told
@@ -75,7 +84,7 @@
                   }
                 })
             .bind(host, port);
-    bound.addListener(done -> listening = done.isSuccess());
+    bound.addListener(done -> listener = done.isSuccess() ? bound.channel() : null);
     loop.scheduleWithFixedDelay(
         () -> tick(System.nanoTime()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     return bound;
@@ -92,7 +101,7 @@
   /** Whether clients should be sent here. */
   public boolean ready() {
     RoutingTable routing = control.routing();
-    return listening
+    return listener != null
         && !draining
         && routing != null
         && (!routing.keysRequired() || control.keysConfirmed(System.nanoTime()));
@@ -100,7 +109,8 @@
 
   /**
    * Ends the router without losing a request that was read: it calls itself unready, goes on to
-   * accept and serve, tells clients to close, and after some seconds closes what is idle.
+   * accept and serve, tells clients to close, and after some seconds closes what is idle and takes
+   * only requests whose deadline comes before the end.
    *
    * @param graceMs until the process is killed
    * @param done run once no connection is left, or shortly before the grace ends
@@ -111,21 +121,32 @@
     }
     draining = true;
     long begun = System.nanoTime();
-    long idleFrom = begun + TimeUnit.MILLISECONDS.toNanos(Math.min(DRAIN_IDLE_MS, graceMs / 2));
-    long end = begun + TimeUnit.MILLISECONDS.toNanos(Math.max(0, graceMs - DRAIN_MARGIN_MS));
-    checkDrain(idleFrom, end, done);
+    idleClosedFrom = begun + TimeUnit.MILLISECONDS.toNanos(Math.min(DRAIN_IDLE_MS, graceMs / 2));
+    drainEnd = begun + TimeUnit.MILLISECONDS.toNanos(Math.max(0, graceMs - DRAIN_MARGIN_MS));
+    dispatcher.drain(idleClosedFrom, drainEnd);
+    checkDrain(done);
   }
 
-  private void checkDrain(long idleFrom, long end, Runnable done) {
+  private void checkDrain(Runnable done) {
     long now = System.nanoTime();
-    if (now - idleFrom >= 0) {
+    boolean idleCloses = now - idleClosedFrom >= 0;
+    if (idleCloses) {
       new ArrayList<>(connections).forEach(ClientConnection::closeIfIdle);
     }
-    if (now - end >= 0 || now - idleFrom >= 0 && connections.isEmpty()) {
+    if (now - drainEnd >= 0 || idleCloses && connections.isEmpty()) {
+      stopListening();
       done.run();
       return;
     }
-    loop.schedule(() -> checkDrain(idleFrom, end, done), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> checkDrain(done), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** In the turn that finds no connection: none can be accepted between that and the end. */
+  private void stopListening() {
+    if (listener != null) {
+      listener.close();
+      listener = null;
+    }
   }
 
   /** Ends what has stood too long. Called by the router itself; harmless if called more often. */
@@ -183,6 +204,16 @@
       return draining;
     }
 
+    @Override
+    public OptionalLong deadline(HttpRequest head, long since) {
+      RoutingTable routing = control.routing();
+      String host = head.headers().get(HttpHeaderNames.HOST, "");
+      Route route = routing == null ? null : routing.match(host, ClientRequest.pathOf(head.uri()));
+      return route == null
+          ? OptionalLong.empty()
+          : OptionalLong.of(RequestDeadline.of(route, head.headers(), since));
+    }
+
     @Override
     public void opened(ClientConnection connection) {
       connections.add(connection);
--- /dev/null
+++ b/router/src/test/java/nettletrail/router/RouterClientGoneTest.java
@@ -0,0 +1,153 @@
+package nettletrail.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What becomes of a request whose client has closed its connection; one rule a test. The routes'
+ * timeout is longer than any test waits, so that it is not what ends a backend's connection.
+ */
+@Timeout(30)
+class RouterClientGoneTest {
+  private static final String KEY = RouterFixture.KEY;
+  private static final String PATIENT = "X-Time-Left: 60000";
+
+  private RouterFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture =
+        new RouterFixture(
+            RouterFixture.configuration()
+                .replace("\"timeout_ms\":5000", "\"timeout_ms\":60000")
+                .replace("\"target_ms\":1000", "\"target_ms\":60000"));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  /** One more request goes its whole way: what was to be sent before it has been sent. */
+  private void serveAnother(ScriptedBackend... backends) throws Exception {
+    TestClient other = fixture.client();
+    fixture.backends("s", List.of(backends[0].endpoint()));
+    other.post("/once/x", "barrier", "", KEY);
+    ScriptedBackend.Received received = backends[0].take();
+    assertEquals("barrier", received.id());
+    received.answer("200 OK", "");
+    assertEquals(200, other.read().status());
+    for (ScriptedBackend backend : backends) {
+      assertEquals(0, backend.untaken());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"/once/x", "/again/x", "/stream/x", "/resume/x"})
+  void theBackendsConnectionEndsWhenTheClientCloses(String path) throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend backend = fixture.backend("b1");
+    ScriptedBackend other = fixture.backend("b2");
+    fixture.backends("s", List.of(backend.endpoint()));
+    TestClient client = fixture.client();
+    client.post(path, "id-1", "", KEY, PATIENT);
+    ScriptedBackend.Received request = backend.take();
+    fixture.backends("s", List.of(backend.endpoint(), other.endpoint()));
+    client.close();
+    assertTrue(request.closedByPeer());
+    serveAnother(backend, other);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"/stream/x", "/resume/x"})
+  void theBackendsConnectionEndsWhenAStreamUnderWayIsCancelled(String path) throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post(path, "id-1", "", KEY, PATIENT);
+    ScriptedBackend.Received request = backend.take();
+    request.beginStream();
+    request.event(1, "one");
+    client.readHead();
+    client.readChunk();
+    client.close();
+    assertTrue(request.closedByPeer());
+  }
+
+  @Test
+  void aClientThatEndsItsSendingSideCountsAsGone() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "", KEY, PATIENT);
+    ScriptedBackend.Received request = backend.take();
+    client.endSending();
+    assertTrue(request.closedByPeer());
+    assertTrue(client.isEnded());
+  }
+
+  @Test
+  void aRequestThatWaitsForTokensIsNotSentForAClientThatHasLeft() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    fixture.onLoop(() -> fixture.control.tokens = 0);
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(2);
+    client.post("/again/x", "id-1", "", KEY, PATIENT);
+    asked.await();
+    CountDownLatch left = new CountDownLatch(1);
+    Future<?> granted =
+        fixture.submit(
+            () -> {
+              left.await(); // the loop hears of the close only by looking
+              fixture.control.tokens = 10_000;
+              fixture.router.quotaGranted(List.of("tenant-1"));
+              return null;
+            });
+    client.close();
+    left.countDown();
+    granted.get();
+    serveAnother(backend);
+  }
+
+  @Test
+  void aRequestBehindAnotherIsNotSentForAClientThatHasLeft() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY, PATIENT);
+    ScriptedBackend.Received request = backend.take();
+    client.post("/once/x", "id-2", "", KEY, PATIENT);
+    client.close();
+    assertTrue(request.closedByPeer());
+    serveAnother(backend);
+  }
+
+  @Test
+  void nothingIsSentAgainForAClientThatHasLeft() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "", KEY, PATIENT);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    CountDownLatch both = new CountDownLatch(1);
+    Future<?> held =
+        fixture.submit(
+            () -> {
+              both.await(); // the loop finds the backend's break and the client's close together
+              return null;
+            });
+    request.reset();
+    client.close();
+    both.countDown();
+    held.get();
+    serveAnother(second, first);
+  }
+}
--- a/router/src/test/java/nettletrail/router/RouterFixture.java
+++ b/router/src/test/java/nettletrail/router/RouterFixture.java
@@ -31,6 +31,7 @@
   static final class Control implements ControlView, QuotaSource {
     RoutingTable routing;
     boolean confirmed = true;
+    boolean routingConfirmed = true;
     int doors = 1;
     final Map<String, List<BackendEndpoint>> backends = new HashMap<>();
     long tokens = Long.MAX_VALUE / 2;
@@ -39,6 +40,9 @@
     /** Called on each look whether keys are confirmed. */
     Runnable onKeysAsked = () -> {};
 
+    /** Called on each look how many doors there are. */
+    Runnable onDoorsAsked = () -> {};
+
     @Override
     public RoutingTable routing() {
       return routing;
@@ -50,6 +54,11 @@
       return confirmed;
     }
 
+    @Override
+    public boolean routingConfirmed(long nowNanos) {
+      return routingConfirmed;
+    }
+
     @Override
     public List<BackendEndpoint> backends(String service) {
       return backends.getOrDefault(service, List.of());
@@ -57,6 +66,7 @@
 
     @Override
     public int doorCount() {
+      onDoorsAsked.run();
       return doors;
     }
 
@@ -161,11 +171,16 @@
 
   /** A backend of service {@code s} that is ready. */
   ScriptedBackend backend(String id) throws Exception {
+    return backendOf("s", id);
+  }
+
+  /** A backend of a service that is ready. */
+  ScriptedBackend backendOf(String service, String id) throws Exception {
     ScriptedBackend backend = new ScriptedBackend(id);
     closeables.add(backend);
-    List<BackendEndpoint> all = new ArrayList<>(control.backends("s"));
+    List<BackendEndpoint> all = new ArrayList<>(control.backends(service));
     all.add(backend.endpoint());
-    backends("s", all);
+    backends(service, all);
     return backend;
   }
 
--- /dev/null
+++ b/router/src/test/java/nettletrail/router/RouterRoutingChangeTest.java
@@ -0,0 +1,177 @@
+package nettletrail.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+import nettletrail.configuration.RoutingTable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a new routing, or one that nobody confirms, does to requests; one rule a test. */
+@Timeout(30)
+class RouterRoutingChangeTest {
+  private static final String KEY = RouterFixture.KEY;
+  private RouterFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new RouterFixture(patient(RouterFixture.configuration()));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  /** Requests wait for as long as the test needs. */
+  private static String patient(String configuration) {
+    return configuration.replace("\"target_ms\":1000", "\"target_ms\":60000");
+  }
+
+  /** All routes go to service {@code t}; {@code s} is there no more. */
+  private static RoutingTable movedToT() throws Exception {
+    return RouterFixture.table(
+        RouterFixture.configuration(6, "\"key-1\"")
+            .replace("\"carrier\":\"s\"", "\"carrier\":\"t\"")
+            .replace("{\"name\":\"s\"", "{\"name\":\"t\""));
+  }
+
+  /** All routes go to service {@code t}, and {@code s} is there too. */
+  private static RoutingTable movedToTBesideS() throws Exception {
+    String service =
+        "{\"name\":\"%s\",\"health_path\":\"/health\",\"conn_cap\":100,"
+            + "\"protocol\":\"h1\",\"tls\":false}";
+    return RouterFixture.table(
+        RouterFixture.configuration(6, "\"key-1\"")
+            .replace("\"carrier\":\"s\"", "\"carrier\":\"t\"")
+            .replace(
+                service.formatted("s"), service.formatted("s") + "," + service.formatted("t")));
+  }
+
+  private void route(RoutingTable routing) throws Exception {
+    fixture.onLoop(
+        () -> {
+          fixture.control.routing = routing;
+          fixture.control.tokens = 10_000;
+          fixture.router.routingChanged();
+          return null;
+        });
+  }
+
+  @Test
+  void aRequestThatWaitsGoesToTheServiceThatItsRouteHasNow() throws Exception {
+    ScriptedBackend before = fixture.backend("b1");
+    ScriptedBackend after = fixture.backendOf("t", "b2");
+    fixture.onLoop(() -> fixture.control.tokens = 0);
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(2);
+    client.post("/once/x", "id-1", "", KEY);
+    asked.await();
+    route(movedToTBesideS());
+    after.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    assertEquals(0, before.untaken());
+  }
+
+  @Test
+  void aRequestThatWaitsForAServiceThatIsRemovedGoesWhereItsRouteGoes() throws Exception {
+    ScriptedBackend after = fixture.backendOf("t", "b2");
+    TestClient client = fixture.client();
+    var asked = fixture.whenKeysAsked(1);
+    client.post("/once/x", "id-1", "", KEY);
+    asked.await();
+    route(movedToT());
+    after.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+  }
+
+  @Test
+  void whatIsAtABackendIsAnsweredThoughItsRouteServiceAndBackendAreRemoved() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient whole = fixture.client();
+    whole.post("/once/x", "id-1", "", KEY);
+    ScriptedBackend.Received first = backend.take();
+    TestClient streaming = fixture.client();
+    streaming.post("/stream/x", "id-2", "", KEY);
+    ScriptedBackend.Received second = backend.take();
+    second.beginStream();
+    second.event(1, "one");
+    streaming.readHead();
+    streaming.readChunk();
+    route(
+        RouterFixture.table(
+            RouterFixture.configuration(6, "\"key-3\"")
+                .replace("/once/", "/elsewhere/")
+                .replace("/stream/", "/nowhere/")
+                .replace("\"carrier\":\"s\"", "\"carrier\":\"t\"")
+                .replace("{\"name\":\"s\"", "{\"name\":\"t\"")
+                .replace("\"idle_ms\":15000", "\"idle_ms\":1")));
+    fixture.backends("s", List.of());
+    fixture.onLoop(
+        () -> {
+          fixture.router.tick(System.nanoTime());
+          return null;
+        });
+    first.answer("200 OK", "whole");
+    assertEquals("whole", whole.read().body());
+    second.event(2, "two");
+    assertEquals(ScriptedBackend.eventText(2, "two"), streaming.readChunk());
+    second.endStream();
+    assertEquals("", streaming.readChunk());
+  }
+
+  @Test
+  void aRepeatThatTheNewRoutingDoesNotAllowAnyMoreIsNotSent() throws Exception {
+    fixture.earnRetries();
+    ScriptedBackend first = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/again/x", "id-1", "", KEY);
+    ScriptedBackend.Received request = first.take();
+    ScriptedBackend second = fixture.backend("b2");
+    RoutingTable oneAttempt =
+        RouterFixture.table(
+            RouterFixture.configuration(6, "\"key-1\"")
+                .replace("\"attempts\":2", "\"attempts\":1"));
+    fixture.onLoop(
+        (Callable<Void>)
+            () -> {
+              // Asked as the budget for the repeat is looked at, after the attempts were.
+              fixture.control.onDoorsAsked = () -> fixture.control.routing = oneAttempt;
+              return null;
+            });
+    request.reset();
+    assertEquals(502, client.read().status());
+    assertEquals(0, second.untaken());
+  }
+
+  @Test
+  void aRoutingThatIsNotConfirmedRefusesNothingForGood() throws Exception {
+    fixture.onLoop(() -> fixture.control.routingConfirmed = false);
+    TestClient client = fixture.client();
+    client.post("/nowhere/", "id-1", "", KEY);
+    TestClient.Answer noRoute = client.read();
+    assertEquals(503, noRoute.status());
+    assertNotNull(noRoute.header("Retry-After"));
+    client.post("/once/x", "id-2", "", "X-Key: unknown");
+    assertEquals(503, client.read().status());
+    fixture.onLoop(() -> fixture.control.routingConfirmed = true);
+    client.post("/nowhere/", "id-3", "", KEY);
+    assertEquals(404, client.read().status());
+  }
+
+  @Test
+  void aRoutingThatIsNotConfirmedStillServesWhatItAllows() throws Exception {
+    fixture.onLoop(() -> fixture.control.routingConfirmed = false);
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/open/x", "id-1", "");
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+    assertTrue(fixture.onLoop(fixture.router::ready));
+  }
+}
--- a/router/src/test/java/nettletrail/router/TestClient.java
+++ b/router/src/test/java/nettletrail/router/TestClient.java
@@ -98,6 +98,11 @@
     return new String(data, StandardCharsets.ISO_8859_1);
   }
 
+  /** Sends no more and still reads. */
+  void endSending() throws IOException {
+    socket.shutdownOutput();
+  }
+
   /** Whether the router has ended the connection and nothing more comes. */
   boolean isEnded() throws IOException {
     try {
