--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -88,14 +88,6 @@
   private int waitingBytes;
   private long idleSince;
 
-  /**
-   * Bytes of answers that the client had not taken at the last sweep, and since when it has taken
-   * none of them.
-   */
-  private long unwrittenBefore;
-
-  private long unwrittenSince;
-
   /** Since when a part of a request lies here; 0 if none does. */
   private long partSince;
 
@@ -387,21 +379,11 @@
     return deadline.isPresent() && now - deadline.getAsLong() > 0;
   }
 
-  /** Whether it has taken nothing of its answers for so long. */
-  private boolean isDeaf(long now, long mostNanos) {
-    long left = writer.unwritten();
-    if (left == 0 || left != unwrittenBefore) {
-      unwrittenBefore = left;
-      unwrittenSince = now;
-    }
-    return left > 0 && now - unwrittenSince > mostNanos;
-  }
-
   /** Ends what has stood too long; what lies unread is read first. */
   void sweep(long now, Limits limits) {
     long idleNanos = TimeUnit.MILLISECONDS.toNanos(limits.idleMs());
     long partNanos = Math.max(idleNanos, TimeUnit.MILLISECONDS.toNanos(limits.headerMs()));
-    if (isDeaf(now, ended ? MOST_DEAF_AT_END_NANOS : idleNanos)) {
+    if (writer.isStuck(now, ended ? MOST_DEAF_AT_END_NANOS : idleNanos)) {
       channel.close();
     } else if (isHalf() && isPartOverdue(now, partNanos)) {
       if (look() && isHalf()) {
--- a/router/src/main/java/nettletrail/router/ResponseWriter.java
+++ b/router/src/main/java/nettletrail/router/ResponseWriter.java
@@ -27,6 +27,14 @@
   private boolean streaming;
   private boolean lastAfterStream;
 
+  /**
+   * Bytes of answers that the client had not taken when that was last asked, and since when it has
+   * taken none of them.
+   */
+  private long unwrittenBefore;
+
+  private long unwrittenSince;
+
   ResponseWriter(ChannelHandlerContext wire) {
     this.wire = wire;
     channel = wire.channel();
@@ -112,6 +120,16 @@
     return out == null ? 0 : out.totalPendingWriteBytes();
   }
 
+  /** Whether the client has taken nothing of its answers for so long. */
+  boolean isStuck(long now, long mostNanos) {
+    long left = unwritten();
+    if (left == 0 || left != unwrittenBefore) {
+      unwrittenBefore = left;
+      unwrittenSince = now;
+    }
+    return left > 0 && now - unwrittenSince > mostNanos;
+  }
+
   /** Frees what was added and not sent. */
   void drop() {
     chunks.drop();
