--- a/fleet-emulator/src/test/java/nettletrail/emulator/explore/GroupChangeExplorationTest.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/explore/GroupChangeExplorationTest.java
@@ -44,8 +44,7 @@
   }
 
   private static Explorer.Result explore(GroupChangeBounds bounds) {
-    return new Explorer(
-            () -> new GroupChangeSystem(bounds), bounds.transitions(), UNBOUNDED)
+    return new Explorer(() -> new GroupChangeSystem(bounds), bounds.transitions(), UNBOUNDED)
         .explore();
   }
 }
