Doors: confirmations wait for their configurations side by side; ticks put the newest in force

Two gaps under steady changes. A heartbeat's reply that confirmed a newer configuration than the one in force replaced the confirmation that already waited. When a newer one came before each configuration was in force, as for a door that lags behind many changes, none was ever reached: after the revocation time the door refused all requests with a key. Now up to eight wait side by side, the last but one gives way. And a configuration that waited for its spacing came into force only with a later message of a core process; a door that lost its links just then kept the older one in force. Now a tick does it.

Ruled out: that keys are held for what isn't in force yet (ConfigurationSpacingTest holds that already).

Two new cases of KeyLeaseTest and one of FirstConfigurationTest fail without the change.

--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -125,6 +125,7 @@
     backends.tick(now);
     doorCount.tick(links.values(), now);
     handOverEnds(actions, now);
+    putConfigurationInForce(actions, now);
     actions.addAll(poll(now));
     return actions;
   }
--- a/control/src/main/java/nettletrail/control/door/KeyLease.java
+++ b/control/src/main/java/nettletrail/control/door/KeyLease.java
@@ -1,6 +1,8 @@
 package nettletrail.control.door;
 
+import java.util.NavigableMap;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import nettletrail.protocol.DoorHeartbeatReply;
 
 /**
@@ -20,13 +22,14 @@
    */
   private static final long MARGIN_MS = 100;
 
+  /** Confirmations that wait for their configurations at once. */
+  private static final int MOST_WAITING = 8;
+
   private final long lasts;
   private long heldSequence;
   private boolean held;
   private long heldUntil;
-  private boolean waiting;
-  private long waitingSequence;
-  private long waitingUntil;
+  private final NavigableMap<Long, Long> waitingUntilBySequence = new TreeMap<>();
 
   KeyLease(long revokeMs) {
     this.lasts = (revokeMs - MARGIN_MS) * MILLIS;
@@ -40,21 +43,17 @@
     long until = reply.getSentAt() - reply.getConfirmedAgeMs() * MILLIS + lasts;
     if (reply.getConfigurationSequence() <= heldSequence) {
       extend(until);
-    } else if (!waiting
-        || reply.getConfigurationSequence() >= waitingSequence && until - waitingUntil > 0) {
-      waiting = true;
-      waitingSequence = reply.getConfigurationSequence();
-      waitingUntil = until;
+    } else {
+      waitFor(reply.getConfigurationSequence(), until);
     }
   }
 
   /** The door holds this configuration from here on. */
   void holds(long sequence) {
     heldSequence = sequence;
-    if (waiting && waitingSequence <= sequence) {
-      waiting = false;
-      extend(waitingUntil);
-    }
+    NavigableMap<Long, Long> reached = waitingUntilBySequence.headMap(sequence, true);
+    reached.values().forEach(this::extend);
+    reached.clear();
   }
 
   /** Whether a majority confirmed what the door holds at most so long ago, in nanoseconds. */
@@ -67,6 +66,19 @@
     return held ? OptionalLong.of(heldUntil) : OptionalLong.empty();
   }
 
+  /**
+   * Under steady changes a newer confirmation may come before the configuration of the last one
+   * does, each time, so both are kept. Of too many the last but one gives way: the first is reached
+   * soonest, the last counts longest.
+   */
+  private void waitFor(long sequence, long until) {
+    waitingUntilBySequence.merge(sequence, until, Math::max);
+    if (waitingUntilBySequence.size() > MOST_WAITING) {
+      waitingUntilBySequence.remove(
+          waitingUntilBySequence.lowerKey(waitingUntilBySequence.lastKey()));
+    }
+  }
+
   private void extend(long until) {
     heldUntil = held ? Math.max(heldUntil, until) : until;
     held = true;
--- a/control/src/test/java/nettletrail/control/door/FirstConfigurationTest.java
+++ b/control/src/test/java/nettletrail/control/door/FirstConfigurationTest.java
@@ -78,6 +78,20 @@
     assertEquals(List.of(OLD, NEW), inForce);
   }
 
+  @Test
+  void givenANewerOneThatWaitsWhenNoCoreSpeaksAnyMoreThenItStillComesIntoForce() {
+    receive(CORE, push(OLD));
+    receive(CORE, confirmation(OLD, FRESH_MS));
+    door.configurationInForce(MILLIS, now);
+    receive(CORE, push(NEW));
+    assertEquals(List.of(OLD), inForce);
+    perform(door.linkDown(CORE, now));
+    perform(door.linkDown(CUT_CORE, now));
+    now += STALE_MS * MILLIS;
+    perform(door.tick(now));
+    assertEquals(List.of(OLD, NEW), inForce);
+  }
+
   @Test
   void givenAnUnconfirmedFirstWhenItWaitsThenTheCoreIsAskedMoreOften() {
     perform(door.poll(now));
--- a/control/src/test/java/nettletrail/control/door/KeyLeaseTest.java
+++ b/control/src/test/java/nettletrail/control/door/KeyLeaseTest.java
@@ -47,6 +47,32 @@
     assertEquals(OptionalLong.empty(), lease.until());
   }
 
+  @Test
+  void givenNewerConfirmationsBeforeEachConfigurationWhenOneIsReachedThenThatOneCounts() {
+    lease.confirmed(reply(SEQUENCE + 1, 300));
+    lease.confirmed(reply(SEQUENCE + 2, 200));
+    lease.holds(SEQUENCE + 1);
+    assertEquals(confirmed(300), lease.until());
+    lease.holds(SEQUENCE + 2);
+    assertEquals(confirmed(200), lease.until());
+  }
+
+  @Test
+  void givenMoreConfirmationsThanAreKeptWhenTheFirstAndTheLastAreReachedThenBothCount() {
+    int many = 20;
+    for (int newer = 1; newer <= many; newer++) {
+      lease.confirmed(reply(SEQUENCE + newer, 300 - newer));
+    }
+    lease.holds(SEQUENCE + 1);
+    assertEquals(confirmed(299), lease.until());
+    lease.holds(SEQUENCE + many);
+    assertEquals(confirmed(300 - many), lease.until());
+  }
+
+  private static OptionalLong confirmed(long ageMs) {
+    return OptionalLong.of(ASKED_AT + (REVOKE_MS - MARGIN_MS - ageMs) * MILLIS);
+  }
+
   private static DoorHeartbeatReply reply(long sequence, long ageMs) {
     return new DoorHeartbeatReply(
         "10.0.0.1:7680", ASKED_AT, true, ageMs, sequence, 1L, 0L, 1, List.of(), List.of());
