--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -1,5 +1,6 @@
 package nettletrail.control;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,8 @@
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendFreshness;
 import nettletrail.protocol.BackendState;
+import nettletrail.protocol.ConfigurationFetch;
+import nettletrail.protocol.Directory;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.DoorHeartbeatReply;
 import nettletrail.protocol.FeedAck;
@@ -54,6 +57,10 @@
   private static final long MILLIS = 1_000_000L;
   private static final long DIGEST_EVERY = 700 * MILLIS;
   private static final int OK = 200;
+
+  /** An odd number, so that no bit of an earlier name is lost. */
+  private static final long DIGEST_FACTOR = 0x9e3779b97f4a7c15L;
+
   private static final String DELETE = "DELETE";
 
   private final CoreRegistrySettings settings;
@@ -129,6 +136,8 @@
     } else if (message instanceof FeedAck acknowledgement) {
       doors.acknowledged(door, acknowledgement);
       actions.addAll(flush(now));
+    } else if (message instanceof ConfigurationFetch fetch) {
+      actions.addAll(doors.fetched(door, fetch, now));
     } else if (message instanceof GrantRequest request) {
       actions.add(new SendToDoor(door, grant(request, now)));
     } else if (message instanceof RegistryUpdate ends) {
@@ -165,10 +174,13 @@
 
   /**
    * A configuration is committed, as this process knows; one that is older than another told before
-   * is ignored. {@code limits}: the limits of all its tenants, also of those without one.
+   * is ignored.
+   *
+   * @param document as it is stored and sent; not to be changed
+   * @param limits the limits of all its tenants, also of those without one
    */
   public List<RegistryAction> configuration(
-      long sequence, long edition, byte[] document, Map<String, QuotaLimit> limits, long now) {
+      long sequence, long edition, ByteBuffer document, Map<String, QuotaLimit> limits, long now) {
     if (sequence <= configurationSequence) {
       return List.of();
     }
@@ -305,6 +317,8 @@
   private DoorHeartbeatReply heartbeatReply(DoorHeartbeat heartbeat, long now) {
     OptionalLong confirmedAt = ownership.confirmedAt();
     long ageMs = confirmedAt.isPresent() ? ageMsRoundedUp(now - confirmedAt.getAsLong()) : 0;
+    Directory directory = directory(now);
+    boolean known = heartbeat.getDirectoryDigest() == directory.getDigest();
     return new DoorHeartbeatReply(
         settings.address(),
         heartbeat.getSentAt(),
@@ -314,8 +328,27 @@
         feed.id(),
         feed.offset(),
         doors.liveDoors(now),
-        ownership.members(),
-        owners(now));
+        settings.zone(),
+        known ? null : directory);
+  }
+
+  private Directory directory(long now) {
+    List<Member> members = ownership.members();
+    List<String> owners = owners(now);
+    return new Directory(digest(members, owners), members, owners);
+  }
+
+  /** Above 0, which stands for none. */
+  private static long digest(List<Member> members, List<String> owners) {
+    long digest = 1;
+    for (Member member : members) {
+      digest = DIGEST_FACTOR * digest + member.getId().hashCode();
+      digest = DIGEST_FACTOR * digest + member.getAddress().hashCode();
+    }
+    for (String owner : owners) {
+      digest = DIGEST_FACTOR * digest + owner.hashCode();
+    }
+    return Math.max(1, digest & Long.MAX_VALUE);
   }
 
   private List<String> owners(long now) {
--- a/control/src/main/java/nettletrail/control/CoreRegistrySettings.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistrySettings.java
@@ -6,11 +6,13 @@
  * What the core's registry has to be told.
  *
  * @param address this process's address as other core processes and doors dial it
+ * @param zone the zone that this process stands in
  * @param feed the id of this life's feed; above 0 and never used before
  * @param beatMs how often backends call, in milliseconds
  * @param grants the bounds that grants keep
  */
-public record CoreRegistrySettings(String address, long feed, long beatMs, GrantTerms grants) {
+public record CoreRegistrySettings(
+    String address, String zone, long feed, long beatMs, GrantTerms grants) {
   /** Checks the ranges. */
   public CoreRegistrySettings {
     if (feed <= 0 || beatMs <= 0) {
--- a/control/src/main/java/nettletrail/control/RendezvousHash.java
+++ b/control/src/main/java/nettletrail/control/RendezvousHash.java
@@ -1,10 +1,10 @@
-package nettletrail.control.shard;
+package nettletrail.control;
 
 /**
  * A 64-bit hash of a key and a node, for rendezvous hashing: FNV-1a over the node's name, then the
  * finalizer of SplitMix64.
  */
-final class RendezvousHash {
+public final class RendezvousHash {
 
   private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
@@ -17,7 +17,7 @@
   private RendezvousHash() {}
 
   /** The weight of a node for a key; the node with the highest stands first. */
-  static long weight(int key, String node) {
+  public static long weight(int key, String node) {
     long hash = FNV_OFFSET_BASIS ^ key;
     for (int index = 0; index < node.length(); index++) {
       hash ^= node.charAt(index);
--- a/control/src/main/java/nettletrail/control/door/ConfigurationGate.java
+++ b/control/src/main/java/nettletrail/control/door/ConfigurationGate.java
@@ -1,11 +1,10 @@
 package nettletrail.control.door;
 
 import java.util.Optional;
-import nettletrail.protocol.ConfigurationPush;
 import nettletrail.protocol.DoorHeartbeatReply;
 
 /**
- * Which of the configurations that core processes pushed is in force at this door. The newest one
+ * Which of the configurations that core processes sent is in force at this door. The newest one
  * counts, whoever sent it, for the whole life of the process.
  *
  * <p>The first one of a life is put in force only once a majority of the core has confirmed, a
@@ -35,37 +34,60 @@
   private long heldSequence;
   private long inForceSequence;
   private long dueFrom = Long.MIN_VALUE;
-  private ConfigurationPush waiting;
+  private long heldEdition;
+  private HeldConfiguration waiting;
 
   /** {@code keys} is told what is held. */
   ConfigurationGate(KeyLease keys) {
     this.keys = keys;
   }
 
-  /** A core process pushed a configuration; one that is not newer than the held one is left. */
-  void pushed(ConfigurationPush push) {
-    if (push.getSequence() > heldSequence) {
-      heldSequence = push.getSequence();
-      waiting = push;
+  /** A configuration came whole; one that is not newer than the held one is left. */
+  void received(HeldConfiguration configuration) {
+    if (configuration.sequence() > heldSequence) {
+      heldSequence = configuration.sequence();
+      heldEdition = configuration.edition();
+      waiting = configuration;
       if (inForceSequence == 0) {
         keys.holds(heldSequence);
       }
     }
   }
 
+  /**
+   * A newer sequence has the document of this edition. If that is the one held last, the door holds
+   * the newer sequence too; otherwise this is left.
+   */
+  void renumbered(long sequence, long edition) {
+    boolean same = heldSequence != 0 && edition == heldEdition;
+    if (!same || sequence <= heldSequence) {
+      return;
+    }
+    heldSequence = sequence;
+    if (waiting != null) {
+      waiting = new HeldConfiguration(sequence, edition, waiting.document());
+    }
+    if (inForceSequence == 0) {
+      keys.holds(heldSequence);
+    } else if (waiting == null) {
+      inForceSequence = sequence;
+      keys.holds(inForceSequence);
+    }
+  }
+
   /** A core process told when a majority was last asked. */
   void confirmed(DoorHeartbeatReply reply) {
     keys.confirmed(reply);
   }
 
   /** The configuration that comes into force now, if there is one. */
-  Optional<ConfigurationPush> takeDue(long now) {
+  Optional<HeldConfiguration> takeDue(long now) {
     if (waiting == null || !isDue(now)) {
       return Optional.empty();
     }
-    ConfigurationPush taken = waiting;
+    HeldConfiguration taken = waiting;
     waiting = null;
-    inForceSequence = taken.getSequence();
+    inForceSequence = taken.sequence();
     keys.holds(inForceSequence);
     return Optional.of(taken);
   }
@@ -85,7 +107,7 @@
     return waiting != null && inForceSequence == 0;
   }
 
-  /** The newest sequence that was pushed, 0 for none. */
+  /** The newest sequence that is held whole, 0 for none. */
   long heldSequence() {
     return heldSequence;
   }
--- a/control/src/main/java/nettletrail/control/door/CoreLink.java
+++ b/control/src/main/java/nettletrail/control/door/CoreLink.java
@@ -1,5 +1,10 @@
 package nettletrail.control.door;
 
+import java.util.List;
+import nettletrail.protocol.Directory;
+import nettletrail.protocol.DoorHeartbeatReply;
+import nettletrail.protocol.Member;
+
 /** What the door knows of one core process that it dials. Times are steady nanoseconds. */
 final class CoreLink {
   private final String address;
@@ -13,6 +18,10 @@
   private long feed;
   private long offset;
   private int doors;
+  private String zone = "";
+  private long configurationSequence;
+  private long directoryDigest;
+  private List<String> directoryMembers = List.of();
 
   CoreLink(String address, long now) {
     this.address = address;
@@ -32,6 +41,7 @@
     up = true;
     changedAt = now;
     greeted = false;
+    replied = false;
   }
 
   void linkDown(long now) {
@@ -58,10 +68,43 @@
     return true;
   }
 
-  void replied(int doorsSeen, long now) {
+  /** The next heartbeat is due at once. */
+  void hurryHeartbeat() {
+    greeted = false;
+  }
+
+  void replied(DoorHeartbeatReply reply, long now) {
     replied = true;
     repliedAt = now;
-    doors = doorsSeen;
+    doors = reply.getDoors();
+    zone = reply.getZone();
+    configurationSequence = Math.max(configurationSequence, reply.getConfigurationSequence());
+  }
+
+  /** The core process told another directory. */
+  void told(Directory directory) {
+    directoryDigest = directory.getDigest();
+    directoryMembers = directory.getCore().stream().map(Member::getAddress).toList();
+  }
+
+  /** The addresses of all core processes that this one knows. */
+  List<String> directoryMembers() {
+    return directoryMembers;
+  }
+
+  /** The zone that the core process stands in, empty while it isn't known. */
+  String zone() {
+    return zone;
+  }
+
+  /** The newest configuration that the core process named, 0 for none. */
+  long configurationSequence() {
+    return configurationSequence;
+  }
+
+  /** The digest of the directory that it told last, 0 for none. */
+  long directoryDigest() {
+    return directoryDigest;
   }
 
   boolean repliedWithin(long nanos, long now) {
--- a/control/src/main/java/nettletrail/control/door/DoorAction.java
+++ b/control/src/main/java/nettletrail/control/door/DoorAction.java
@@ -14,7 +14,9 @@
   /** Send a message to a core process; lost silently when there is no link to it. */
   record SendToCore(String address, SpecificRecord message) implements DoorAction {}
 
-  /** A newer configuration is in force. The document is the operator's, to be read only. */
+  /**
+   * A newer configuration is in force. The document is as it is stored and sent, to be read only.
+   */
   record ConfigurationChanged(long sequence, long edition, ByteBuffer document)
       implements DoorAction {}
 
--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -10,14 +10,14 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import nettletrail.protocol.Backend;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfigurationChunk;
+import nettletrail.protocol.Directory;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.DoorHeartbeatReply;
 import nettletrail.protocol.FeedAck;
 import nettletrail.protocol.FeedEvents;
 import nettletrail.protocol.FeedSnapshot;
 import nettletrail.protocol.GrantReply;
-import nettletrail.protocol.Member;
 import nettletrail.protocol.RegistryUpdate;
 import org.apache.avro.specific.SpecificRecord;
 
@@ -30,11 +30,21 @@
  */
 public final class DoorControl {
   private static final long MILLIS = 1_000_000L;
+
+  /** To the core process that sends configurations: it confirms them too. */
   private static final long HEARTBEAT_EVERY = 400 * MILLIS;
 
+  /** To all others, which only have to know that the door lives, and who may know more. */
+  private static final long HEARTBEAT_TO_OTHERS = 1_000 * MILLIS;
+
   /** While the door waits for an owner to be known, or for its configuration to be confirmed. */
   private static final long HEARTBEAT_WHEN_WAITING = 100 * MILLIS;
 
+  private static final long HEARTBEAT_TO_OTHERS_WHEN_WAITING = 300 * MILLIS;
+
+  /** For clocks that run unlike each other, and for a request that is let in and isn't sent yet. */
+  private static final long IN_FORCE_MARGIN = 150 * MILLIS;
+
   private static final long UNDIAL_AFTER = 30_000 * MILLIS;
   private static final long REACHABLE = 2_000 * MILLIS;
   private static final long HAND_OVER_ENDS_EVERY = 500 * MILLIS;
@@ -49,6 +59,7 @@
   private final DoorCount doorCount = new DoorCount();
   private final KeyLease keys;
   private final ConfigurationGate configuration;
+  private final ConfigurationFollower follower;
   private final GrantClient grants;
   private Set<String> seeds;
   private long lastTick;
@@ -60,6 +71,7 @@
     this.settings = settings;
     this.keys = new KeyLease(settings.revokeMs());
     this.configuration = new ConfigurationGate(keys);
+    this.follower = new ConfigurationFollower(settings.door(), settings.zone(), configuration);
     this.grants = new GrantClient(settings.door(), settings.life(), new Owners());
     this.seeds = new HashSet<>(settings.seeds());
     this.lastTick = now;
@@ -91,7 +103,8 @@
       link.linkDown(now);
       backends.unlinked(address);
     }
-    return List.of();
+    follower.chooseSource(links.values(), now);
+    return poll(now);
   }
 
   /** A message of a core process; those that don't concern the door are ignored. */
@@ -103,8 +116,10 @@
     }
     if (message instanceof DoorHeartbeatReply reply) {
       heartbeatReply(link, reply, actions, now);
-    } else if (message instanceof ConfigurationPush push) {
-      configuration.pushed(push);
+    } else if (message instanceof ConfigurationChunk chunk) {
+      follower
+          .received(chunk, links.values(), now)
+          .ifPresent(fetch -> actions.add(new DoorAction.SendToCore(address, fetch)));
       putConfigurationInForce(actions, now);
     } else if (message instanceof FeedSnapshot snapshot) {
       snapshot(link, snapshot, actions, now);
@@ -125,18 +140,22 @@
     backends.tick(now);
     doorCount.tick(links.values(), now);
     handOverEnds(actions, now);
+    follower.chooseSource(links.values(), now);
+    follower.fetchMissing(links.values(), now).ifPresent(actions::add);
     putConfigurationInForce(actions, now);
     actions.addAll(poll(now));
     return actions;
   }
 
-  /** What is due outside of the ticks: to be called after a request found too few quota tokens. */
+  /**
+   * What is due outside of the ticks: to be called after a request found too few quota tokens, and
+   * when {@link #nextPoll} says so.
+   */
   public List<DoorAction> poll(long now) {
     List<DoorAction> actions = new ArrayList<>();
     boolean waits = grants.ownerMissing() || configuration.awaitsConfirmation();
-    long heartbeatEvery = waits ? HEARTBEAT_WHEN_WAITING : HEARTBEAT_EVERY;
     for (CoreLink link : links.values()) {
-      if (link.heartbeatDue(heartbeatEvery, now)) {
+      if (link.heartbeatDue(heartbeatPeriod(link, waits), now)) {
         actions.add(new DoorAction.SendToCore(link.address(), heartbeat(link, now)));
       }
     }
@@ -147,6 +166,20 @@
     return actions;
   }
 
+  /** How many nanoseconds after the last poll the next one is due, if that is before a tick. */
+  public OptionalLong nextPoll() {
+    return grants.asksSoon()
+        ? OptionalLong.of(GrantClient.ASK_AGAIN_WHEN_SHORT)
+        : OptionalLong.empty();
+  }
+
+  private long heartbeatPeriod(CoreLink link, boolean waits) {
+    if (follower.isSource(link)) {
+      return waits ? HEARTBEAT_WHEN_WAITING : HEARTBEAT_EVERY;
+    }
+    return waits ? HEARTBEAT_TO_OTHERS_WHEN_WAITING : HEARTBEAT_TO_OTHERS;
+  }
+
   /**
    * A configuration that {@link DoorAction.ConfigurationChanged} told is in force since now.
    *
@@ -175,6 +208,18 @@
     return until.isPresent() && now - until.getAsLong() < 0;
   }
 
+  /**
+   * Whether requests may be routed by the configuration in force. Not so when a newer one is known
+   * to be committed and may have been acknowledged for as long as the time within which it has to
+   * be in force. What is newer was acknowledged after the last instant at which a majority
+   * confirmed the one in force; so this holds whenever the newer one comes, and however late.
+   */
+  public boolean routingIsCurrent(long now) {
+    boolean newest = follower.newest() <= configuration.inForceSequence();
+    long span = settings.inForceMs() * MILLIS - IN_FORCE_MARGIN;
+    return newest || keys.confirmedWithin(span, now);
+  }
+
   /**
    * The backends of a service that aren't gone, ready and closing ones; the list isn't changed
    * later.
@@ -215,21 +260,33 @@
         configuration.heldSequence(),
         link.feed(),
         link.offset(),
-        draining);
+        draining,
+        follower.isSource(link),
+        link.directoryDigest());
   }
 
   private void heartbeatReply(
       CoreLink link, DoorHeartbeatReply reply, List<DoorAction> actions, long now) {
-    link.replied(reply.getDoors(), now);
+    link.replied(reply, now);
+    follower.named(reply.getConfigurationSequence(), now);
     configuration.confirmed(reply);
     putConfigurationInForce(actions, now);
-    owners.told(link.address(), reply.getOwners(), now);
+    directory(link, reply.getDirectory(), now);
     doorCount.tick(links.values(), now);
     if (reply.getFeed() == link.feed() && reply.getFeedOffset() == link.offset()) {
       backends.linked(link.address(), now);
     }
-    List<String> members = reply.getCore().stream().map(Member::getAddress).toList();
-    actions.addAll(dialNew(members, now));
+    actions.addAll(dialNew(link.directoryMembers(), now));
+  }
+
+  /** {@code directory}: null where it is the one that this core process told before. */
+  private void directory(CoreLink link, Directory directory, long now) {
+    if (directory == null) {
+      owners.confirmed(link.address(), now);
+    } else {
+      owners.told(link.address(), directory.getOwners(), now);
+      link.told(directory);
+    }
   }
 
   private void putConfigurationInForce(List<DoorAction> actions, long now) {
@@ -239,9 +296,7 @@
             due ->
                 actions.add(
                     new DoorAction.ConfigurationChanged(
-                        due.getSequence(),
-                        due.getEdition(),
-                        due.getDocument().asReadOnlyBuffer())));
+                        due.sequence(), due.edition(), due.document())));
   }
 
   private void snapshot(CoreLink link, FeedSnapshot snapshot, List<DoorAction> actions, long now) {
--- a/control/src/main/java/nettletrail/control/door/GrantClient.java
+++ b/control/src/main/java/nettletrail/control/door/GrantClient.java
@@ -30,7 +30,7 @@
 public final class GrantClient {
   private static final long MILLIS = 1_000_000L;
   private static final long ASK_EVERY = 250 * MILLIS;
-  private static final long ASK_AGAIN_WHEN_SHORT = 30 * MILLIS;
+  static final long ASK_AGAIN_WHEN_SHORT = 30 * MILLIS;
   private static final long ASK_AGAIN_WHEN_LOW = 100 * MILLIS;
   private static final int ASKS_A_VALIDITY = 3;
   private static final long GIVE_UP = 300 * MILLIS;
@@ -44,6 +44,7 @@
   private Map<String, QuotaLimit> limits = Map.of();
   private long lastRequest;
   private boolean ownerMissing;
+  private boolean asksSoon;
 
   /** Finds the owner of a shard among the core processes that can be reached. */
   interface OwnerLookup {
@@ -135,6 +136,7 @@
   /** Requests that are due. */
   List<DoorAction> poll(long now) {
     ownerMissing = false;
+    asksSoon = false;
     List<DoorAction> actions = new ArrayList<>();
     Map<Integer, List<TenantTokens>> active = new HashMap<>();
     tenants.forEach(
@@ -147,6 +149,11 @@
     return actions;
   }
 
+  /** Whether the last poll found a tenant that is short, for which an owner is asked again soon. */
+  boolean asksSoon() {
+    return asksSoon;
+  }
+
   /** Whether the last poll had a request for an owner that isn't known. */
   boolean ownerMissing() {
     return ownerMissing;
@@ -187,6 +194,7 @@
 
   private Optional<DoorAction> ask(int number, List<TenantTokens> active, long now) {
     ShardState shard = shards.computeIfAbsent(number, unseen -> new ShardState());
+    asksSoon |= active.stream().anyMatch(held -> pause(held, now) <= ASK_AGAIN_WHEN_SHORT);
     if (!due(shard, active, now)) {
       return Optional.empty();
     }
--- a/control/src/main/java/nettletrail/control/door/OwnerDirectory.java
+++ b/control/src/main/java/nettletrail/control/door/OwnerDirectory.java
@@ -25,6 +25,11 @@
     statements.put(core, new Statement(owners, now));
   }
 
+  /** A core process told that what it said last still holds. */
+  void confirmed(String core, long now) {
+    statements.computeIfPresent(core, (name, said) -> new Statement(said.owners(), now));
+  }
+
   /** An address that was asked doesn't own the shard. */
   void denied(int shard, String address, long now) {
     denials.put(new Key(shard, address), now);
--- a/control/src/main/java/nettletrail/control/registry/DoorSession.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -12,7 +12,7 @@
   /** How long a door counts as live after its last heartbeat. */
   static final long LEASE = 3_000 * MILLIS;
 
-  /** After so long without an acknowledgement, what was pushed is pushed again. */
+  /** After so long without an acknowledgement, events that were pushed are pushed again. */
   private static final long PUSH_AGAIN = 600 * MILLIS;
 
   private final String door;
@@ -21,9 +21,9 @@
   private boolean linkUp;
   private boolean greeted;
   private long leaseUntil;
+  private boolean configurationSource;
   private long configurationSequence;
   private long pushedSequence;
-  private long configurationPushedAt;
   private long feed;
   private long acknowledgedOffset;
   private long sentOffset;
@@ -42,6 +42,7 @@
   void linkUp() {
     linkUp = true;
     greeted = false;
+    configurationSource = false;
     pushedSequence = 0;
     acknowledgedOffset = 0;
   }
@@ -58,6 +59,7 @@
     draining = heartbeat.getDraining();
     leaseUntil = now + LEASE;
     configurationSequence = heartbeat.getConfigurationSequence();
+    configurationSource = heartbeat.getConfigurationSource();
     boolean anew = !greeted || heartbeat.getFeed() != feed;
     boolean stuck =
         heartbeat.getFeedOffset() < sentOffset
@@ -107,18 +109,22 @@
   }
 
   /**
-   * Whether the door should be sent the configuration with this sequence now. One is on its way to
-   * a door at a time: of many in quick succession those between are skipped, since each is whole.
+   * Whether the door should be sent the configuration with this sequence without being asked: this
+   * process is its source, and none is on its way to it. Of many in quick succession those between
+   * are skipped, since each is whole. Nothing is sent again: a door that misses something asks.
    */
-  boolean needsConfiguration(long sequence, long now) {
-    boolean unread = configurationSequence < pushedSequence;
-    boolean onItsWay = unread && now - configurationPushedAt <= PUSH_AGAIN;
-    return ready() && configurationSequence < sequence && !onItsWay;
+  boolean needsConfiguration(long sequence) {
+    boolean onItsWay = configurationSequence < pushedSequence;
+    return ready() && configurationSource && configurationSequence < sequence && !onItsWay;
   }
 
-  void configurationPushed(long sequence, long now) {
+  void configurationPushed(long sequence) {
     pushedSequence = sequence;
-    configurationPushedAt = now;
+  }
+
+  /** The newest configuration that the door held at its last heartbeat. */
+  long configurationSequence() {
+    return configurationSequence;
   }
 
   long feed() {
--- a/control/src/main/java/nettletrail/control/registry/DoorSessions.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -5,7 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfigurationChunk;
+import nettletrail.protocol.ConfigurationFetch;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.FeedAck;
 
@@ -20,7 +21,7 @@
   private final Feed feed;
   private final BackendRegistry registry;
   private final long leasesKnownFrom;
-  private ConfigurationPush configuration;
+  private final ConfigurationSender configurations = new ConfigurationSender();
 
   /**
    * Pushes from this feed, and snapshots from this registry. Leases that doors got from this
@@ -57,9 +58,20 @@
     }
   }
 
-  /** A newer configuration is committed. */
-  public void configuration(long sequence, long edition, byte[] document) {
-    configuration = new ConfigurationPush(sequence, edition, ByteBuffer.wrap(document));
+  /** A newer configuration is committed. {@code document}: as it is stored; not to be changed. */
+  public void configuration(long sequence, long edition, ByteBuffer document) {
+    configurations.committed(sequence, edition, document);
+  }
+
+  /** A door asks for a piece of a configuration; it gets nothing while none is known. */
+  public List<RegistryAction> fetched(String door, ConfigurationFetch fetch, long now) {
+    if (configurations.sequence() == 0) {
+      return List.of();
+    }
+    DoorSession session = session(door, now);
+    ConfigurationChunk answer = configurations.answer(fetch, session.configurationSequence());
+    session.configurationPushed(answer.getSequence());
+    return List.of(new RegistryAction.SendToDoor(door, answer));
   }
 
   /** What doors lack and weren't sent yet. */
@@ -68,7 +80,7 @@
     sessions.values().removeIf(session -> session.silentFor(FORGET_AFTER, now));
     for (DoorSession session : sessions.values()) {
       if (session.ready()) {
-        pushConfiguration(session, actions, now);
+        pushConfiguration(session, actions);
         pushFeed(session, actions, now);
       }
     }
@@ -128,10 +140,12 @@
     return any;
   }
 
-  private void pushConfiguration(DoorSession session, List<RegistryAction> actions, long now) {
-    if (configuration != null && session.needsConfiguration(configuration.getSequence(), now)) {
-      session.configurationPushed(configuration.getSequence(), now);
-      actions.add(new RegistryAction.SendToDoor(session.door(), configuration));
+  private void pushConfiguration(DoorSession session, List<RegistryAction> actions) {
+    if (session.needsConfiguration(configurations.sequence())) {
+      session.configurationPushed(configurations.sequence());
+      actions.add(
+          new RegistryAction.SendToDoor(
+              session.door(), configurations.first(session.configurationSequence())));
     }
   }
 
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationRegister.java
@@ -104,7 +104,8 @@
       return OrderReplies.refused(
           order.getCall(), OrderReplies.NOT_FOUND, 0, "there is no configuration yet");
     }
-    return OrderReplies.document(order.getCall(), state.edition(), state.document());
+    return OrderReplies.document(
+        order.getCall(), state.edition(), ByteBuffer.wrap(state.documentBytes()));
   }
 
   /**
--- a/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfigurationState.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import nettletrail.configuration.CompressedDocument;
+import nettletrail.configuration.ConfigurationException;
 import nettletrail.protocol.ConfigurationChange;
 import nettletrail.protocol.ConfigurationValue;
 import org.apache.avro.io.BinaryEncoder;
@@ -14,19 +16,22 @@
 
 /**
  * A value of the configuration shard: the document in force and the orders that led to it.
- * Immutable.
+ * Immutable to its callers; the document's text is restored when it is first asked for. One thread.
  */
 final class ConfigurationState {
 
   static final ConfigurationState EMPTY =
-      new ConfigurationState(new ConfigurationValue(0L, ByteBuffer.allocate(0), List.of()));
+      new ConfigurationState(
+          new ConfigurationValue(0L, ByteBuffer.allocate(0), List.of()), new byte[0]);
 
   private final ConfigurationValue value;
   private final OrderHistory history;
+  private byte[] text;
 
-  private ConfigurationState(ConfigurationValue value) {
+  private ConfigurationState(ConfigurationValue value, byte[] text) {
     this.value = value;
     this.history = new OrderHistory(value.getChanges());
+    this.text = text;
   }
 
   /** Decodes the value of a version; an empty one is {@link #EMPTY}. */
@@ -39,7 +44,8 @@
     try {
       return new ConfigurationState(
           new SpecificDatumReader<>(ConfigurationValue.class)
-              .read(null, DecoderFactory.get().binaryDecoder(bytes, null)));
+              .read(null, DecoderFactory.get().binaryDecoder(bytes, null)),
+          null);
     } catch (IOException malformed) {
       throw new IllegalStateException("configuration shard holds a malformed value", malformed);
     }
@@ -61,16 +67,25 @@
     return value.getEdition();
   }
 
-  /** The document's JSON; empty at edition 0. */
-  ByteBuffer document() {
+  /** The document as it is stored and sent, see {@link CompressedDocument}. */
+  ByteBuffer storedDocument() {
     return value.getDocument().duplicate();
   }
 
+  /** The document's JSON; empty at edition 0. Not to be changed. */
   byte[] documentBytes() {
-    ByteBuffer document = document();
-    byte[] bytes = new byte[document.remaining()];
-    document.get(bytes);
-    return bytes;
+    if (text == null) {
+      text = restoredText();
+    }
+    return text;
+  }
+
+  private byte[] restoredText() {
+    try {
+      return CompressedDocument.decompress(storedDocument());
+    } catch (ConfigurationException damaged) {
+      throw new IllegalStateException("configuration shard holds a damaged document", damaged);
+    }
   }
 
   /** The orders that were taken and are remembered. */
@@ -81,7 +96,8 @@
   /** The state after a document was taken. */
   ConfigurationState after(ConfigurationRules.CheckedDocument document, ByteBuffer digest) {
     List<ConfigurationChange> changes = history.with(document.edition(), digest).orders();
+    ByteBuffer stored = ByteBuffer.wrap(CompressedDocument.compress(document.json()));
     return new ConfigurationState(
-        new ConfigurationValue(document.edition(), ByteBuffer.wrap(document.json()), changes));
+        new ConfigurationValue(document.edition(), stored, changes), document.json());
   }
 }
--- a/control/src/main/java/nettletrail/control/shard/CoreAction.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreAction.java
@@ -1,5 +1,6 @@
 package nettletrail.control.shard;
 
+import java.nio.ByteBuffer;
 import nettletrail.protocol.Ballot;
 import nettletrail.protocol.ShardVersion;
 import org.apache.avro.specific.SpecificRecord;
@@ -52,7 +53,11 @@
   /**
    * A newer configuration is known to be committed; the sequence grows for the whole life of the
    * process.
+   *
+   * @param document the JSON text; not to be changed
+   * @param storedDocument the same as it is stored and sent to doors; to be read only
    */
-  record CommittedConfiguration(long sequence, long edition, byte[] document)
+  record CommittedConfiguration(
+      long sequence, long edition, byte[] document, ByteBuffer storedDocument)
       implements CoreAction {}
 }
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -404,7 +404,7 @@
     if (state.edition() > 0) {
       outbox.add(
           new CoreAction.CommittedConfiguration(
-              announcedSequence, state.edition(), state.documentBytes()));
+              announcedSequence, state.edition(), state.documentBytes(), state.storedDocument()));
     }
   }
 }
--- a/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
+++ b/control/src/main/java/nettletrail/control/shard/ReplicaGroup.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.ToLongFunction;
+import nettletrail.control.RendezvousHash;
 import nettletrail.protocol.Member;
 
 /** The replicas that decide about a version of a shard. Immutable. */
--- a/control/src/test/java/nettletrail/control/ControlFleet.java
+++ b/control/src/test/java/nettletrail/control/ControlFleet.java
@@ -1,5 +1,6 @@
 package nettletrail.control;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,6 +29,7 @@
 final class ControlFleet extends VirtualClock {
   static final long BEAT_MS = 1_200;
   static final long REVOKE_MS = 5_000;
+  static final long IN_FORCE_MS = 2_000;
   static final GrantTerms TERMS = new GrantTerms(8, 0.1, 190_000, GrantTerms.USUAL_VALID_MS);
   private static final long TICK = 50 * MILLIS;
   private final GrantTerms terms;
@@ -65,7 +67,8 @@
       running = true;
       life = lives.next();
       registry =
-          new CoreRegistry(new CoreRegistrySettings(address, life, BEAT_MS, terms), this, now);
+          new CoreRegistry(
+              new CoreRegistrySettings(address, "zone", life, BEAT_MS, terms), this, now);
       schedule(random.nextInt(50) * MILLIS, () -> tick(life));
     }
 
@@ -125,6 +128,7 @@
     long life;
     boolean running = true;
     Runnable afterMessage = () -> {};
+    private boolean pollScheduled;
 
     Door(String name) {
       this.name = name;
@@ -138,7 +142,12 @@
       control =
           new DoorControl(
               new DoorControlSettings(
-                  name, "zone", life, REVOKE_MS, List.of(cores.keySet().iterator().next())),
+                  name,
+                  "zone",
+                  life,
+                  REVOKE_MS,
+                  IN_FORCE_MS,
+                  List.of(cores.keySet().iterator().next())),
               now);
       control.grants().limits(currentLimits);
       schedule(random.nextInt(50) * MILLIS, () -> tick(life));
@@ -158,9 +167,29 @@
       boolean taken = control.grants().take(tenant, tokens, now);
       if (!taken) {
         perform(this, control.poll(now));
+        schedulePoll();
       }
       return taken;
     }
+
+    /** Asks again before the next tick where that is due. */
+    void schedulePoll() {
+      OptionalLong delay = control.nextPoll();
+      if (delay.isEmpty() || pollScheduled) {
+        return;
+      }
+      pollScheduled = true;
+      long ofLife = life;
+      ControlFleet.this.schedule(
+          delay.getAsLong(),
+          () -> {
+            pollScheduled = false;
+            if (running && life == ofLife) {
+              perform(this, control.poll(now));
+              schedulePoll();
+            }
+          });
+    }
   }
 
   final Map<Integer, String> owners = new TreeMap<>();
@@ -222,7 +251,8 @@
       core.confirming = true;
       perform(
           core,
-          core.registry.configuration(configuration, configuration, new byte[] {1}, limits, now));
+          core.registry.configuration(
+              configuration, configuration, ByteBuffer.wrap(new byte[] {1}), limits, now));
     }
     currentLimits = limits;
     for (Door door : doors.values()) {
@@ -405,6 +435,7 @@
     if (cores.get(to) == null) {
       perform(doors.get(to), doors.get(to).control.received(from, message, now));
       doors.get(to).afterMessage.run();
+      doors.get(to).schedulePoll();
     } else if (cores.get(from) != null) {
       perform(cores.get(to), cores.get(to).registry.receiveFromCore(from, message, now));
     } else {
--- a/control/src/test/java/nettletrail/control/QuotaStoriesTest.java
+++ b/control/src/test/java/nettletrail/control/QuotaStoriesTest.java
@@ -123,7 +123,7 @@
   void givenSomeVeryLargeRequestsInCalmTrafficWhenTheyComeThenHardlyAnyRequestWaitsLong() {
     long requests = 0;
     long waitedLong = 0;
-    for (int seed = 1; seed <= 12; seed++) {
+    for (int seed = 1; seed <= 60; seed++) {
       ControlFleet fleet = new ControlFleet(3, 6, seed);
       fleet.commit(1, Map.of(TENANT, LIMIT));
       fleet.run(5_000);
--- a/control/src/test/java/nettletrail/control/StatusViewsTest.java
+++ b/control/src/test/java/nettletrail/control/StatusViewsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -70,12 +71,12 @@
   @BeforeEach
   void start() {
     GrantTerms terms = new GrantTerms(8, 0.1, 1_000, GrantTerms.USUAL_VALID_MS);
-    CoreRegistrySettings settings = new CoreRegistrySettings(ADDRESS, 1, BEAT_MS, terms);
+    CoreRegistrySettings settings = new CoreRegistrySettings(ADDRESS, "a", 1, BEAT_MS, terms);
     registry = new CoreRegistry(settings, new OnlyCore(), START);
   }
 
   private static DoorHeartbeat heartbeat() {
-    return new DoorHeartbeat("door-1", "a", 7L, START, 4L, 0L, 0L, true);
+    return new DoorHeartbeat("door-1", "a", 7L, START, 4L, 0L, 0L, true, true, 0L);
   }
 
   @Test
@@ -104,7 +105,7 @@
   void quotaIsShownForTenantsOfTheConfiguration() {
     Map<String, QuotaLimit> limits = Map.of("north", new QuotaLimit(100, 50));
     registry.tick(START);
-    registry.configuration(1, 1, new byte[0], limits, START);
+    registry.configuration(1, 1, ByteBuffer.allocate(0), limits, START);
     QuotaStatus quota = registry.quotaStatus("north", START + MILLIS).orElseThrow();
     assertEquals(new QuotaLimit(100, 50), quota.limit());
     assertEquals(0, quota.outstanding());
--- /dev/null
+++ b/control/src/test/java/nettletrail/control/TestMessages.java
@@ -0,0 +1,69 @@
+package nettletrail.control;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import nettletrail.protocol.ConfigurationChunk;
+import nettletrail.protocol.Directory;
+import nettletrail.protocol.DoorHeartbeat;
+import nettletrail.protocol.DoorHeartbeatReply;
+
+/** Messages between doors and core processes, as tests need them. */
+public final class TestMessages {
+  /** The zone of every core process that replies. */
+  public static final String ZONE = "zone";
+
+  private TestMessages() {}
+
+  /** A whole configuration in one piece; its edition is its sequence. */
+  public static ConfigurationChunk configuration(long sequence) {
+    return piece(sequence, 1, 0, new byte[] {1});
+  }
+
+  /** A piece of a configuration of so many bytes; its edition is its sequence. */
+  public static ConfigurationChunk piece(long sequence, int size, int offset, byte[] content) {
+    return new ConfigurationChunk(sequence, sequence, size, offset, ByteBuffer.wrap(content));
+  }
+
+  /** Only the sequence is new: the document is that of this edition. */
+  public static ConfigurationChunk renumbered(long sequence, long edition) {
+    return new ConfigurationChunk(sequence, edition, 0, 0, ByteBuffer.allocate(0));
+  }
+
+  /**
+   * A reply without a directory.
+   *
+   * @param sentAt when the door sent the heartbeat, on its clock
+   * @param ageMs how long before that a majority confirmed the sequence
+   */
+  public static DoorHeartbeatReply reply(String core, long sentAt, long ageMs, long sequence) {
+    return reply(core, ZONE, sentAt, ageMs, sequence);
+  }
+
+  /** As the other one, from a zone. */
+  public static DoorHeartbeatReply reply(
+      String core, String zone, long sentAt, long ageMs, long sequence) {
+    return new DoorHeartbeatReply(core, sentAt, true, ageMs, sequence, 1L, 0L, 1, zone, null);
+  }
+
+  /** A reply that confirms nothing. */
+  public static DoorHeartbeatReply unconfirmed(
+      String core, String zone, long sentAt, long sequence) {
+    return new DoorHeartbeatReply(core, sentAt, false, 0L, sequence, 1L, 0L, 1, zone, null);
+  }
+
+  /** A directory with these members' addresses and these owners. */
+  public static Directory directory(long digest, List<String> addresses, List<String> owners) {
+    return new Directory(
+        digest,
+        addresses.stream()
+            .map(address -> new nettletrail.protocol.Member(address + "#0", address))
+            .toList(),
+        owners);
+  }
+
+  /** A heartbeat of a door that has read no feed. */
+  public static DoorHeartbeat heartbeat(
+      String door, long sentAt, long heldSequence, boolean source) {
+    return new DoorHeartbeat(door, ZONE, 1L, sentAt, heldSequence, 0L, 0L, false, source, 0L);
+  }
+}
--- a/control/src/test/java/nettletrail/control/door/ConfigurationSpacingTest.java
+++ b/control/src/test/java/nettletrail/control/door/ConfigurationSpacingTest.java
@@ -5,9 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
-import java.util.List;
 import java.util.Optional;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.control.TestMessages;
 import nettletrail.protocol.DoorHeartbeatReply;
 import org.junit.jupiter.api.Test;
 
@@ -15,6 +14,7 @@
 class ConfigurationSpacingTest {
   private static final long MILLIS = 1_000_000L;
   private static final long REVOKE_MS = 5_000;
+  private static final long IN_FORCE_MS = 2_000;
   private static final long TOOK = 100 * MILLIS;
   private static final long SPACING = 400 * MILLIS;
 
@@ -26,12 +26,12 @@
   void givenOneInForceWhenManyFollowThenOnlyTheNewestComesIntoForceAfterTheSpacing() {
     firstInForce();
     for (long sequence = 2; sequence <= 20; sequence++) {
-      gate.pushed(push(sequence));
+      gate.received(held(sequence));
       now += SPACING / 20;
       assertEquals(Optional.empty(), gate.takeDue(now));
     }
     now += SPACING / 20;
-    assertEquals(20, gate.takeDue(now).orElseThrow().getSequence());
+    assertEquals(20, gate.takeDue(now).orElseThrow().sequence());
     assertEquals(Optional.empty(), gate.takeDue(now));
   }
 
@@ -39,7 +39,7 @@
   void givenACostlyConfigurationWhenAnotherFollowsThenItWaitsNoLongerThanTheBound() {
     firstInForce();
     gate.putInForce(10_000 * MILLIS, now);
-    gate.pushed(push(2));
+    gate.received(held(2));
     assertEquals(Optional.empty(), gate.takeDue(now + 499 * MILLIS));
     assertTrue(gate.takeDue(now + 500 * MILLIS).isPresent());
   }
@@ -48,7 +48,7 @@
   void givenASlowOneLongAgoWhenAnotherComesThenItComesIntoForceAtOnce() {
     firstInForce();
     now += SPACING;
-    gate.pushed(push(2));
+    gate.received(held(2));
     assertTrue(gate.takeDue(now).isPresent());
   }
 
@@ -57,7 +57,7 @@
     firstInForce();
     long before = keys.until().orElseThrow();
     now += SPACING / 2;
-    gate.pushed(push(2));
+    gate.received(held(2));
     gate.confirmed(confirmation(2));
     assertEquals(before, keys.until().orElseThrow());
     now += SPACING / 2;
@@ -68,22 +68,22 @@
   @Test
   void givenAFirstInForceWhenTheNextWaitsThenTheCoreIsNotAskedMoreOftenForIt() {
     firstInForce();
-    gate.pushed(push(2));
+    gate.received(held(2));
     assertFalse(gate.awaitsConfirmation());
   }
 
   private void firstInForce() {
-    gate.pushed(push(1));
+    gate.received(held(1));
     gate.confirmed(confirmation(1));
     assertTrue(gate.takeDue(now).isPresent());
     gate.putInForce(TOOK, now);
   }
 
-  private static ConfigurationPush push(long sequence) {
-    return new ConfigurationPush(sequence, sequence, ByteBuffer.allocate(0));
+  private static HeldConfiguration held(long sequence) {
+    return new HeldConfiguration(sequence, sequence, ByteBuffer.allocate(0));
   }
 
   private DoorHeartbeatReply confirmation(long sequence) {
-    return new DoorHeartbeatReply("core", now, true, 0L, sequence, 1L, 0L, 1, List.of(), List.of());
+    return TestMessages.reply("core", now, 0, sequence);
   }
 }
--- a/control/src/test/java/nettletrail/control/door/DoorControlTest.java
+++ b/control/src/test/java/nettletrail/control/door/DoorControlTest.java
@@ -4,12 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import nettletrail.control.TestMessages;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendState;
-import nettletrail.protocol.ConfigurationPush;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.DoorHeartbeatReply;
 import nettletrail.protocol.FeedAck;
@@ -24,10 +23,12 @@
   private static final String CORE = "core";
   private static final long FEED = 7;
   private static final long REVOKE_MS = 5_000;
+  private static final long IN_FORCE_MS = 2_000;
 
   private long now = 20_000 * MILLIS;
   private final DoorControl control =
-      new DoorControl(new DoorControlSettings("door", "zone", 1, REVOKE_MS, List.of(CORE)), now);
+      new DoorControl(
+          new DoorControlSettings("door", "zone", 1, REVOKE_MS, IN_FORCE_MS, List.of(CORE)), now);
 
   DoorControlTest() {
     control.tick(now);
@@ -56,18 +57,18 @@
 
   @Test
   void givenAConfirmationOfANewerConfigurationThanHeldWhenItComesThenKeysWaitForThatOne() {
-    receive(new ConfigurationPush(3L, 3L, ByteBuffer.wrap(new byte[] {1})));
+    receive(TestMessages.configuration(3L));
     receive(confirmation(5, 0, now));
     assertFalse(control.keysHeld(now));
-    receive(new ConfigurationPush(4L, 4L, ByteBuffer.wrap(new byte[] {1})));
+    receive(TestMessages.configuration(4L));
     assertFalse(control.keysHeld(now));
-    receive(new ConfigurationPush(5L, 5L, ByteBuffer.wrap(new byte[] {1})));
+    receive(TestMessages.configuration(5L));
     assertTrue(control.keysHeld(now));
   }
 
   @Test
   void givenAConfirmationOfANewerConfigurationWhenKeysAreHeldThenItDoesNotExtendThem() {
-    receive(new ConfigurationPush(3L, 3L, ByteBuffer.wrap(new byte[] {1})));
+    receive(TestMessages.configuration(3L));
     receive(confirmation(3, 0, now));
     now += 4_000 * MILLIS;
     receive(confirmation(4, 0, now));
@@ -77,7 +78,7 @@
 
   @Test
   void givenAConfirmationWhenItIsOldThenKeysHoldFromItsInstantOn() {
-    receive(new ConfigurationPush(3L, 3L, ByteBuffer.wrap(new byte[] {1})));
+    receive(TestMessages.configuration(3L));
     long askedAt = now;
     now += 300 * MILLIS;
     receive(confirmation(3, 2_000, askedAt));
@@ -88,8 +89,7 @@
   }
 
   private DoorHeartbeatReply confirmation(long sequence, long ageMs, long askedAt) {
-    return new DoorHeartbeatReply(
-        CORE, askedAt, true, ageMs, sequence, FEED, 0L, 1, List.of(), List.of());
+    return TestMessages.reply(CORE, askedAt, ageMs, sequence);
   }
 
   private static FeedEvents events(long from, long upTo, String... ids) {
--- a/control/src/test/java/nettletrail/control/door/DoorCountTest.java
+++ b/control/src/test/java/nettletrail/control/door/DoorCountTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import nettletrail.protocol.DoorHeartbeatReply;
 import org.junit.jupiter.api.Test;
 
 /** When the count of doors, by which budgets are shared, rises and falls. */
@@ -55,7 +56,8 @@
     if (!link.up()) {
       link.linkUp(now);
     }
-    link.replied(doors, now);
+    link.replied(
+        new DoorHeartbeatReply("core", now, true, 0L, 1L, 1L, 0L, doors, "zone", null), now);
   }
 
   private void passWithTicks() {
--- a/control/src/test/java/nettletrail/control/door/FirstConfigurationTest.java
+++ b/control/src/test/java/nettletrail/control/door/FirstConfigurationTest.java
@@ -2,10 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.control.TestMessages;
+import nettletrail.protocol.ConfigurationChunk;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.DoorHeartbeatReply;
 import org.apache.avro.specific.SpecificRecord;
@@ -17,6 +17,7 @@
   private static final String CUT_CORE = "10.0.0.1:7680";
   private static final String CORE = "10.0.0.2:7680";
   private static final long REVOKE_MS = 60_000;
+  private static final long IN_FORCE_MS = 2_000;
   private static final long OLD = 7;
   private static final long NEW = 9;
   private static final long FRESH_MS = 200;
@@ -26,7 +27,9 @@
   private long now = 5_000 * MILLIS;
   private final DoorControl door =
       new DoorControl(
-          new DoorControlSettings("door", "zone", 1, REVOKE_MS, List.of(CUT_CORE, CORE)), now);
+          new DoorControlSettings(
+              "door", "zone", 1, REVOKE_MS, IN_FORCE_MS, List.of(CUT_CORE, CORE)),
+          now);
 
   FirstConfigurationTest() {
     perform(door.tick(now));
@@ -93,12 +96,21 @@
   }
 
   @Test
-  void givenAnUnconfirmedFirstWhenItWaitsThenTheCoreIsAskedMoreOften() {
-    perform(door.poll(now));
+  void givenAnUnconfirmedFirstWhenItWaitsThenTheSourceIsAskedMoreOftenAndTheOthersToo() {
+    receive(CUT_CORE, confirmation(OLD, STALE_MS));
+    perform(door.tick(now));
     receive(CUT_CORE, push(OLD));
     now += 100 * MILLIS;
-    long asked = door.poll(now).stream().filter(FirstConfigurationTest::isHeartbeat).count();
-    assertEquals(2, asked);
+    assertEquals(List.of(CUT_CORE), askedAt(now));
+    now += 200 * MILLIS;
+    assertEquals(List.of(CUT_CORE, CORE), askedAt(now));
+  }
+
+  private List<String> askedAt(long instant) {
+    return door.poll(instant).stream()
+        .filter(FirstConfigurationTest::isHeartbeat)
+        .map(action -> ((DoorAction.SendToCore) action).address())
+        .toList();
   }
 
   private static boolean isHeartbeat(DoorAction action) {
@@ -117,12 +129,11 @@
     }
   }
 
-  private static ConfigurationPush push(long sequence) {
-    return new ConfigurationPush(sequence, sequence, ByteBuffer.allocate(0));
+  private static ConfigurationChunk push(long sequence) {
+    return TestMessages.configuration(sequence);
   }
 
   private DoorHeartbeatReply confirmation(long sequence, long ageMs) {
-    return new DoorHeartbeatReply(
-        CORE, now, true, ageMs, sequence, 1L, 0L, 1, List.of(), List.of());
+    return TestMessages.reply(CORE, now, ageMs, sequence);
   }
 }
--- a/control/src/test/java/nettletrail/control/door/KeyLeaseTest.java
+++ b/control/src/test/java/nettletrail/control/door/KeyLeaseTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
 import java.util.OptionalLong;
+import nettletrail.control.TestMessages;
 import nettletrail.protocol.DoorHeartbeatReply;
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +13,7 @@
 class KeyLeaseTest {
   private static final long MILLIS = 1_000_000L;
   private static final long REVOKE_MS = 5_000;
+  private static final long IN_FORCE_MS = 2_000;
   private static final long MARGIN_MS = 100;
   private static final long ASKED_AT = 60_000 * MILLIS;
   private static final long SEQUENCE = 7;
@@ -74,7 +75,6 @@
   }
 
   private static DoorHeartbeatReply reply(long sequence, long ageMs) {
-    return new DoorHeartbeatReply(
-        "10.0.0.1:7680", ASKED_AT, true, ageMs, sequence, 1L, 0L, 1, List.of(), List.of());
+    return TestMessages.reply("10.0.0.1:7680", ASKED_AT, ageMs, sequence);
   }
 }
--- a/control/src/test/java/nettletrail/control/shard/CatchUpTest.java
+++ b/control/src/test/java/nettletrail/control/shard/CatchUpTest.java
@@ -5,6 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.SplittableRandom;
+import nettletrail.configuration.CompressedDocument;
 import nettletrail.protocol.PreVote;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +23,17 @@
   /** The time that four documents need on the thin link, and some for the rest. */
   private static final long CATCH_UP_LIMIT = millis(2_500);
 
-  private static final String TEXT = "x".repeat(DOCUMENT_BYTES);
+  /** Of letters that don't repeat, so that the document stays large when it is compressed. */
+  private static final String TEXT = randomText();
+
+  private static final int STORED_BYTES =
+      CompressedDocument.compress(TEXT.getBytes(StandardCharsets.UTF_8)).length;
+
+  private static String randomText() {
+    byte[] bytes = new byte[DOCUMENT_BYTES * 3 / 4];
+    new SplittableRandom(1).nextBytes(bytes);
+    return Base64.getEncoder().encodeToString(bytes);
+  }
 
   /**
    * Changes the configuration at a steady pace, each change at one machine, until it is stopped.
@@ -94,7 +108,7 @@
     limitLinksTo(cluster, thin);
     SteadyChanges changes = new SteadyChanges(cluster, owner, CHANGES);
     changes.run();
-    long oneDocument = DOCUMENT_BYTES * 1_000_000_000L / THIN_LINK_BYTES_PER_SECOND;
+    long oneDocument = STORED_BYTES * 1_000_000_000L / THIN_LINK_BYTES_PER_SECOND;
     long longest = longestQueueTo(cluster, thin);
     assertTrue(longest <= 22 * oneDocument / 10, "waited on the link: " + longest / 1e9 + " s");
     cluster.runFor(CATCH_UP_LIMIT);
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/CompiledConfigurations.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/CompiledConfigurations.java
@@ -38,10 +38,8 @@
     if (known != null) {
       return known;
     }
-    byte[] document = new byte[changed.document().remaining()];
-    changed.document().duplicate().get(document);
     long began = Gauge.cpuNs();
-    Map<String, QuotaLimit> limits = Map.copyOf(CoreNode.limits(document));
+    Map<String, QuotaLimit> limits = Map.copyOf(CoreNode.limits(changed.document()));
     long spent = Gauge.cpuNs() - began;
     byEdition.put(changed.edition(), new Compiled(limits, spent));
     return new Compiled(limits, 0);
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/CoreNode.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/CoreNode.java
@@ -1,5 +1,6 @@
 package nettletrail.emulator.capacity;
 
+import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongConsumer;
+import nettletrail.configuration.CompressedDocument;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
 import nettletrail.configuration.RoutingTable;
@@ -94,7 +96,10 @@
     firstRun = false;
     long feed = Math.abs(life) + 1;
     registry =
-        new CoreRegistry(new CoreRegistrySettings(address, feed, BEAT_MS, TERMS), this, time.now());
+        new CoreRegistry(
+            new CoreRegistrySettings(address, FleetNames.zone(0), feed, BEAT_MS, TERMS),
+            this,
+            time.now());
     process.submit(this::tick);
   }
 
@@ -189,15 +194,20 @@
   }
 
   private void committed(CoreAction.CommittedConfiguration committed) {
-    Map<String, QuotaLimit> limits = limits(committed.document());
+    Map<String, QuotaLimit> limits = limits(committed.storedDocument());
     registryActions(
         registry.configuration(
-            committed.sequence(), committed.edition(), committed.document(), limits, time.now()));
+            committed.sequence(),
+            committed.edition(),
+            committed.storedDocument(),
+            limits,
+            time.now()));
   }
 
-  /** The limits of all tenants that a valid document names. */
-  static Map<String, QuotaLimit> limits(byte[] document) {
+  /** The limits of all tenants that a valid document names, given as it is stored and sent. */
+  static Map<String, QuotaLimit> limits(ByteBuffer storedDocument) {
     try {
+      byte[] document = CompressedDocument.decompress(storedDocument);
       RoutingTable table = RoutingTable.compile(ConfigurationDocument.parse(document));
       Map<String, QuotaLimit> limits = new HashMap<>();
       for (Tenant tenant : table.tenants()) {
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/HollowDoor.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/HollowDoor.java
@@ -14,6 +14,7 @@
 final class HollowDoor implements MeasuredNetwork.Endpoint {
   private static final long TICK = 50 * VirtualTime.MILLISECOND;
   private static final long REVOKE_MS = 5_000;
+  private static final long IN_FORCE_MS = 9_000;
 
   private final VirtualTime time;
   private final MeasuredNetwork network;
@@ -52,7 +53,8 @@
     requests.clear();
     dialled.clear();
     long life = 1 + random.nextLong(Long.MAX_VALUE - 1);
-    DoorControlSettings settings = new DoorControlSettings(name, zone, life, REVOKE_MS, seeds);
+    DoorControlSettings settings =
+        new DoorControlSettings(name, zone, life, REVOKE_MS, IN_FORCE_MS, seeds);
     control = new DoorControl(settings, time.now());
     process.submit(this::tick);
     nextRequest();
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/MessageSizes.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/MessageSizes.java
@@ -52,11 +52,15 @@
     sizes.add(linear("RegistryDigest", "backend", SampleMessages::registryDigest));
     sizes.add(fixed("DoorHeartbeat", SampleMessages.doorHeartbeat(MANY)));
     sizes.add(fixed("DoorHeartbeatReply", SampleMessages.doorHeartbeatReply(MANY)));
+    sizes.add(
+        fixed(
+            "DoorHeartbeatReply with a directory",
+            SampleMessages.doorHeartbeatReplyWithDirectory(MANY)));
     sizes.add(
         linear(
-            "ConfigurationPush",
+            "ConfigurationChunk",
             "tenant",
-            tenants -> SampleMessages.configurationPush(SampleDocument.whole(1_000, tenants))));
+            tenants -> SampleMessages.configurationChunk(SampleDocument.whole(1_000, tenants))));
     sizes.add(linear("FeedSnapshot", "backend", SampleMessages::feedSnapshot));
     sizes.add(linear("FeedEvents", "backend", SampleMessages::feedEvents));
     sizes.add(fixed("FeedAck", SampleMessages.feedAck(MANY)));
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/SampleMessages.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/SampleMessages.java
@@ -4,15 +4,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import nettletrail.configuration.CompressedDocument;
 import nettletrail.protocol.Accept;
 import nettletrail.protocol.AcceptReply;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendFreshness;
 import nettletrail.protocol.BackendState;
 import nettletrail.protocol.Ballot;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfigurationChunk;
 import nettletrail.protocol.ConfirmQuery;
 import nettletrail.protocol.ConfirmReply;
+import nettletrail.protocol.Directory;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.DoorHeartbeatReply;
 import nettletrail.protocol.FeedAck;
@@ -140,14 +142,30 @@
         COUNT,
         STEADY_CLOCK_NS,
         COUNT,
-        false);
+        false,
+        true,
+        STEADY_CLOCK_NS);
   }
 
+  /** The reply to a door that has the directory. */
   static DoorHeartbeatReply doorHeartbeatReply(int doors) {
+    return doorHeartbeatReply(doors, null);
+  }
+
+  /** The reply to a door that hasn't got the directory, or an older one. */
+  static DoorHeartbeatReply doorHeartbeatReplyWithDirectory(int doors) {
+    return doorHeartbeatReply(doors, directory());
+  }
+
+  private static Directory directory() {
     List<String> owners =
         IntStream.range(0, FleetPlan.SHARDS)
             .mapToObj(shard -> FleetNames.coreAddress(shard % FleetPlan.CORE_PROCESSES))
             .toList();
+    return new Directory(STEADY_CLOCK_NS, members(), owners);
+  }
+
+  private static DoorHeartbeatReply doorHeartbeatReply(int doors, Directory directory) {
     return new DoorHeartbeatReply(
         FleetNames.member(0),
         STEADY_CLOCK_NS,
@@ -157,12 +175,14 @@
         STEADY_CLOCK_NS,
         COUNT,
         doors,
-        members(),
-        owners);
+        FleetNames.zone(0),
+        directory);
   }
 
-  static ConfigurationPush configurationPush(byte[] document) {
-    return new ConfigurationPush(COUNT, COUNT, ByteBuffer.wrap(document));
+  /** All pieces of a document, as one message. */
+  static ConfigurationChunk configurationChunk(byte[] document) {
+    byte[] stored = CompressedDocument.compress(document);
+    return new ConfigurationChunk(COUNT, COUNT, stored.length, 0, ByteBuffer.wrap(stored));
   }
 
   static FeedSnapshot feedSnapshot(int backends) {
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketDoor.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketDoor.java
@@ -22,6 +22,7 @@
   private static final int PROTOCOL_VERSION = 1;
   private static final long TICK_MS = 50;
   private static final long REVOKE_MS = 5_000;
+  private static final long IN_FORCE_MS = 9_000;
 
   private final EventLoop loop;
   private final Links links;
@@ -47,7 +48,8 @@
     this.configurations = configurations;
     this.control =
         new DoorControl(
-            new DoorControlSettings(name, "zone", life, REVOKE_MS, seeds), System.nanoTime());
+            new DoorControlSettings(name, "zone", life, REVOKE_MS, IN_FORCE_MS, seeds),
+            System.nanoTime());
     Hello hello = new Hello(name, "", Links.DOOR_ROLE, life, PROTOCOL_VERSION);
     this.links = new Links(loop, LinkSettings.defaults(), hello, this);
   }
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketRun.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketRun.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
+import nettletrail.configuration.CompressedDocument;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
 import nettletrail.configuration.RoutingTable;
@@ -142,9 +143,8 @@
   }
 
   private static Map<String, QuotaLimit> compile(ByteBuffer document) {
-    byte[] json = new byte[document.remaining()];
-    document.duplicate().get(json);
     try {
+      byte[] json = CompressedDocument.decompress(document);
       Map<String, QuotaLimit> limits = new HashMap<>();
       for (Tenant tenant : RoutingTable.compile(ConfigurationDocument.parse(json)).tenants()) {
         limits.put(tenant.name(), new QuotaLimit(tenant.ratePerSecond(), tenant.burst()));
--- a/fleet-emulator/src/main/java/nettletrail/emulator/fleet/DoorNode.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/DoorNode.java
@@ -62,8 +62,10 @@
   }
 
   void start() {
-    long revokeMillis = bounds.revoke() / VirtualTime.MILLISECOND;
-    process = new DoorProcess(world, machine.start(), seeds, revokeMillis);
+    DoorProcess.Promises promises =
+        new DoorProcess.Promises(
+            bounds.revoke() / VirtualTime.MILLISECOND, bounds.inForce() / VirtualTime.MILLISECOND);
+    process = new DoorProcess(world, machine.start(), seeds, promises);
     traffic =
         new DoorTraffic(
             process,
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/CoreProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/CoreProcess.java
@@ -97,7 +97,11 @@
             random.nextLong());
     CoreRegistrySettings registrySettings =
         new CoreRegistrySettings(
-            linkAddress(), 1 + random.nextLong(Long.MAX_VALUE - 1), beatMillis, grantTerms);
+            linkAddress(),
+            "zone-" + life.machine().name(),
+            1 + random.nextLong(Long.MAX_VALUE - 1),
+            beatMillis,
+            grantTerms);
     long opened = life.machine().disk().busyUntil();
     world.time().at(opened, () -> life.run(() -> begin(firstRun, registrySettings)));
   }
@@ -296,7 +300,7 @@
         registry.configuration(
             committed.sequence(),
             committed.edition(),
-            committed.document(),
+            committed.storedDocument(),
             QuotaLimits.of(table),
             now()));
   }
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/DoorProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/DoorProcess.java
@@ -27,20 +27,33 @@
   private final SimulatedLinks links;
   private RoutingTable table;
 
+  /**
+   * The bounds that a door keeps, in milliseconds.
+   *
+   * @param revokeMillis how long keys hold after a confirmation
+   * @param inForceMillis within which an acknowledged configuration has to be in force
+   */
+  public record Promises(long revokeMillis, long inForceMillis) {}
+
   /**
    * Starts at once.
    *
    * @param seeds addresses of links to begin with
-   * @param revokeMillis how long keys hold after a confirmation
+   * @param promises the bounds that the door keeps
    */
-  public DoorProcess(World world, Machine.Life life, List<String> seeds, long revokeMillis) {
+  public DoorProcess(World world, Machine.Life life, List<String> seeds, Promises promises) {
     this.life = life;
     SplittableRandom random = world.newRandom();
     String name = life.machine().name();
     String zone = "zone-" + name;
     DoorControlSettings settings =
         new DoorControlSettings(
-            name, zone, 1 + random.nextLong(Long.MAX_VALUE - 1), revokeMillis, seeds);
+            name,
+            zone,
+            1 + random.nextLong(Long.MAX_VALUE - 1),
+            promises.revokeMillis(),
+            promises.inForceMillis(),
+            seeds);
     this.control = new DoorControl(settings, now());
     Hello hello = new Hello(name, "", SimulatedLinks.DOOR_ROLE, settings.life(), PROTOCOL_VERSION);
     this.links =
@@ -128,9 +141,7 @@
   }
 
   private void configurationChanged(DoorAction.ConfigurationChanged changed) {
-    byte[] document = new byte[changed.document().remaining()];
-    changed.document().duplicate().get(document);
-    table = QuotaLimits.table(document);
+    table = QuotaLimits.table(changed.document());
     control.grants().limits(QuotaLimits.of(table));
   }
 
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/QuotaLimits.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/QuotaLimits.java
@@ -1,7 +1,9 @@
 package nettletrail.emulator.host;
 
+import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
+import nettletrail.configuration.CompressedDocument;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
 import nettletrail.configuration.RoutingTable;
@@ -21,6 +23,15 @@
     }
   }
 
+  /** As {@link #table(byte[])}, of a document as it is stored and sent. */
+  static RoutingTable table(ByteBuffer storedDocument) {
+    try {
+      return table(CompressedDocument.decompress(storedDocument));
+    } catch (ConfigurationException damaged) {
+      throw new IllegalStateException("a damaged configuration was delivered", damaged);
+    }
+  }
+
   /** Every tenant's limit. */
   static Map<String, QuotaLimit> of(RoutingTable table) {
     Map<String, QuotaLimit> limits = new HashMap<>();
--- a/fleet-emulator/src/test/java/nettletrail/emulator/capacity/MessageSizesTest.java
+++ b/fleet-emulator/src/test/java/nettletrail/emulator/capacity/MessageSizesTest.java
@@ -28,10 +28,10 @@
   void givenAWholeConfigurationWhenEncodedThenItsSizeLiesOnTheLine() {
     int tenants = 2_000;
 
-    double predicted = sizes.get("ConfigurationPush").with(tenants);
+    double predicted = sizes.get("ConfigurationChunk").with(tenants);
     int encoded =
         MessageSizes.framedBytes(
-            SampleMessages.configurationPush(SampleDocument.whole(1_000, tenants)));
+            SampleMessages.configurationChunk(SampleDocument.whole(1_000, tenants)));
 
     assertEquals(encoded, predicted, encoded * 0.02);
   }
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
-import nettletrail.configuration.RoutingTable;
 import nettletrail.configuration.Tenant;
 import nettletrail.control.CoreRegistry;
 import nettletrail.control.CoreRegistrySettings;
@@ -84,6 +83,10 @@
   private final ControlServer server;
   private final CoreStatus status;
   private List<String> seeds;
+
+  /** The newest committed document; the next one is read beside it. */
+  private ConfigurationDocument newest;
+
   private ScheduledFuture<?> ticks;
 
   /** Opens the disk; blocks until it has been read. */
@@ -266,9 +269,9 @@
 
   private void committed(CoreAction.CommittedConfiguration committed) {
     try {
-      RoutingTable table = RoutingTable.compile(ConfigurationDocument.parse(committed.document()));
+      newest = ConfigurationDocument.parse(committed.document(), newest);
       Map<String, QuotaLimit> limits = new HashMap<>();
-      for (Tenant tenant : table.tenants()) {
+      for (Tenant tenant : newest.tenants()) {
         limits.put(tenant.name(), new QuotaLimit(tenant.ratePerSecond(), tenant.burst()));
       }
       LOG.info(
@@ -279,7 +282,7 @@
           registry.configuration(
               committed.sequence(),
               committed.edition(),
-              committed.document(),
+              committed.storedDocument(),
               limits,
               System.nanoTime()));
     } catch (ConfigurationException fault) {
@@ -369,6 +372,7 @@
             GrantTerms.USUAL_VALID_MS);
     return new CoreRegistrySettings(
         settings.internalAddress(),
+        settings.zone(),
         Math.max(1, life),
         settings.heartbeatInterval().toMillis(),
         terms);
--- a/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorControlView.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import nettletrail.configuration.CompressedDocument;
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
 import nettletrail.configuration.RoutingTable;
@@ -34,6 +35,9 @@
   private final Map<String, List<BackendEndpoint>> endpoints = new HashMap<>();
   private RoutingTable routing;
 
+  /** What {@link #routing} was compiled from; the next one is read beside it. */
+  private ConfigurationDocument newest;
+
   /**
    * Begins without a configuration.
    *
@@ -47,18 +51,22 @@
     this.quotaShort = quotaShort;
   }
 
-  /** Puts a configuration in force; false if it can't be used, which leaves the one before. */
+  /**
+   * Puts a configuration in force, given as it is stored and sent; false if it can't be used, which
+   * leaves the one before.
+   */
   boolean configurationChanged(ByteBuffer document) {
-    byte[] json = new byte[document.remaining()];
-    document.duplicate().get(json);
     try {
-      RoutingTable table = RoutingTable.compile(ConfigurationDocument.parse(json));
+      byte[] json = CompressedDocument.decompress(document);
+      ConfigurationDocument parsed = ConfigurationDocument.parse(json, newest);
+      RoutingTable table = RoutingTable.compile(parsed);
       Map<String, QuotaLimit> limits = new HashMap<>();
       for (Tenant tenant : table.tenants()) {
         limits.put(tenant.name(), new QuotaLimit(tenant.ratePerSecond(), tenant.burst()));
       }
       control.grants().limits(limits);
       routing = table;
+      newest = parsed;
       return true;
     } catch (ConfigurationException fault) {
       LOG.error(
@@ -79,6 +87,11 @@
     return routing;
   }
 
+  @Override
+  public boolean routingIsCurrent(long nowNanos) {
+    return control.routingIsCurrent(nowNanos);
+  }
+
   @Override
   public boolean keysConfirmed(long nowNanos) {
     return keysNeedConfirmation ? control.keysHeld(nowNanos) : routing != null;
--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -55,6 +56,7 @@
   private final Router router;
   private ScheduledFuture<?> ticks;
   private boolean listening;
+  private boolean pollScheduled;
 
   DoorProcess(FleetSettings settings) {
     this.settings = settings;
@@ -69,6 +71,7 @@
                 settings.zone(),
                 life,
                 bounds.revoke().toMillis(),
+                bounds.inForce().toMillis(),
                 settings.seedInternalAddresses()),
             now);
     this.view = new DoorControlView(control, bounds.revokedClosed(), this::quotaShort);
@@ -144,6 +147,7 @@
   public void received(Peer peer, SpecificRecord body) {
     perform(control.received(peer.key(), body, System.nanoTime()));
     tellGrownQuotas();
+    schedulePoll();
   }
 
   private void tick() {
@@ -154,6 +158,23 @@
   /** Asked after a request found too few tokens; the owner is asked at once. */
   private void quotaShort() {
     perform(control.poll(System.nanoTime()));
+    schedulePoll();
+  }
+
+  /** Asks again before the next tick where that is due; one such poll is waited for at a time. */
+  private void schedulePoll() {
+    OptionalLong delay = control.nextPoll();
+    if (delay.isEmpty() || pollScheduled) {
+      return;
+    }
+    pollScheduled = true;
+    loop.schedule(
+        () -> {
+          pollScheduled = false;
+          quotaShort();
+        },
+        delay.getAsLong(),
+        TimeUnit.NANOSECONDS);
   }
 
   private void tellGrownQuotas() {
--- a/protocol/src/test/java/nettletrail/protocol/link/BadPeerTest.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/BadPeerTest.java
@@ -14,7 +14,7 @@
 import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfigurationChunk;
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Ping;
 import nettletrail.protocol.VersionQuery;
@@ -138,7 +138,8 @@
   @Test
   void peerThatDoesNotReadIsClosedAtTheBoundOfItsBuffer() throws Exception {
     greet();
-    ConfigurationPush push = new ConfigurationPush(1L, 1L, ByteBuffer.wrap(new byte[50_000]));
+    ConfigurationChunk push =
+        new ConfigurationChunk(1L, 1L, 50_000, 0, ByteBuffer.wrap(new byte[50_000]));
     boolean sent = true;
     for (int message = 0; sent && message < 10_000; message++) {
       sent = core.send(DOOR, push);
--- a/protocol/src/test/java/nettletrail/protocol/link/EnvelopeCodecTest.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/EnvelopeCodecTest.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 import nettletrail.protocol.Accept;
 import nettletrail.protocol.Ballot;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfigurationChunk;
 import nettletrail.protocol.Envelope;
 import nettletrail.protocol.FeedAck;
 import nettletrail.protocol.Member;
@@ -66,7 +66,7 @@
 
   @Test
   void messageWithoutRequiredFieldNamesStepAndPeerAndLeavesTheCodecUsable() throws Exception {
-    ConfigurationPush incomplete = new ConfigurationPush();
+    ConfigurationChunk incomplete = new ConfigurationChunk();
     ByteBuf buffer = Unpooled.buffer();
     ProtocolException failure =
         assertThrows(ProtocolException.class, () -> codec.encode(incomplete, buffer, PEER));
@@ -105,10 +105,11 @@
 
   @Test
   void lengthsThatTheFrameDoesNotHoldAreRefusedBeforeAnythingIsAllocated() throws Exception {
-    int configurationPush = unionIndexOf(new ConfigurationPush(0L, 0L, ByteBuffer.allocate(0)));
+    int configurationChunk =
+        unionIndexOf(new ConfigurationChunk(0L, 0L, 0, 0, ByteBuffer.allocate(0)));
     int feedAck = unionIndexOf(new FeedAck("", 0L, 0L));
     int registryDigest = unionIndexOf(new RegistryDigest("", List.of()));
-    assertTooLong(configurationPush, 0, 0, Integer.MAX_VALUE - 100);
+    assertTooLong(configurationChunk, 0, 0, 0, 0, Integer.MAX_VALUE - 100);
     assertTooLong(feedAck, Integer.MAX_VALUE - 100);
     assertTooLong(feedAck, -1);
     assertTooLong(registryDigest, 0, Integer.MAX_VALUE - 100);
--- a/protocol/src/test/java/nettletrail/protocol/link/LinksTest.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/LinksTest.java
@@ -7,7 +7,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
-import nettletrail.protocol.ConfigurationPush;
+import nettletrail.protocol.ConfigurationChunk;
 import nettletrail.protocol.FeedAck;
 import nettletrail.protocol.VersionQuery;
 import nettletrail.protocol.link.LinkProcess.Event;
@@ -148,7 +148,8 @@
       door.next(Event.Up.class);
       core.next(Event.Up.class);
       ByteBuffer document = ByteBuffer.wrap(new byte[2_000]);
-      assertFalse(core.send(DOOR, new ConfigurationPush(1L, 1L, document)));
+      assertFalse(
+          core.send(DOOR, new ConfigurationChunk(1L, 1L, document.remaining(), 0, document)));
       assertTrue(core.send(DOOR, new VersionQuery(1)));
       assertEquals(new VersionQuery(1), door.next(Event.Received.class).body());
     }
--- a/router/src/main/java/nettletrail/router/AttemptSender.java
+++ b/router/src/main/java/nettletrail/router/AttemptSender.java
@@ -56,7 +56,7 @@
   void resolve(Exchange exchange, long now) {
     exchange.resolved(
         Resolution.of(
-            control.routing(),
+            control.routingIsCurrent(now) ? control.routing() : null,
             exchange.request,
             control.keysConfirmed(now),
             control.routingConfirmed(now),
--- a/router/src/main/java/nettletrail/router/ControlView.java
+++ b/router/src/main/java/nettletrail/router/ControlView.java
@@ -12,6 +12,14 @@
   /** The routing in force, or null while none is known. */
   RoutingTable routing();
 
+  /**
+   * Whether requests may be routed by it. False once a newer one is known that may have been
+   * acknowledged too long ago, though it hasn't come yet.
+   *
+   * @param nowNanos the steady clock
+   */
+  boolean routingIsCurrent(long nowNanos);
+
   /**
    * Whether keys may be used: the routing was confirmed to be the newest so lately that no key
    * which it holds can have been revoked for longer than the deployment allows.
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -101,10 +101,12 @@
   /** Whether clients should be sent here. */
   public boolean ready() {
     RoutingTable routing = control.routing();
+    long now = System.nanoTime();
     return listener != null
         && !draining
         && routing != null
-        && (!routing.keysRequired() || control.keysConfirmed(System.nanoTime()));
+        && control.routingIsCurrent(now)
+        && (!routing.keysRequired() || control.keysConfirmed(now));
   }
 
   /**
--- a/router/src/test/java/nettletrail/router/RouterFixture.java
+++ b/router/src/test/java/nettletrail/router/RouterFixture.java
@@ -32,6 +32,7 @@
     RoutingTable routing;
     boolean confirmed = true;
     boolean routingConfirmed = true;
+    boolean routingIsCurrent = true;
     int doors = 1;
     final Map<String, List<BackendEndpoint>> backends = new HashMap<>();
     long tokens = Long.MAX_VALUE / 2;
@@ -54,6 +55,11 @@
       return confirmed;
     }
 
+    @Override
+    public boolean routingIsCurrent(long nowNanos) {
+      return routingIsCurrent;
+    }
+
     @Override
     public boolean routingConfirmed(long nowNanos) {
       return routingConfirmed;
--- a/router/src/test/java/nettletrail/router/RouterRoutingChangeTest.java
+++ b/router/src/test/java/nettletrail/router/RouterRoutingChangeTest.java
@@ -1,6 +1,7 @@
 package nettletrail.router;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -164,6 +165,25 @@
     assertEquals(404, client.read().status());
   }
 
+  @Test
+  void aRoutingThatIsOvertakenByOneThatHasNotComeServesNothingAndPromisesThatNothingRan()
+      throws Exception {
+    fixture.onLoop(() -> fixture.control.routingIsCurrent = false);
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    client.post("/open/x", "id-1", "");
+    TestClient.Answer refused = client.read();
+    assertEquals(503, refused.status());
+    assertNotNull(refused.header("Retry-After"));
+    client.post("/nowhere/", "id-2", "", KEY);
+    assertEquals(503, client.read().status());
+    assertFalse(fixture.onLoop(fixture.router::ready));
+    fixture.onLoop(() -> fixture.control.routingIsCurrent = true);
+    client.post("/open/x", "id-3", "");
+    backend.take().answer("200 OK", "");
+    assertEquals(200, client.read().status());
+  }
+
   @Test
   void aRoutingThatIsNotConfirmedStillServesWhatItAllows() throws Exception {
     fixture.onLoop(() -> fixture.control.routingConfirmed = false);
