Both roles tell messages, bytes and handling time on their links in Prometheus' format

Need: what binds on the control links has to be counted by the program itself, cheaply enough to stay on. Ruled out: the ready gate, which only doors have, and counting in the codec, which does not know what a message causes.

--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -37,11 +37,13 @@
   /** To all others, which only have to know that the door lives, and who may know more. */
   private static final long HEARTBEAT_TO_OTHERS = 1_000 * MILLIS;
 
-  /** While the door waits for an owner to be known, or for its configuration to be confirmed. */
+  /**
+   * To the source while the door waits for an owner to be known, or for its configuration to be
+   * confirmed. All doors wait at once after a loss of all machines, so the others aren't asked more
+   * often.
+   */
   private static final long HEARTBEAT_WHEN_WAITING = 100 * MILLIS;
 
-  private static final long HEARTBEAT_TO_OTHERS_WHEN_WAITING = 300 * MILLIS;
-
   /** For clocks that run unlike each other, and for a request that is let in and isn't sent yet. */
   private static final long IN_FORCE_MARGIN = 150 * MILLIS;
 
@@ -177,7 +179,7 @@
     if (follower.isSource(link)) {
       return waits ? HEARTBEAT_WHEN_WAITING : HEARTBEAT_EVERY;
     }
-    return waits ? HEARTBEAT_TO_OTHERS_WHEN_WAITING : HEARTBEAT_TO_OTHERS;
+    return HEARTBEAT_TO_OTHERS;
   }
 
   /**
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -79,6 +79,7 @@
   private final CoreShards shards;
   private final CoreRegistry registry;
   private final Links links;
+  private final ProcessMetrics metrics = new ProcessMetrics();
   private final ValidMessageSender sender;
   private final ControlServer server;
   private final CoreStatus status;
@@ -111,7 +112,7 @@
             now);
     this.registry = new CoreRegistry(registrySettings(settings, life), this, now);
     Hello hello = new Hello(settings.node(), self.getAddress(), ROLE, life, PROTOCOL_VERSION);
-    this.links = new Links(loop, LinkSettings.defaults(), hello, this);
+    this.links = new Links(loop, LinkSettings.defaults(), hello, this, metrics);
     this.sender = new ValidMessageSender(links::send, System::nanoTime);
     this.server = new ControlServer(loop, ControlSettings.defaults(), this);
     this.status = new CoreStatus(settings, shards, registry, storage, loop, server);
@@ -147,6 +148,11 @@
     return loop;
   }
 
+  /** Answers questions for the process's own figures on this port of the machine. */
+  void serveMetrics(int port) {
+    MetricsServer.listen(loop, settings.ip(), port, metrics);
+  }
+
   /** Gives the leases back and ends; blocks until that is done, for two seconds at most. */
   @Override
   public void close() {
--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -53,6 +53,7 @@
   private final DoorControl control;
   private final DoorControlView view;
   private final Links links;
+  private final ProcessMetrics metrics = new ProcessMetrics();
   private final Router router;
   private ScheduledFuture<?> ticks;
   private boolean listening;
@@ -79,7 +80,7 @@
     Hello hello =
         new Hello(
             settings.node(), settings.internalAddress(), Links.DOOR_ROLE, life, PROTOCOL_VERSION);
-    this.links = new Links(loop, LinkSettings.defaults(), hello, this);
+    this.links = new Links(loop, LinkSettings.defaults(), hello, this, metrics);
   }
 
   /** Begins to find the core; clients are listened for once a configuration is known. */
@@ -104,6 +105,11 @@
     return loop;
   }
 
+  /** Answers questions for the process's own figures on this port of the machine. */
+  void serveMetrics(int port) {
+    MetricsServer.listen(loop, settings.ip(), port, metrics);
+  }
+
   Router router() {
     return router;
   }
--- a/fleet/src/main/java/nettletrail/fleet/Main.java
+++ b/fleet/src/main/java/nettletrail/fleet/Main.java
@@ -1,6 +1,7 @@
 package nettletrail.fleet;
 
 import java.nio.file.Path;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import nettletrail.fleet.cli.OperatorClient;
 import nettletrail.fleet.settings.FleetSettings;
@@ -28,21 +29,23 @@
   public static void main(String[] arguments) throws Exception {
     String command = arguments.length == 0 ? "help" : arguments[0];
     switch (command) {
-      case "door" -> System.exit(daemon(Main::runDoor));
-      case "core" -> System.exit(daemon(Main::runCore));
+      case "door" -> System.exit(daemon(Main::runDoor, arguments));
+      case "core" -> System.exit(daemon(Main::runCore, arguments));
       case "warm-up" -> WarmUp.run();
       default -> System.exit(OperatorClient.run(arguments));
     }
   }
 
   private interface Role {
-    void run(Path file, FleetSettings settings) throws StartException, InterruptedException;
+    void run(Path file, FleetSettings settings, OptionalInt metricsPort)
+        throws StartException, InterruptedException;
   }
 
-  private static int daemon(Role role) throws InterruptedException {
+  private static int daemon(Role role, String[] arguments) throws InterruptedException {
     try {
+      OptionalInt metricsPort = MetricsPort.of(arguments);
       Path file = SettingsReader.pathFrom(System.getenv());
-      role.run(file, SettingsReader.read(file));
+      role.run(file, SettingsReader.read(file), metricsPort);
       return 0;
     } catch (SettingsException | StartException fault) {
       LOG.error("{} can't start: {}", LogEvent.START_FAILED, fault.getMessage(), fault.getCause());
@@ -50,10 +53,11 @@
     }
   }
 
-  private static void runCore(Path file, FleetSettings settings)
+  private static void runCore(Path file, FleetSettings settings, OptionalInt metricsPort)
       throws StartException, InterruptedException {
     CoreProcess process = new CoreProcess(settings);
     process.start();
+    metricsPort.ifPresent(process::serveMetrics);
     SettingsWatcher watcher =
         new SettingsWatcher(file, settings, process.loop(), process::settingsChanged);
     Signal.handle(new Signal("HUP"), signal -> watcher.checkNow());
@@ -61,10 +65,11 @@
     process.close();
   }
 
-  private static void runDoor(Path file, FleetSettings settings)
+  private static void runDoor(Path file, FleetSettings settings, OptionalInt metricsPort)
       throws StartException, InterruptedException {
     DoorProcess process = new DoorProcess(settings);
     process.start();
+    metricsPort.ifPresent(process::serveMetrics);
     SettingsWatcher watcher =
         new SettingsWatcher(file, settings, process.loop(), process::settingsChanged);
     Signal.handle(new Signal("HUP"), signal -> watcher.checkNow());
--- a/fleet/src/main/java/nettletrail/fleet/WarmUp.java
+++ b/fleet/src/main/java/nettletrail/fleet/WarmUp.java
@@ -24,6 +24,7 @@
   private static final int MOST_PORT = 60_000;
   private static final int READY_PORT_OFFSET = 3;
   private static final int LINK_PORT_OFFSET = 5;
+  private static final int METRICS_PORT_OFFSET = 8;
   private static final String CORE_HOST = "127.0.0.1";
   private static final String DOOR_HOST = "127.0.0.2";
   private static final String OPERATOR_PATH = "/nettletrail/config";
@@ -41,6 +42,7 @@
         WarmUpBackend backend = new WarmUpBackend()) {
       coreProcess.start();
       doorProcess.start();
+      doorProcess.serveMetrics(port + METRICS_PORT_OFFSET);
       String control = "http://" + CORE_HOST + ":" + (port + 1);
       String client = "http://" + DOOR_HOST + ":" + (port + 2);
       until(
@@ -61,6 +63,7 @@
         call("POST", client + "/none/1", "X-Key", "k1", "body");
         call("POST", client + "/plain/1", "X-Key", "unknown", "body");
         call("GET", control + OPERATOR_PATH, "", "", "");
+        call("GET", "http://" + DOOR_HOST + ":" + (port + METRICS_PORT_OFFSET) + "/metrics");
       }
     }
     System.exit(0);
@@ -80,6 +83,10 @@
     throw new IOException("the fleet of one does not serve");
   }
 
+  private static int call(String method, String url) throws IOException {
+    return call(method, url, "", "", "");
+  }
+
   private static int call(String method, String url, String header, String value, String body)
       throws IOException {
     HttpURLConnection connection = (HttpURLConnection) URI.create(url).toURL().openConnection();
--- a/protocol/src/main/java/nettletrail/protocol/link/Link.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Link.java
@@ -39,6 +39,7 @@
   private final EnvelopeCodec codec;
   private final LinkSettings settings;
   private final Hello me;
+  private final LinkMetrics metrics;
 
   /** The dialled address, or null for an accepted connection. */
   private final String dialledAddress;
@@ -50,11 +51,18 @@
   private long lastSent;
   private long lastReceived;
 
-  Link(Owner owner, EnvelopeCodec codec, LinkSettings settings, Hello me, String dialledAddress) {
+  Link(
+      Owner owner,
+      EnvelopeCodec codec,
+      LinkSettings settings,
+      Hello me,
+      LinkMetrics metrics,
+      String dialledAddress) {
     this.owner = owner;
     this.codec = codec;
     this.settings = settings;
     this.me = me;
+    this.metrics = metrics;
     this.dialledAddress = dialledAddress;
   }
 
@@ -103,7 +111,11 @@
       return false;
     }
     frame.setInt(0, length);
-    return write(frame);
+    if (!write(frame)) {
+      return false;
+    }
+    metrics.sent(body.getSchema().getName(), length + LENGTH_BYTES);
+    return true;
   }
 
   private boolean write(ByteBuf frame) {
@@ -179,12 +191,14 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ByteBuf frame = (ByteBuf) message;
+    int bytes = frame.readableBytes() + LENGTH_BYTES;
+    long began = System.nanoTime();
     SpecificRecord body;
     try {
       if (closing) {
         return;
       }
-      lastReceived = System.nanoTime();
+      lastReceived = began;
       body = codec.decode(frame, name());
     } catch (ProtocolException failure) {
       close(failure.step(), failure.reason());
@@ -193,6 +207,7 @@
       frame.release();
     }
     deliver(body);
+    metrics.received(body.getSchema().getName(), bytes, System.nanoTime() - began);
   }
 
   private void deliver(SpecificRecord body) {
--- a/protocol/src/main/java/nettletrail/protocol/link/Links.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Links.java
@@ -50,6 +50,7 @@
   private final LinkSettings settings;
   private final Hello me;
   private final LinkListener listener;
+  private final LinkMetrics metrics;
   private final Link.Owner linkOwner = new LinkOwner();
   private final EnvelopeCodec codec = new EnvelopeCodec();
   private final SplittableRandom random = new SplittableRandom();
@@ -70,7 +71,14 @@
    * @param me the hello that this process sends first on each link
    */
   public Links(EventLoop loop, LinkSettings settings, Hello me, LinkListener listener) {
+    this(loop, settings, me, listener, LinkMetrics.NONE);
+  }
+
+  /** As the other constructor; {@code metrics} is told of all messages. */
+  public Links(
+      EventLoop loop, LinkSettings settings, Hello me, LinkListener listener, LinkMetrics metrics) {
     this.loop = loop;
+    this.metrics = metrics;
     this.settings = settings;
     this.me = me;
     this.listener = listener;
@@ -244,7 +252,7 @@
   }
 
   private void addLink(Channel channel, String dialledAddress) {
-    Link link = new Link(linkOwner, codec, settings, me, dialledAddress);
+    Link link = new Link(linkOwner, codec, settings, me, metrics, dialledAddress);
     openLinks.add(link);
     channel.closeFuture().addListener(done -> linkClosed(link));
     channel
