Core: entries of the feed leave together, and a message concerns its own door only

Cause, by the counters: before traffic began a door had got 153 messages of feeds and sent 162 acknowledgements, more than anything else on its links; and each heartbeat of a door (0.13 ms of processor) looked through all doors for what to send. Change: entries that tell of no end wait 100 ms at most and leave as one message, ends leave at once as before; only ends are acknowledged at once, the rest by the next heartbeat; a heartbeat or acknowledgement pushes to its own door; the directory is made once in 50 ms. Ruled out for now: feeds from two core processes instead of all, since a door then loses the backends that only the other half of a cut core hears of.

--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -58,6 +58,9 @@
   private static final long DIGEST_EVERY = 700 * MILLIS;
   private static final int OK = 200;
 
+  /** Doors hear of a new owner this much later at most. */
+  private static final long DIRECTORY_LASTS = 50 * MILLIS;
+
   /** An odd number, so that no bit of an earlier name is lost. */
   private static final long DIGEST_FACTOR = 0x9e3779b97f4a7c15L;
 
@@ -73,6 +76,8 @@
   private final PendingCalls pending = new PendingCalls();
   private long nextDigest;
   private long configurationSequence;
+  private Directory directory;
+  private long directoryMadeAt;
 
   /** Begins empty. {@code ownership} is asked at each call. */
   public CoreRegistry(CoreRegistrySettings settings, ShardOwnership ownership, long now) {
@@ -95,11 +100,16 @@
     Change change = registry.heardDirectly(report, now);
     List<RegistryAction> actions = new ArrayList<>();
     Backend held = registry.get(report.getId());
+    boolean ready = report.getState() == BackendState.READY;
+    if (ready && change != Change.CHANGED) {
+      actions.add(new AnswerBackend(call, OK));
+      return actions;
+    }
     if (change == Change.CHANGED) {
       followMembers();
       publish(held);
     }
-    if (report.getState() == BackendState.READY) {
+    if (ready) {
       actions.add(new AnswerBackend(call, OK));
     } else {
       acknowledgeLater(call, held, now);
@@ -131,11 +141,12 @@
     List<RegistryAction> actions = new ArrayList<>();
     if (message instanceof DoorHeartbeat heartbeat) {
       doors.heartbeat(door, heartbeat, now);
-      actions.addAll(flush(now));
+      actions.addAll(doors.push(door, now));
+      actions.addAll(settle(now));
       actions.add(new SendToDoor(door, heartbeatReply(heartbeat, now)));
     } else if (message instanceof FeedAck acknowledgement) {
       doors.acknowledged(door, acknowledgement);
-      actions.addAll(flush(now));
+      actions.addAll(settle(now));
     } else if (message instanceof ConfigurationFetch fetch) {
       actions.addAll(doors.fetched(door, fetch, now));
     } else if (message instanceof GrantRequest request) {
@@ -271,13 +282,18 @@
     pending.add(call, held, feed.offset(), now);
   }
 
+  /** What is due to anybody; costs as much as there are doors and peers. */
   private List<RegistryAction> flush(long now) {
     List<RegistryAction> actions = new ArrayList<>(peers.send(now));
     actions.addAll(doors.push(now));
-    actions.addAll(pending.settle(call -> covered(call, now), now));
+    actions.addAll(settle(now));
     return actions;
   }
 
+  private List<RegistryAction> settle(long now) {
+    return pending.settle(call -> covered(call, now), now);
+  }
+
   private boolean covered(PendingCalls.Call call, long now) {
     return call.otherCoreHasIt() && doors.handedToAllLinked(call.offset())
         || doors.acknowledgedByAllLive(call.offset(), now)
@@ -317,7 +333,7 @@
   private DoorHeartbeatReply heartbeatReply(DoorHeartbeat heartbeat, long now) {
     OptionalLong confirmedAt = ownership.confirmedAt();
     long ageMs = confirmedAt.isPresent() ? ageMsRoundedUp(now - confirmedAt.getAsLong()) : 0;
-    Directory directory = directory(now);
+    Directory directory = currentDirectory(now);
     boolean known = heartbeat.getDirectoryDigest() == directory.getDigest();
     return new DoorHeartbeatReply(
         settings.address(),
@@ -332,6 +348,15 @@
         known ? null : directory);
   }
 
+  /** As of the last tick at most. */
+  private Directory currentDirectory(long now) {
+    if (directory == null || now - directoryMadeAt >= DIRECTORY_LASTS) {
+      directory = directory(now);
+      directoryMadeAt = now;
+    }
+    return directory;
+  }
+
   private Directory directory(long now) {
     List<Member> members = ownership.members();
     List<String> owners = owners(now);
--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
 import nettletrail.protocol.ConfigurationChunk;
 import nettletrail.protocol.Directory;
 import nettletrail.protocol.DoorHeartbeat;
@@ -310,8 +311,11 @@
   }
 
   /**
-   * Events that don't join what was read are left: the next heartbeat tells the core process where
-   * the door stands.
+   * Ends are acknowledged at once, since their backends wait for that; of anything else the next
+   * heartbeat tells.
+   *
+   * <p>Events that don't join what was read are left: the next heartbeat tells the core process
+   * where the door stands.
    */
   private void events(CoreLink link, FeedEvents events, List<DoorAction> actions, long now) {
     if (events.getFeed() != link.feed() || events.getFromOffset() > link.offset()) {
@@ -323,7 +327,13 @@
       events.getExpired().forEach(id -> backends.expired(link.address(), id));
       link.read(events.getFeed(), events.getOffset());
     }
-    acknowledge(link, actions);
+    if (events.getBackends().stream().anyMatch(DoorControl::ends)) {
+      acknowledge(link, actions);
+    }
+  }
+
+  private static boolean ends(Backend backend) {
+    return backend.getState() != BackendState.READY;
   }
 
   private void acknowledge(CoreLink link, List<DoorAction> actions) {
--- a/control/src/main/java/nettletrail/control/registry/DoorSession.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSession.java
@@ -32,6 +32,7 @@
   DoorSession(String door, long now) {
     this.door = door;
     this.leaseUntil = now;
+    this.feedSentAt = now - LEASE;
   }
 
   String door() {
@@ -139,6 +140,11 @@
     return acknowledgedOffset;
   }
 
+  /** Whether nothing of the feed was sent since that instant, on this link. */
+  boolean feedSentBefore(long instant) {
+    return feedSentAt - instant <= 0;
+  }
+
   /**
    * Offsets of two feeds don't compare: what the door read of another one is no acknowledgement.
    */
--- a/control/src/main/java/nettletrail/control/registry/DoorSessions.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -17,6 +17,9 @@
 public final class DoorSessions {
   private static final long FORGET_AFTER = 60_000_000_000L;
 
+  /** Between two messages of the feed to one door that tell of no end. */
+  private static final long FEED_PAUSE = 100_000_000L;
+
   private final Map<String, DoorSession> sessions = new LinkedHashMap<>();
   private final Feed feed;
   private final BackendRegistry registry;
@@ -78,15 +81,24 @@
   public List<RegistryAction> push(long now) {
     List<RegistryAction> actions = new ArrayList<>();
     sessions.values().removeIf(session -> session.silentFor(FORGET_AFTER, now));
-    for (DoorSession session : sessions.values()) {
-      if (session.ready()) {
-        pushConfiguration(session, actions);
-        pushFeed(session, actions, now);
-      }
-    }
+    sessions.values().forEach(session -> push(session, actions, now));
+    return actions;
+  }
+
+  /** What this door lacks and wasn't sent yet. */
+  public List<RegistryAction> push(String door, long now) {
+    List<RegistryAction> actions = new ArrayList<>();
+    push(session(door, now), actions, now);
     return actions;
   }
 
+  private void push(DoorSession session, List<RegistryAction> actions, long now) {
+    if (session.ready()) {
+      pushConfiguration(session, actions);
+      pushFeed(session, actions, now);
+    }
+  }
+
   /** All doors that are known, for operators. */
   public List<DoorStatus> status(long now) {
     return sessions.values().stream().map(session -> session.status(now)).toList();
@@ -154,13 +166,22 @@
       actions.add(
           new RegistryAction.SendToDoor(session.door(), feed.snapshot(registry.contents())));
       session.feedSent(feed.id(), feed.offset(), now);
-    } else if (session.sentOffset() < feed.offset()) {
+    } else if (session.sentOffset() < feed.offset() && isFeedDue(session, now)) {
       actions.add(
           new RegistryAction.SendToDoor(session.door(), feed.eventsAfter(session.sentOffset())));
       session.feedSent(feed.id(), feed.offset(), now);
     }
   }
 
+  /**
+   * Entries that come soon after others wait a little and leave together, unless a backend has
+   * ended: nothing may be sent there any more.
+   */
+  private boolean isFeedDue(DoorSession session, long now) {
+    boolean ended = session.sentOffset() < feed.lastEndOffset();
+    return ended || session.feedSentBefore(now - FEED_PAUSE);
+  }
+
   private DoorSession session(String door, long now) {
     return sessions.computeIfAbsent(door, name -> new DoorSession(name, now));
   }
--- a/control/src/main/java/nettletrail/control/registry/Feed.java
+++ b/control/src/main/java/nettletrail/control/registry/Feed.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import nettletrail.protocol.Backend;
+import nettletrail.protocol.BackendState;
 import nettletrail.protocol.FeedEvents;
 import nettletrail.protocol.FeedSnapshot;
 
@@ -24,6 +25,7 @@
   private final long id;
   private final Deque<Entry> journal = new ArrayDeque<>();
   private long offset;
+  private long lastEndOffset;
 
   private sealed interface Entry {
     String backendId();
@@ -46,7 +48,11 @@
 
   /** Appends a report and returns its offset. */
   public long append(Backend backend) {
-    return append(new Reported(backend));
+    append(new Reported(backend));
+    if (backend.getState() != BackendState.READY) {
+      lastEndOffset = offset;
+    }
+    return offset;
   }
 
   private long append(Entry entry) {
@@ -73,6 +79,11 @@
     return offset;
   }
 
+  /** The offset of the newest entry that says that a backend closes or is gone, 0 for none. */
+  public long lastEndOffset() {
+    return lastEndOffset;
+  }
+
   /** Whether a reader that stands at this offset of that feed can be brought up by events. */
   public boolean holdsAfter(long feed, long readOffset) {
     return feed == id && readOffset <= offset && readOffset >= offset - journal.size();
