Grants: the owner looks through a tenant's holders in one pass a request

The sum of what is outstanding is kept and summed anew at each refill; needs and wants ahead are gathered in one pass. What is granted is the same.

--- a/control/src/main/java/nettletrail/control/grant/TenantBucket.java
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -1,9 +1,7 @@
 package nettletrail.control.grant;
 
-import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import nettletrail.protocol.TenantUse;
 
@@ -57,6 +55,9 @@
   private double level;
   private long refilledAt;
 
+  /** What all doors hold; summed anew at each refill, so that rounding doesn't add up. */
+  private double outstandingSum;
+
   /** One life of a door's process. */
   record Holder(String door, long life) {}
 
@@ -107,7 +108,7 @@
     markWaiting(holding, held, now);
     long granted = (long) share(holding, held);
     level -= Math.max(0, granted - held);
-    holding.outstanding = Math.max(granted, held);
+    setOutstanding(holding, Math.max(granted, held));
     holding.expiresAt = now + terms.outstandingMs(limit) * MILLIS;
     holding.waiting = holding.waiting && granted < holding.least;
     return granted;
@@ -156,7 +157,7 @@
     double left = Math.max(0, holding.outstanding - used);
     double held = Math.min(Math.max(0, use.getHeldTokens()), left);
     level += left - held;
-    holding.outstanding = held;
+    setOutstanding(holding, held);
     return held;
   }
 
@@ -175,31 +176,27 @@
    */
   private double share(Holding holding, double held) {
     double available = held + level;
-    List<Holding> wanting = wanting(holding.askedAt);
-    Holding first = firstWaiting(wanting, holding.askedAt);
-    if (holding.waiting && first == holding) {
-      double ahead = aheadShare(holding, wanting, held);
+    Wants wants = wants(holding.askedAt);
+    if (holding.waiting && wants.firstWaiting == holding) {
+      double ahead = aheadShare(holding, wants, held);
       return Math.min(available, holding.least + ahead);
     }
-    if (first != null) {
+    if (wants.firstWaiting != null) {
       available = held + level * PART_BESIDE_FIRST;
     }
-    double needed = Math.min(holding.least, MaxMinShare.of(needs(wanting), supply()));
-    double granted = Math.min(available, needed + aheadShare(holding, wanting, held));
+    double needed =
+        holding.least == 0 ? 0 : Math.min(holding.least, MaxMinShare.of(wants.needs(), supply()));
+    double granted = Math.min(available, needed + aheadShare(holding, wants, held));
     boolean useless = holding.waiting && granted < holding.least;
     return useless && crowded() ? 0 : granted;
   }
 
-  private double aheadShare(Holding holding, List<Holding> wanting, double held) {
-    double[] needs = needs(wanting);
-    double left = supply();
-    for (double need : needs) {
-      left -= need;
-    }
-    if (left <= 0) {
+  private double aheadShare(Holding holding, Wants wants, double held) {
+    double left = supply() - wants.sumOfNeeds;
+    if (left <= 0 || holding.ahead() == 0) {
       return 0;
     }
-    double share = Math.min(holding.ahead(), MaxMinShare.of(aheads(wanting), left));
+    double share = Math.min(holding.ahead(), MaxMinShare.of(wants.aheads(), left));
     double unreserved = Math.max(0, level - RESERVED_PART * terms.capacity(limit));
     return Math.min(share, Math.max(0, held - holding.least) + unreserved);
   }
@@ -212,55 +209,79 @@
     return level + outstanding() >= CROWDED * terms.capacity(limit);
   }
 
-  private List<Holding> wanting(long now) {
-    List<Holding> wanting = new ArrayList<>();
-    for (Holding holding : holdings.values()) {
-      if (holding.wanted > 0 && now - holding.askedAt < terms.validMs(limit) * MILLIS) {
-        wanting.add(holding);
+  /**
+   * What all doors want that asked lately, gathered in one pass: with many doors this is most of
+   * what a request costs.
+   */
+  private final class Wants {
+    private final Holding[] holders = new Holding[holdings.size()];
+    private int count;
+    private double sumOfNeeds;
+    private Holding firstWaiting;
+
+    private void add(Holding holding, long now) {
+      holders[count] = holding;
+      count++;
+      sumOfNeeds += holding.least;
+      boolean waits = holding.waiting && now - holding.askedAt < WAITING;
+      boolean before = firstWaiting == null || holding.waitingSince - firstWaiting.waitingSince < 0;
+      if (waits && before) {
+        firstWaiting = holding;
       }
     }
-    return wanting;
-  }
 
-  private static double[] needs(List<Holding> wanting) {
-    return wanting.stream().mapToDouble(holding -> holding.least).toArray();
-  }
+    private double[] needs() {
+      double[] needs = new double[count];
+      for (int index = 0; index < count; index++) {
+        needs[index] = holders[index].least;
+      }
+      return needs;
+    }
 
-  private static double[] aheads(List<Holding> wanting) {
-    return wanting.stream().mapToDouble(Holding::ahead).toArray();
+    private double[] aheads() {
+      double[] aheads = new double[count];
+      for (int index = 0; index < count; index++) {
+        aheads[index] = holders[index].ahead();
+      }
+      return aheads;
+    }
   }
 
-  private static Holding firstWaiting(List<Holding> wanting, long now) {
-    Holding first = null;
-    for (Holding holding : wanting) {
-      boolean waits = holding.waiting && now - holding.askedAt < WAITING;
-      if (waits && (first == null || holding.waitingSince - first.waitingSince < 0)) {
-        first = holding;
+  private Wants wants(long now) {
+    Wants wants = new Wants();
+    long valid = terms.validMs(limit) * MILLIS;
+    for (Holding holding : holdings.values()) {
+      if (holding.wanted > 0 && now - holding.askedAt < valid) {
+        wants.add(holding, now);
       }
     }
-    return first;
+    return wants;
   }
 
   private void refill(long now) {
+    double sum = 0;
     for (Iterator<Holding> iterator = holdings.values().iterator(); iterator.hasNext(); ) {
       Holding holding = iterator.next();
       if (holding.outstanding > 0 && now - holding.expiresAt >= 0) {
         holding.outstanding = 0;
       }
+      sum += holding.outstanding;
       if (holding.outstanding == 0 && now - holding.askedAt > 2 * SERVING) {
         iterator.remove();
       }
     }
+    outstandingSum = sum;
     double refilled = level + limit.ratePerSecond() * (now - refilledAt) / SECOND;
     refilledAt = now;
     level = Math.max(0, Math.min(refilled, terms.capacity(limit) - outstanding()));
   }
 
   private double outstanding() {
-    double sum = 0;
-    for (Holding holding : holdings.values()) {
-      sum += holding.outstanding;
-    }
-    return sum;
+    return outstandingSum;
+  }
+
+  private void setOutstanding(Holding holding, double tokens) {
+    outstandingSum = Math.max(0, outstandingSum + tokens - holding.outstanding);
+    holding.outstanding = tokens;
   }
 }
