Companion: a spent store falls no lower than the door's part of the burst

The estimate of the tenant's store could fall to minus the whole burst, but fills at a door's part of the rate: with 75 doors and 23 % of the rate free that is minutes, in which any reading above 100 % refuses a part of the requests. Grants keep the quota as before.

--- a/router/src/main/java/nettletrail/router/admission/Companion.java
+++ b/router/src/main/java/nettletrail/router/admission/Companion.java
@@ -10,10 +10,11 @@
  * <p>The store begins at {@code burst / n}, where {@code n} is the number of doors that serve the
  * tenant, and fills at {@code rate / n} until the first reading. After that each reading {@code p},
  * the use of all doors in percent of the rate, adds {@code (100 - p)%} of a period's {@code rate /
- * n}, up to {@code burst}; the door's own use is in it. While the store is spent, the admission
- * share {@code a}, at first 1, becomes {@code min(1, a * 100 / p)} at each reading, or 1 if {@code
- * p} is 0, and a request is refused with chance {@code 1 - a}. Pure and seeded; {@code now} is in
- * ns.
+ * n}, up to {@code burst}; the door's own use is in it. It falls no lower than {@code -burst / n},
+ * which fills again as fast as the part of this door does, however many doors there are. While the
+ * store is spent, the admission share {@code a}, at first 1, becomes {@code min(1, a * 100 / p)} at
+ * each reading, or 1 if {@code p} is 0, and a request is refused with chance {@code 1 - a}. Pure
+ * and seeded; {@code now} is in ns.
  */
 public final class Companion {
   /** From one reading to the next. */
@@ -84,7 +85,8 @@
     touchedAt = now;
     double period = periods * PERIOD_NANOS / NANOS_PER_SECOND;
     double left = (WHOLE_PERCENT - pressurePercent) / WHOLE_PERCENT;
-    store = Math.min(burst, Math.max(-burst, store + left * period * ratePerSecond / doors));
+    double least = -burst / doors;
+    store = Math.min(burst, Math.max(least, store + left * period * ratePerSecond / doors));
     if (store > 0 || pressurePercent <= 0) {
       share = 1;
     } else {
--- a/router/src/test/java/nettletrail/router/admission/CompanionTest.java
+++ b/router/src/test/java/nettletrail/router/admission/CompanionTest.java
@@ -60,6 +60,30 @@
     assertTrue(admitted > 320 && admitted < 480, "admitted " + admitted);
   }
 
+  /**
+   * Requests are large beside a second's rate, so readings swing. After a time of high demand many
+   * doors must absorb that as soon as few do.
+   */
+  @Test
+  void afterATimeOfHighDemandSwingingReadingsBelowTheRateRefuseNobodyAtManyDoors() {
+    for (int doors : new int[] {4, 75, 380}) {
+      Companion companion = companion(doors);
+      long now = 1;
+      for (int period = 0; period < 20; period++) {
+        companion.admits(600, doors, now);
+        now += PERIOD;
+      }
+      int refused = 0;
+      for (int period = 0; period < 60; period++) {
+        double pressure = period % 4 < 2 ? 120 : 34;
+        boolean settled = period > 40;
+        refused += !companion.admits(pressure, doors, now) && settled ? 1 : 0;
+        now += PERIOD;
+      }
+      assertEquals(0, refused, doors + " doors");
+    }
+  }
+
   @Test
   void withoutPressureAllAreAdmittedAgain() {
     Companion companion = companion(4);
