--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketDoor.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketDoor.java
@@ -19,7 +19,7 @@
  * A door's control plane on real links, with hollow requests. Everything runs on its event loop.
  */
 final class SocketDoor implements LinkListener {
-  private static final int PROTOCOL_VERSION = 1;
+  private static final int PROTOCOL_VERSION = 2;
   private static final long TICK_MS = 50;
   private static final long REVOKE_MS = 5_000;
   private static final long IN_FORCE_MS = 9_000;
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/CoreProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/CoreProcess.java
@@ -49,7 +49,7 @@
   public static final String CONTROL_PORT = ":8665";
 
   private static final String ROLE = "core";
-  private static final int PROTOCOL_VERSION = 1;
+  private static final int PROTOCOL_VERSION = 2;
   private static final long TICK = 50 * VirtualTime.MILLISECOND;
 
   private final World world;
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/DoorProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/DoorProcess.java
@@ -19,7 +19,7 @@
 
 /** One life of a door's process: {@link DoorControl} over simulated links and clock. */
 public final class DoorProcess implements LinkListener {
-  private static final int PROTOCOL_VERSION = 1;
+  private static final int PROTOCOL_VERSION = 2;
   private static final long TICK = 50 * VirtualTime.MILLISECOND;
 
   private final Machine.Life life;
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -62,7 +62,7 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(CoreProcess.class);
   private static final String ROLE = "core";
-  private static final int PROTOCOL_VERSION = 1;
+  private static final int PROTOCOL_VERSION = 2;
   private static final long TICK_MS = 50;
 
   /** Time for the messages that give the leases back to leave before the links are closed. */
--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -32,7 +32,7 @@
  */
 final class DoorProcess implements LinkListener, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(DoorProcess.class);
-  private static final int PROTOCOL_VERSION = 1;
+  private static final int PROTOCOL_VERSION = 2;
   private static final long TICK_MS = 50;
 
   /** Descriptors that are kept for links, listeners and files. */
