Router: engines are not divided between long and short prompts (tried and taken out)

Hypothesis: hints are late in the first seconds since they share engines with prompts of 17,000 tokens that are being read; a door sees too few requests to know which engines read one, so all doors divide them alike. Tried: engines in one order at all doors, the first eighths of them for prompts above the mean, by their part of the work as each door sees it. Doors saw other parts and so preferred other engines for one prefix. A border that is the same at all doors from the first request on might keep the gain; not tried.

--- a/router/src/main/java/nettletrail/router/balance/RendezvousHash.java
+++ b/router/src/main/java/nettletrail/router/balance/RendezvousHash.java
@@ -1,7 +1,5 @@
 package nettletrail.router.balance;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -13,10 +11,6 @@
   private static final long SECOND_MULTIPLIER = 0xBF58476D1CE4E5B9L;
   private static final long THIRD_MULTIPLIER = 0x94D049BB133111EBL;
   private static final int FIRST_SHIFT = 31;
-
-  /** Any key that isn't a prompt's; the order of backends is that of its scores. */
-  private static final long ORDER_KEY = 0x2545F4914F6CDD1DL;
-
   private static final int SECOND_SHIFT = 29;
 
   private RendezvousHash() {}
@@ -45,13 +39,6 @@
     return first;
   }
 
-  /** The backends in an order that is the same at every door and says nothing of them. */
-  static List<BackendLoad> ordered(List<BackendLoad> backends) {
-    List<BackendLoad> ordered = new ArrayList<>(backends);
-    ordered.sort(Comparator.comparingLong(each -> score(ORDER_KEY, each.endpoint().id())));
-    return ordered;
-  }
-
   private static long score(long key, String backendId) {
     long mixed = (key ^ backendId.hashCode() * FIRST_MULTIPLIER) * SECOND_MULTIPLIER;
     mixed = (mixed ^ mixed >>> FIRST_SHIFT) * THIRD_MULTIPLIER;
--- a/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
+++ b/router/src/main/java/nettletrail/router/balance/ServiceBackends.java
@@ -77,12 +77,8 @@
   private final Map<String, BackendLoad> loads = new HashMap<>();
   private final PrefixIndex prefixes = new PrefixIndex();
   private final List<String> ejected = new ArrayList<>();
-  private final PromptLanes lanes = new PromptLanes();
   private List<BackendLoad> ready = List.of();
 
-  /** Where each backend that is ready stands in the order that all doors have. */
-  private Map<BackendLoad, Integer> positions = Map.of();
-
   /** Median time that the service's backends take for a unit of work, ns; 0 while unknown. */
   private double usualNanosPerUnit;
 
@@ -110,19 +106,9 @@
       now.add(load);
     }
     ready = now;
-    positions = positions(now);
     return new ArrayList<>(before.keySet());
   }
 
-  private static Map<BackendLoad, Integer> positions(List<BackendLoad> backends) {
-    List<BackendLoad> ordered = RendezvousHash.ordered(backends);
-    Map<BackendLoad, Integer> positions = new HashMap<>();
-    for (BackendLoad load : ordered) {
-      positions.put(load, positions.size());
-    }
-    return positions;
-  }
-
   /** Those that were ejected for their silence since this was last asked. */
   public List<String> takeEjected() {
     if (ejected.isEmpty()) {
@@ -177,7 +163,7 @@
     BackendLoad chosen =
         engine == null
             ? lessLoadedOfTwo(candidates, now)
-            : cheapest(laneOf(request, candidates), request, engine, Math.max(1, doors), now);
+            : cheapest(candidates, request, engine, Math.max(1, doors), now);
     if (request.prefix().key() != 0) {
       prefixes.sent(request.prefix().key(), chosen.endpoint().id());
     }
@@ -203,33 +189,6 @@
     return healthy.isEmpty() || 2 * healthy.size() < untried.size() ? untried : healthy;
   }
 
-  /**
-   * Those in the lane of a prompt of this length, and those that hold its prefix already; all of
-   * them if the lane has lost most of its backends.
-   */
-  private List<BackendLoad> laneOf(BackendChoice request, List<BackendLoad> candidates) {
-    if (request.promptTokens() <= 0) {
-      return candidates;
-    }
-    lanes.observe(request.promptTokens(), request.memoryTokens() - request.promptTokens());
-    if (!lanes.isDivided(ready.size())) {
-      return candidates;
-    }
-    int border = lanes.enginesForLong(ready.size());
-    boolean isLong = lanes.isLong(request.promptTokens());
-    List<BackendLoad> lane = new ArrayList<>(candidates.size());
-    int inLane = 0;
-    for (BackendLoad load : candidates) {
-      boolean ofLane = positions.get(load) < border == isLong;
-      inLane += ofLane ? 1 : 0;
-      if (ofLane || isLong && prefixes.wasSent(request.prefix().key(), load.endpoint().id())) {
-        lane.add(load);
-      }
-    }
-    int whole = isLong ? border : ready.size() - border;
-    return 2 * inLane < whole ? candidates : lane;
-  }
-
   private BackendLoad lessLoadedOfTwo(List<BackendLoad> candidates, long now) {
     BackendLoad first = candidates.get(random.nextInt(candidates.size()));
     BackendLoad second = candidates.get(random.nextInt(candidates.size()));
