Core: the end of a backend waits for doors to have the feed up to the newest end only

Cause, found by reading the batching of the feed again: a repeated call that says closing waited for the whole feed, of which entries that tell of no end may now stay up to 100 ms, and are acknowledged with a heartbeat up to a second later; a core process without others would have answered 503. Every end that is held was appended to the feed, so the newest end covers it.

--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -274,12 +274,13 @@
 
   /**
    * A repeated call waits on its own; the report is told again, so that there is something to be
-   * acknowledged.
+   * acknowledged. Doors have to have the feed up to the newest end only: what came after it may
+   * still wait to leave together.
    */
   private void acknowledgeLater(long call, Backend held, long now) {
     followMembers();
     peers.tell(held);
-    pending.add(call, held, feed.offset(), now);
+    pending.add(call, held, feed.lastEndOffset(), now);
   }
 
   /** What is due to anybody; costs as much as there are doors and peers. */
