--- a/control/src/test/java/nettletrail/control/ControlFleet.java
+++ b/control/src/test/java/nettletrail/control/ControlFleet.java
@@ -18,8 +18,6 @@
 import nettletrail.control.registry.RegistryAction;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.BackendState;
-import nettletrail.protocol.Ballot;
-import nettletrail.protocol.Member;
 import org.apache.avro.specific.SpecificRecord;
 
 /**
@@ -49,17 +47,14 @@
   long longestDelay = 2 * MILLIS;
 
   /** One core process. */
-  final class Core implements ShardOwnership {
-    final String address;
+  final class Core extends SimulatedOwnership {
     CoreRegistry registry;
     long life;
     boolean running = true;
-    OptionalLong confirmedAt = OptionalLong.empty();
-    long configurationSequence;
     boolean confirming;
 
     Core(String address) {
-      this.address = address;
+      super(address, ControlFleet.this::shardOwners, cores::keySet);
       start();
     }
 
@@ -82,41 +77,6 @@
       perform(this, registry.tick(now));
       schedule(TICK, () -> tick(ofLife));
     }
-
-    @Override
-    public boolean owns(int shard, long at) {
-      return address.equals(owners.get(shard)) && !ownersPaused;
-    }
-
-    @Override
-    public Ballot token(int shard) {
-      return new Ballot(rounds.get(shard), address);
-    }
-
-    @Override
-    public String ownerAddress(int shard) {
-      return ownersPaused ? "" : owners.getOrDefault(shard, "");
-    }
-
-    @Override
-    public List<Member> members() {
-      return cores.keySet().stream().map(name -> new Member(name + "#0", name)).toList();
-    }
-
-    @Override
-    public int shardCount() {
-      return ShardMap.SHARD_COUNT;
-    }
-
-    @Override
-    public OptionalLong confirmedAt() {
-      return confirmedAt;
-    }
-
-    @Override
-    public long configurationSequence() {
-      return configurationSequence;
-    }
   }
 
   /** One door. */
@@ -197,6 +157,10 @@
   boolean ownersPaused;
   private Map<String, QuotaLimit> currentLimits = Map.of();
 
+  private SimulatedOwnership.Owners shardOwners() {
+    return new SimulatedOwnership.Owners(owners, rounds, ownersPaused);
+  }
+
   ControlFleet(int coreCount, int doorCount, long seed) {
     this(coreCount, doorCount, seed, TERMS);
   }
--- a/fleet/src/main/java/nettletrail/fleet/MetricsPort.java
+++ b/fleet/src/main/java/nettletrail/fleet/MetricsPort.java
@@ -5,6 +5,7 @@
 /** The option of both roles that names the port of {@link MetricsServer}. */
 final class MetricsPort {
   private static final String OPTION = "--metrics-port";
+  private static final int ARGUMENTS_WITH_OPTION = 3;
   private static final int MOST_PORT = 65_535;
 
   private MetricsPort() {}
@@ -19,7 +20,7 @@
     if (arguments.length == 1) {
       return OptionalInt.empty();
     }
-    if (arguments.length == 3 && arguments[1].equals(OPTION)) {
+    if (arguments.length == ARGUMENTS_WITH_OPTION && arguments[1].equals(OPTION)) {
       return OptionalInt.of(port(arguments[2]));
     }
     throw new StartException(
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -102,11 +102,10 @@
   public boolean ready() {
     RoutingTable routing = control.routing();
     long now = System.nanoTime();
-    return listener != null
-        && !draining
-        && routing != null
-        && control.routingIsCurrent(now)
-        && (!routing.keysRequired() || control.keysConfirmed(now));
+    if (listener == null || draining || routing == null || !control.routingIsCurrent(now)) {
+      return false;
+    }
+    return !routing.keysRequired() || control.keysConfirmed(now);
   }
 
   /**
