Control: state that nothing reads is gone, and a door's pauses are worked out once a poll

Found by reading the whole change again. Cause: KnownItems.Item kept the name of its list, ConfigurationFollower.chooseSource returned what no caller looks at, two messages for tests had no test, and GrantClient worked out each tenant's pause twice a poll, on a path that runs for each message. The shortest pause is found once and serves both questions.

--- a/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
@@ -66,7 +66,7 @@
     List<KnownItems.Item> items = new ArrayList<>(models.size());
     for (Object model : models) {
       JsonValue value = document.member(list).items().get(items.size());
-      items.add(new KnownItems.Item(list, value.start(), value.end(), model));
+      items.add(new KnownItems.Item(value.start(), value.end(), model));
     }
     return items;
   }
--- a/configuration/src/main/java/nettletrail/configuration/KnownItems.java
+++ b/configuration/src/main/java/nettletrail/configuration/KnownItems.java
@@ -23,12 +23,11 @@
   /**
    * An item of a list.
    *
-   * @param list the name of the list
    * @param start where its bytes begin in the document
    * @param end where they end
    * @param model what was read from them
    */
-  record Item(String list, int start, int end, Object model) {
+  record Item(int start, int end, Object model) {
     int length() {
       return end - start;
     }
--- a/control/src/main/java/nettletrail/control/door/ConfigurationFollower.java
+++ b/control/src/main/java/nettletrail/control/door/ConfigurationFollower.java
@@ -79,17 +79,16 @@
     return Optional.empty();
   }
 
-  /** Changes the source where that is due; returns whether it did. */
-  boolean chooseSource(Collection<CoreLink> links, long now) {
+  /** Changes the source where that is due. */
+  void chooseSource(Collection<CoreLink> links, long now) {
     boolean arriving = transfer.isUnderWay() && now - transfer.progressAt() <= PIECE_WITHIN;
     String before = source.address();
     if (arriving && isUp(before, links) || !source.choose(links, now)) {
-      return false;
+      return;
     }
     links.stream()
         .filter(link -> link.address().equals(before) || source.is(link))
         .forEach(CoreLink::hurryHeartbeat);
-    return true;
   }
 
   private static boolean isUp(String address, Collection<CoreLink> links) {
--- a/control/src/main/java/nettletrail/control/door/GrantClient.java
+++ b/control/src/main/java/nettletrail/control/door/GrantClient.java
@@ -194,8 +194,9 @@
 
   private Optional<DoorAction> ask(int number, List<TenantTokens> active, long now) {
     ShardState shard = shards.computeIfAbsent(number, unseen -> new ShardState());
-    asksSoon |= active.stream().anyMatch(held -> pause(held, now) <= ASK_AGAIN_WHEN_SHORT);
-    if (!due(shard, active, now)) {
+    long pause = shortestPause(active, now);
+    asksSoon |= pause <= ASK_AGAIN_WHEN_SHORT;
+    if (!due(shard, pause, now)) {
       return Optional.empty();
     }
     Optional<String> owner = ownerLookup.owner(number, now);
@@ -221,7 +222,7 @@
             owner.get(), new GrantRequest(door, life, lastRequest, number, uses)));
   }
 
-  private static boolean due(ShardState shard, List<TenantTokens> active, long now) {
+  private static boolean due(ShardState shard, long shortestPause, long now) {
     long sinceAsked = now - shard.askedAt;
     if (!shard.askedBefore) {
       return true;
@@ -229,11 +230,17 @@
     if (shard.requestUnderWay != 0) {
       return sinceAsked >= GIVE_UP;
     }
-    long pause = Math.min(ASK_EVERY, shard.validMs * MILLIS / ASKS_A_VALIDITY);
+    long pause = Math.min(shortestPause, shard.validMs * MILLIS / ASKS_A_VALIDITY);
+    return sinceAsked >= pause;
+  }
+
+  /** How long after the last request the tenant that is most in need asks for the next one. */
+  private static long shortestPause(List<TenantTokens> active, long now) {
+    long shortest = ASK_EVERY;
     for (TenantTokens held : active) {
-      pause = Math.min(pause, pause(held, now));
+      shortest = Math.min(shortest, pause(held, now));
     }
-    return sinceAsked >= pause;
+    return shortest;
   }
 
   /** How long after the last request this tenant asks for the next one, in nanoseconds. */
--- a/control/src/test/java/nettletrail/control/TestMessages.java
+++ b/control/src/test/java/nettletrail/control/TestMessages.java
@@ -1,9 +1,7 @@
 package nettletrail.control;
 
 import java.nio.ByteBuffer;
-import java.util.List;
 import nettletrail.protocol.ConfigurationChunk;
-import nettletrail.protocol.Directory;
 import nettletrail.protocol.DoorHeartbeat;
 import nettletrail.protocol.DoorHeartbeatReply;
 
@@ -45,22 +43,6 @@
     return new DoorHeartbeatReply(core, sentAt, true, ageMs, sequence, 1L, 0L, 1, zone, null);
   }
 
-  /** A reply that confirms nothing. */
-  public static DoorHeartbeatReply unconfirmed(
-      String core, String zone, long sentAt, long sequence) {
-    return new DoorHeartbeatReply(core, sentAt, false, 0L, sequence, 1L, 0L, 1, zone, null);
-  }
-
-  /** A directory with these members' addresses and these owners. */
-  public static Directory directory(long digest, List<String> addresses, List<String> owners) {
-    return new Directory(
-        digest,
-        addresses.stream()
-            .map(address -> new nettletrail.protocol.Member(address + "#0", address))
-            .toList(),
-        owners);
-  }
-
   /** A heartbeat of a door that has read no feed. */
   public static DoorHeartbeat heartbeat(
       String door, long sentAt, long heldSequence, boolean source) {
