Control plane: calls at an isolated core process, late messages, SIGHUP at a start, cut answers

- A core process that reaches neither another one nor a door acknowledged heartbeats, so a backend that its zone's cut left at it stayed there until all others let it expire.
It answers 503 after a second without a link; the backend calls another.
- A message that arrived after its link was down marked the feed as followed, with a gap.
It is dropped.
- SIGHUP before the handler stood ended the process (the default action).
The handler is set first; the signal is remembered.
- An answer of a core that ended early ended `status` commands and `config history` with an uncaught exception (index, number format); a malformed event id or Content-Length ended a client thread of `fleet try`.
Both are reported.
- ShardOwnership.configurationSequence was -1 before the first configuration; it is 0, as documented.

Acceptor.bootstrap shows the initial version before it is durable; that takes back nothing (same at all, no change in it): argued in its comment.

--- a/control/src/main/java/nettletrail/control/BackendManager.java
+++ b/control/src/main/java/nettletrail/control/BackendManager.java
@@ -18,11 +18,13 @@
  * what they change. Not thread-safe; instants are steady nanoseconds.
  *
  * <p>A call without a change is answered at once and reaches other core processes only in the
- * periodic digests. A change is replicated to them and appended to the feed.
+ * periodic digests. A change is replicated to them and appended to the feed. A process that reaches
+ * nobody rejects calls, so that the backend calls another one before the others let it expire.
  */
 final class BackendManager {
   private static final long DIGEST_INTERVAL_NANOS = 700_000_000L;
   private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
   private static final String DELETE = "DELETE";
 
   private final String address;
@@ -50,8 +52,9 @@
     Change change = registry.recordCall(report, now);
     Backend newest = registry.get(report.getId());
     boolean withdrawn = BackendOrdering.isWithdrawn(report);
+    int status = replication.isIsolated(now) ? UNAVAILABLE : OK;
     if (!withdrawn && change != Change.CHANGED) {
-      return List.of(new AnswerBackend(call, OK));
+      return List.of(new AnswerBackend(call, status));
     }
     if (change == Change.CHANGED) {
       replication.publish(newest);
@@ -60,7 +63,7 @@
     if (withdrawn) {
       replication.acknowledgeWhenReplicated(call, newest, now);
     } else {
-      actions.add(new AnswerBackend(call, OK));
+      actions.add(new AnswerBackend(call, status));
     }
     actions.addAll(replication.sendDue(now));
     return actions;
--- a/control/src/main/java/nettletrail/control/CoreRegistry.java
+++ b/control/src/main/java/nettletrail/control/CoreRegistry.java
@@ -50,7 +50,7 @@
     this.address = settings.address();
     this.registry = new BackendRegistry(settings.heartbeatMs(), now);
     this.doors = new DoorSessions(feed, registry, now);
-    this.replication = new ReplicationManager(settings, ownership, feed, doors);
+    this.replication = new ReplicationManager(settings, ownership, feed, doors, now);
     this.backends = new BackendManager(settings, registry, feed, replication, now);
     this.grants = new GrantManager(settings, ownership);
     this.heartbeats = new HeartbeatResponder(settings, ownership, feed, doors);
@@ -160,6 +160,7 @@
   /** Does what is due by time; to be called about every 50 ms. */
   public List<RegistryAction> tick(long now) {
     replication.updateMembers();
+    replication.trackContact(now);
     grants.updateOwnedShards(now);
     backends.expire(now);
     List<RegistryAction> actions = new ArrayList<>(backends.digestsDue(now));
--- a/control/src/main/java/nettletrail/control/ReplicationManager.java
+++ b/control/src/main/java/nettletrail/control/ReplicationManager.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import nettletrail.control.registry.CorePeers;
 import nettletrail.control.registry.DoorSessions;
 import nettletrail.control.registry.Feed;
@@ -24,14 +25,23 @@
  * live only when the leases of its former incarnation have expired.
  */
 final class ReplicationManager {
+  /** Links come up within this time after a start, and are back after a short fault. */
+  private static final long ISOLATED_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final ShardOwnership ownership;
   private final Feed feed;
   private final DoorSessions doors;
   private final CorePeers peers;
   private final PendingCalls pendingCalls = new PendingCalls();
+  private long lastContactAt;
 
   ReplicationManager(
-      CoreRegistrySettings settings, ShardOwnership ownership, Feed feed, DoorSessions doors) {
+      CoreRegistrySettings settings,
+      ShardOwnership ownership,
+      Feed feed,
+      DoorSessions doors,
+      long now) {
+    this.lastContactAt = now;
     this.ownership = ownership;
     this.feed = feed;
     this.doors = doors;
@@ -105,6 +115,21 @@
         || isOnlyCore() && doors.isNoneLive(now);
   }
 
+  /** Notes whether any other process is linked; to be called about every 50 ms. */
+  void trackContact(long now) {
+    if (peers.isAnyConnected() || doors.isAnyConnected() || isOnlyCore()) {
+      lastContactAt = now;
+    }
+  }
+
+  /**
+   * Whether reports would reach nobody from here: neither another core process nor a door has been
+   * linked for a while, though there are other core processes.
+   */
+  boolean isIsolated(long now) {
+    return now - lastContactAt > ISOLATED_AFTER_NANOS;
+  }
+
   /** Whether this is the only core process; false while the membership isn't known. */
   private boolean isOnlyCore() {
     return peers.isEmpty() && !ownership.members().isEmpty();
--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -87,9 +87,12 @@
     return poll(now);
   }
 
-  /** A message from a core process; kinds that aren't meant for doors are ignored. */
+  /**
+   * A message from a core process; kinds that aren't meant for doors are ignored. So is one that
+   * arrives when its link is down: it would mark a feed as followed that has a gap.
+   */
   public List<DoorAction> received(String address, SpecificRecord message, long now) {
-    Optional<CoreLink> link = links.find(address);
+    Optional<CoreLink> link = links.find(address).filter(CoreLink::isUp);
     if (link.isEmpty()) {
       return new ArrayList<>();
     }
--- a/control/src/main/java/nettletrail/control/host/ShardLeases.java
+++ b/control/src/main/java/nettletrail/control/host/ShardLeases.java
@@ -58,6 +58,6 @@
 
   @Override
   public long configurationSequence() {
-    return shards.committedSequence();
+    return Math.max(0, shards.committedSequence());
   }
 }
--- a/control/src/main/java/nettletrail/control/registry/CorePeers.java
+++ b/control/src/main/java/nettletrail/control/registry/CorePeers.java
@@ -115,6 +115,11 @@
     return peer == null ? List.of() : peer.hints.acknowledged(reply);
   }
 
+  /** Whether the link to any peer is up. */
+  public boolean isAnyConnected() {
+    return peers.values().stream().anyMatch(peer -> peer.connected);
+  }
+
   /** Whether this is the only core process. */
   public boolean isEmpty() {
     return peers.isEmpty();
--- a/control/src/main/java/nettletrail/control/registry/DoorSessions.java
+++ b/control/src/main/java/nettletrail/control/registry/DoorSessions.java
@@ -124,7 +124,16 @@
     return live;
   }
 
-  /** Whether every connected door was sent the feed up to this offset. */
+  /** Whether the link to any door is up and the door has sent a heartbeat over it. */
+  public boolean isAnyConnected() {
+    return sessions.values().stream().anyMatch(DoorSession::isReady);
+  }
+
+  /**
+   * Whether every connected door was sent the feed up to this offset. Each event that appends a
+   * withdrawal pushes the feed before calls are answered, so this holds for all connected doors
+   * then; it is asked so that an event which doesn't push acknowledges nothing.
+   */
   public boolean isSentToAllConnected(long offset) {
     for (DoorSession session : sessions.values()) {
       if (session.isReady() && !session.feedPosition().isSent(feed.id(), offset)) {
--- a/control/src/main/java/nettletrail/control/shard/Acceptor.java
+++ b/control/src/main/java/nettletrail/control/shard/Acceptor.java
@@ -102,7 +102,12 @@
     return now < leaseUntil && !leaseProposal.getNode().equals(node);
   }
 
-  /** Accepts the version that the system starts from, without a proposer. */
+  /**
+   * Accepts the version that the system starts from, without a proposer. It counts as accepted
+   * before it is durable: it is the same at all members and contains no change, so a loss of power
+   * that takes it back takes back nothing that was acknowledged to an operator. Every later version
+   * is complete and is acknowledged only once it is durable.
+   */
   void bootstrap(ShardVersion initial) {
     accepted = initial;
     pendingAccept = new PendingAccept(null, initial);
--- a/control/src/test/java/nettletrail/control/door/DoorControlTest.java
+++ b/control/src/test/java/nettletrail/control/door/DoorControlTest.java
@@ -55,6 +55,17 @@
     assertEquals(FEED, nextHeartbeat().getFeed());
   }
 
+  @Test
+  void messageThatArrivesAfterItsLinkIsDownIsDropped() {
+    receive(new FeedSnapshot(CORE, FEED, 5L, List.of(backend("a"))));
+    control.linkDown(CORE, now);
+    assertEquals(List.of(), receive(new FeedSnapshot(CORE, FEED, 6L, List.of(backend("b")))));
+    receive(events(5, 6, "c"));
+    assertEquals(List.of("a"), ids());
+    control.linkUp(CORE, now);
+    assertEquals(5, nextHeartbeat().getFeedOffset());
+  }
+
   @Test
   void confirmationOfANewerSequenceCountsOnceThatIsReached() {
     receive(TestMessages.configuration(3L));
--- a/control/src/test/java/nettletrail/control/registry/FeedPushTest.java
+++ b/control/src/test/java/nettletrail/control/registry/FeedPushTest.java
@@ -1,6 +1,8 @@
 package nettletrail.control.registry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -51,14 +53,32 @@
     assertEquals(List.of(1, 2, 1), entriesOfEachMessage);
   }
 
+  @Test
+  void withdrawalThatWasNotSentYetDoesNotCountAsSentToAllConnectedDoors() {
+    feed.append(backend("b1", BackendState.CLOSING));
+    assertFalse(doors.isSentToAllConnected(feed.lastWithdrawalOffset()));
+    push();
+    assertTrue(doors.isSentToAllConnected(feed.lastWithdrawalOffset()));
+  }
+
+  @Test
+  void doorIsConnectedFromItsHeartbeatUntilItsLinkIsDown() {
+    assertTrue(doors.isAnyConnected());
+    doors.linkDown(DOOR, now);
+    assertFalse(doors.isAnyConnected());
+  }
+
   private void report(String id, BackendState state) {
-    Backend backend =
-        new Backend(id, "lm", "10.0.0.1:80", "zone", "v1", 8, state, 0L, "", List.of("m"), now);
+    Backend backend = backend(id, state);
     registry.recordCall(backend, now);
     feed.append(backend);
     push();
   }
 
+  private Backend backend(String id, BackendState state) {
+    return new Backend(id, "lm", "10.0.0.1:80", "zone", "v1", 8, state, 0L, "", List.of("m"), now);
+  }
+
   private void push() {
     for (RegistryAction action : doors.push(now)) {
       if (action instanceof RegistryAction.SendToDoor send
--- a/fleet/src/main/java/nettletrail/fleet/Main.java
+++ b/fleet/src/main/java/nettletrail/fleet/Main.java
@@ -37,15 +37,17 @@
   }
 
   private interface Role {
-    void run(Path file, FleetSettings settings, OptionalInt metricsPort)
+    void run(Path file, FleetSettings settings, OptionalInt metricsPort, HangUpSignal hangUp)
         throws StartException, InterruptedException;
   }
 
   private static int daemon(Role role, String[] arguments) throws InterruptedException {
+    HangUpSignal hangUp = new HangUpSignal();
+    hangUp.install();
     try {
       OptionalInt metricsPort = MetricsPort.of(arguments);
       Path file = SettingsReader.pathFrom(System.getenv());
-      role.run(file, SettingsReader.read(file), metricsPort);
+      role.run(file, SettingsReader.read(file), metricsPort, hangUp);
       return 0;
     } catch (SettingsException | StartException fault) {
       LOG.error("{} can't start: {}", LogEvent.START_FAILED, fault.getMessage(), fault.getCause());
@@ -53,26 +55,28 @@
     }
   }
 
-  private static void runCore(Path file, FleetSettings settings, OptionalInt metricsPort)
+  private static void runCore(
+      Path file, FleetSettings settings, OptionalInt metricsPort, HangUpSignal hangUp)
       throws StartException, InterruptedException {
     CoreProcess process = new CoreProcess(settings);
     process.start();
     metricsPort.ifPresent(process::serveMetrics);
     SettingsWatcher watcher =
         new SettingsWatcher(file, settings, process.loop(), process::settingsChanged);
-    Signal.handle(new Signal("HUP"), signal -> watcher.checkNow());
+    hangUp.onReceived(watcher::checkNow);
     awaitTermination();
     process.close();
   }
 
-  private static void runDoor(Path file, FleetSettings settings, OptionalInt metricsPort)
+  private static void runDoor(
+      Path file, FleetSettings settings, OptionalInt metricsPort, HangUpSignal hangUp)
       throws StartException, InterruptedException {
     DoorProcess process = new DoorProcess(settings);
     process.start();
     metricsPort.ifPresent(process::serveMetrics);
     SettingsWatcher watcher =
         new SettingsWatcher(file, settings, process.loop(), process::settingsChanged);
-    Signal.handle(new Signal("HUP"), signal -> watcher.checkNow());
+    hangUp.onReceived(watcher::checkNow);
     awaitTermination();
     process.drain();
   }
--- a/fleet/src/main/java/nettletrail/fleet/cli/ConfigHistoryCommand.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ConfigHistoryCommand.java
@@ -37,7 +37,7 @@
         editions.add(version.get("edition").toLong());
       }
       return editions;
-    } catch (JsonException malformed) {
+    } catch (JsonException | IndexOutOfBoundsException | NumberFormatException malformed) {
       throw response.malformed(malformed.getMessage(), malformed);
     }
   }
@@ -52,7 +52,7 @@
         changes.add(new Change(edition, onDisk.contains(edition), digest));
       }
       return changes;
-    } catch (JsonException malformed) {
+    } catch (JsonException | IndexOutOfBoundsException | NumberFormatException malformed) {
       throw response.malformed(malformed.getMessage(), malformed);
     }
   }
--- a/fleet/src/main/java/nettletrail/fleet/cli/JsonObject.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/JsonObject.java
@@ -29,12 +29,12 @@
   /**
    * Parses a JSON object.
    *
-   * @throws JsonException if the text isn't one
+   * @throws JsonException if the text isn't one, or ends before the object does
    */
   static JsonObject parse(byte[] json) {
     try {
       return new JsonObject(readObject(JsonIterator.parse(json)));
-    } catch (IOException malformed) {
+    } catch (IOException | IndexOutOfBoundsException | NumberFormatException malformed) {
       throw new JsonException(malformed);
     }
   }
--- a/fleet/src/main/java/nettletrail/fleet/cli/demonstration/HttpResponseReader.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/demonstration/HttpResponseReader.java
@@ -17,6 +17,7 @@
 final class HttpResponseReader {
   private static final int HEXADECIMAL = 16;
   private static final String EVENT_ID = "id:";
+  private static final String CONTENT_LENGTH = "content-length";
 
   private int status;
   private final Map<String, String> headers = new HashMap<>();
@@ -44,8 +45,23 @@
     if ("chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
       readChunks(in);
     } else {
-      int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-      addBody(readExactly(in, length));
+      addBody(readExactly(in, contentLength()));
+    }
+  }
+
+  private int contentLength() throws IOException {
+    int length = number(headers.getOrDefault(CONTENT_LENGTH, "0"), CONTENT_LENGTH);
+    if (length < 0) {
+      throw new IOException("not a " + CONTENT_LENGTH + ": " + length);
+    }
+    return length;
+  }
+
+  private static int number(String text, String what) throws IOException {
+    try {
+      return Integer.parseInt(text.strip());
+    } catch (NumberFormatException malformed) {
+      throw new IOException("not a " + what + ": " + text, malformed);
     }
   }
 
@@ -91,7 +107,7 @@
   }
 
   /** Adds the ids of the events whose lines end in these bytes. */
-  private void addBody(byte[] bytes) {
+  private void addBody(byte[] bytes) throws IOException {
     if (firstEventAt == 0 && bytes.length > 0) {
       firstEventAt = System.nanoTime();
     }
@@ -103,7 +119,7 @@
       String text = line.toString(StandardCharsets.UTF_8);
       line.reset();
       if (text.startsWith(EVENT_ID)) {
-        eventIds.add(Integer.parseInt(text.substring(EVENT_ID.length()).strip()));
+        eventIds.add(number(text.substring(EVENT_ID.length()), "event id"));
       }
     }
   }
--- a/fleet/src/test/java/nettletrail/fleet/cli/OperatorClientTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/cli/OperatorClientTest.java
@@ -10,11 +10,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class OperatorClientTest {
@@ -196,4 +199,27 @@
     assertEquals(0, run("help", "config", "put"));
     assertTrue(output().contains("--if-match"), output());
   }
+
+  /** Each status command against a core whose answer ends early, at every length. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "doors|{\"core\":\"core-1\",\"doors\":[{\"door\":\"a\",\"age_ms\":12,\"draining\":false}]}",
+        "backends|{\"core\":\"core-1\",\"backends\":[{\"id\":\"i-1\",\"state\":\"READY\"}]}",
+        "shards|{\"core\":\"core-1\",\"shards\":[{\"shard\":0,\"owner\":null,\"group\":[\"a\"]}]}",
+        "leases|{\"core\":\"core-1\",\"leases\":[{\"door\":\"a\",\"left_ms\":1.5e3}]}",
+        "config history|{\"versions\":[{\"edition\":5}],\"changes\":[{\"edition\":5}]}"
+      })
+  void truncatedAnswersOfACoreAreReported(String command, String answer) throws Exception {
+    for (int length = 1; length < answer.length(); length++) {
+      try (StubCore core = new StubCore().answers(200, answer.substring(0, length))) {
+        List<String> arguments = new ArrayList<>(List.of(command.split(" ")));
+        arguments.addAll(List.of("--core", core.address()));
+        int code = run(arguments.toArray(String[]::new));
+        assertEquals(ExitCode.NO_CLEAR_ANSWER.number(), code, "after " + length + ": " + errors());
+        assertTrue(errors().contains(core.address()), errors());
+      }
+    }
+  }
 }
--- a/fleet/src/test/java/nettletrail/fleet/cli/StubCore.java
+++ b/fleet/src/test/java/nettletrail/fleet/cli/StubCore.java
@@ -25,7 +25,7 @@
 
   StubCore() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-    server.createContext("/nettletrail/config", this::handle);
+    server.createContext("/nettletrail/", this::handle);
     server.start();
   }
 
