Doors that no core process answers stop using keys at six tenths of the revocation time

Until now such a door served on up to revoke_ms less a margin, and its clients' work at backends was for nothing. CoreContact counts from the last heartbeat that any core process answered; a core that answers without being able to confirm (an election) leaves the keys valid until revoke_ms, as before. A rejected client finds another door earlier.

The scenario test that held a cut-off door's keys valid for 4 of 5 s now wants them ended at 3 s, and a new one holds them valid for 4 s while the core answers unconfirmed. DoorControl.keysValidUntil had no caller and is gone.

--- a/control/src/main/java/nettletrail/control/door/DoorControl.java
+++ b/control/src/main/java/nettletrail/control/door/DoorControl.java
@@ -36,6 +36,7 @@
   private final OwnerDirectory owners = new OwnerDirectory();
   private final DoorCount doorCount = new DoorCount();
   private final KeyLease keys;
+  private final CoreContact contact;
   private final ConfigurationActivation activation;
   private final ConfigurationFollower follower;
   private final GrantClient grants;
@@ -49,6 +50,7 @@
     this.feeds = new FeedFollower(door, backends);
     this.handoff = new DeregistrationHandoff(door, backends, now);
     this.keys = new KeyLease(settings.revokeMs());
+    this.contact = new CoreContact(settings.revokeMs(), now);
     this.activation = new ConfigurationActivation(keys);
     this.follower = new ConfigurationFollower(door, settings.zone(), activation);
     this.grants =
@@ -122,6 +124,7 @@
     link.replied(reply, now);
     follower.announced(reply.getConfigurationSequence(), now);
     keys.confirmed(reply);
+    contact.replied(reply.getSentAt());
     activateDueConfiguration(actions, now);
     directory(link, reply.getDirectory(), now);
     doorCount.update(links.all(), now);
@@ -212,16 +215,11 @@
   }
 
   /**
-   * The instant until which API keys may be accepted and rejected by the active configuration;
-   * empty when nothing was ever confirmed.
+   * Whether API keys may be accepted and rejected at this instant: the active configuration was
+   * confirmed as the newest lately enough, and the door isn't cut off from the core.
    */
-  public OptionalLong keysValidUntil() {
-    return keys.until();
-  }
-
-  /** Whether API keys may be accepted and rejected at this instant. */
   public boolean areKeysValid(long now) {
-    return keys.isValid(now);
+    return keys.isValid(now) && !contact.isLost(now);
   }
 
   /**
--- a/control/src/test/java/nettletrail/control/RegistryScenarioTest.java
+++ b/control/src/test/java/nettletrail/control/RegistryScenarioTest.java
@@ -310,6 +310,20 @@
     assertEquals(List.of("a", "d"), ids(1));
   }
 
+  @Test
+  void keysAreValidUntilTheRevocationTimeWhileTheCoreRepliesWithoutAConfirmation() {
+    fleet.run(1_000);
+    fleet.commit(3, Map.of());
+    fleet.run(1_500);
+    for (int core = 0; core < 3; core++) {
+      fleet.core(core).confirming = false;
+    }
+    fleet.run(4_000);
+    assertTrue(fleet.door(0).control.areKeysValid(fleet.now));
+    fleet.run(1_000);
+    assertFalse(fleet.door(0).control.areKeysValid(fleet.now));
+  }
+
   @Test
   void committedConfigurationIsUsedOnceConfirmedAndKeysAreValidWhileConfirmed() {
     fleet.run(1_000);
@@ -322,9 +336,9 @@
     fleet.run(1_000);
     assertTrue(fleet.door(0).control.areKeysValid(fleet.now));
     fleet.isolate("door-0");
-    fleet.run(4_000);
+    fleet.run(2_500);
     assertTrue(fleet.door(0).control.areKeysValid(fleet.now));
-    fleet.run(1_000);
+    fleet.run(600);
     assertFalse(fleet.door(0).control.areKeysValid(fleet.now));
     fleet.commit(4, Map.of());
     fleet.heal();
