--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedDoorProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedDoorProcess.java
@@ -27,6 +27,10 @@
  */
 public final class EmulatedDoorProcess implements LinkListener {
   private static final int PROTOCOL_VERSION = 2;
+
+  /** What the activation of a configuration takes of a door's thread; spaces the next one. */
+  private static final long ACTIVATION_TIME = 20 * VirtualTime.MILLISECOND;
+
   private static final long TICK = DoorHost.TICK_MS * VirtualTime.MILLISECOND;
 
   private final SimulatedMachine.Incarnation incarnation;
@@ -124,10 +128,9 @@
     host.up(peer);
   }
 
-  /** Passed on also while another link with the same core process is up. */
   @Override
   public void down(Peer peer) {
-    host.linkDown(peer.key());
+    host.down(peer);
   }
 
   @Override
@@ -173,6 +176,7 @@
     public void activate(ConfigurationChanged changed) {
       table = RoutingTables.compile(changed.document());
       control.grants().limitsChanged(QuotaLimits.of(table.tenants()));
+      control.configurationActivated(ACTIVATION_TIME, now());
     }
 
     /** Does nothing: requests read the backends from the control plane. */
