One place for the hello of a link and for the number of the configuration's shard

HelloMessages builds the hello of a door and of a core process; ShardMap has the shard's number. Same bytes: the forms pinned by MessageFormatTest and LinkFrameFormatTest are unchanged.

--- a/control/src/main/java/nettletrail/control/host/CoreHost.java
+++ b/control/src/main/java/nettletrail/control/host/CoreHost.java
@@ -8,8 +8,8 @@
 import nettletrail.control.shard.CoreShards;
 import nettletrail.control.shard.StoreOutcome;
 import nettletrail.protocol.Backend;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
-import nettletrail.protocol.link.Links;
 import nettletrail.protocol.link.Peer;
 import org.apache.avro.specific.SpecificRecord;
 
@@ -86,7 +86,7 @@
   }
 
   private static boolean isDoor(Peer peer) {
-    return peer.role().equals(Links.DOOR_ROLE);
+    return peer.role().equals(HelloMessages.DOOR_ROLE);
   }
 
   /** A link with a door is up. */
--- a/control/src/main/java/nettletrail/control/shard/ConfirmationRounds.java
+++ b/control/src/main/java/nettletrail/control/shard/ConfirmationRounds.java
@@ -1,5 +1,6 @@
 package nettletrail.control.shard;
 
+import nettletrail.control.ShardMap;
 import nettletrail.protocol.ConfirmQuery;
 import nettletrail.protocol.ConfirmReply;
 import nettletrail.protocol.Member;
@@ -51,7 +52,7 @@
       return;
     }
     nextRoundAt = now + settings.confirmationIntervalNanos();
-    ConfirmQuery query = new ConfirmQuery(self.getId(), CoreShards.CONFIGURATION_SHARD, now);
+    ConfirmQuery query = new ConfirmQuery(self.getId(), ShardMap.CONFIGURATION_SHARD, now);
     ShardVersion committed = replica.committed();
     if (committed == null) {
       knownAddresses.forEach(address -> actionQueue.send(address, query));
@@ -98,13 +99,13 @@
     boolean behind = reply.getCommittedSequence() > committedSequence();
     if (behind && fetches.isDue(peer, reply.getSentAt(), now)) {
       fetches.onRequested(peer, now);
-      actionQueue.send(peer, new VersionQuery(CoreShards.CONFIGURATION_SHARD));
+      actionQueue.send(peer, new VersionQuery(ShardMap.CONFIGURATION_SHARD));
     }
   }
 
   /** Sends the newest committed version that is known here. */
   void onVersionQuery(String peer) {
-    actionQueue.send(peer, new VersionReply(CoreShards.CONFIGURATION_SHARD, replica.committed()));
+    actionQueue.send(peer, new VersionReply(ShardMap.CONFIGURATION_SHARD, replica.committed()));
   }
 
   /** Takes a committed version, or none, from a peer that was asked for it. */
--- a/control/src/main/java/nettletrail/control/shard/CoreShards.java
+++ b/control/src/main/java/nettletrail/control/shard/CoreShards.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import nettletrail.control.ShardMap;
 import nettletrail.protocol.Member;
 import nettletrail.protocol.ProposalNumber;
 import nettletrail.protocol.ShardVersion;
@@ -13,7 +14,7 @@
 import org.apache.avro.specific.SpecificRecord;
 
 /**
- * All replicated shards of one core process: shard {@value #CONFIGURATION_SHARD} stores the
+ * All replicated shards of one core process: shard {@value ShardMap#CONFIGURATION_SHARD} stores the
  * configuration, the others only elect an owner. Routes events to the parts that handle them.
  *
  * <p>Does no I/O and reads no clock; for one thread. Each event returns the actions that follow
@@ -23,9 +24,6 @@
  */
 public final class CoreShards {
 
-  /** The shard that holds the operator's configuration. */
-  public static final int CONFIGURATION_SHARD = 0;
-
   private final ShardSettings settings;
   private final Member self;
   private final ActionQueue actionQueue;
@@ -79,7 +77,7 @@
       replicas.add(startReplica(shard, start, random.split(), now));
     }
     Incarnation incarnation = new Incarnation(now);
-    this.configurationReplica = replicas.get(CONFIGURATION_SHARD);
+    this.configurationReplica = replicas.get(ShardMap.CONFIGURATION_SHARD);
     this.register = new ConfigurationRegister(configurationReplica, rules, settings, actionQueue);
     this.requestRouter = new OperatorRequestRouter(settings, actionQueue, random.nextLong());
     this.confirmationRounds =
@@ -124,7 +122,7 @@
     heartbeats.tick(now);
     confirmationRounds.tick(peerDirectory.addresses(replicas), now);
     joinRequests.tick(now);
-    requestRouter.tick(ownerAddress(CONFIGURATION_SHARD, now), now);
+    requestRouter.tick(ownerAddress(ShardMap.CONFIGURATION_SHARD, now), now);
     return finish(now);
   }
 
@@ -143,7 +141,7 @@
    * CoreAction.AnswerOperator}.
    */
   public List<CoreAction> submit(long call, String method, String ifMatch, byte[] body, long now) {
-    String owner = ownerAddress(CONFIGURATION_SHARD, now);
+    String owner = ownerAddress(ShardMap.CONFIGURATION_SHARD, now);
     requestRouter.submit(call, method, ifMatch, body, owner, now);
     return finish(now);
   }
@@ -175,7 +173,7 @@
   /** The address of a shard's owner, or empty if none is known. */
   public String ownerAddress(int shard, long now) {
     String owner = replicas.get(shard).ownerAddress(now);
-    boolean mayBeReported = owner.isEmpty() && shard == CONFIGURATION_SHARD;
+    boolean mayBeReported = owner.isEmpty() && shard == ShardMap.CONFIGURATION_SHARD;
     return mayBeReported ? peerDirectory.reportedOwner(now, settings.leaseNanos()) : owner;
   }
 
--- a/control/src/test/java/nettletrail/control/host/CoreHostTest.java
+++ b/control/src/test/java/nettletrail/control/host/CoreHostTest.java
@@ -33,7 +33,7 @@
 import nettletrail.protocol.DoorHeartbeatReply;
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Member;
-import nettletrail.protocol.link.Links;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.Peer;
 import nettletrail.store.NodeIdentity;
 import org.apache.avro.specific.SpecificRecord;
@@ -188,7 +188,7 @@
   @Test
   void doorGetsItsReply() {
     becomeOwner();
-    Peer door = peer(DOOR, Links.DOOR_ROLE);
+    Peer door = peer(DOOR, HelloMessages.DOOR_ROLE);
     host.up(door);
     host.received(
         door, new DoorHeartbeat(DOOR, "zone", 1L, clock.get(), 0L, 0L, 0L, false, true, 0L));
@@ -198,7 +198,7 @@
 
   @Test
   void linkIsLostOnlyOnceNoOtherLinkWithThePeerIsUp() {
-    Peer door = peer(DOOR, Links.DOOR_ROLE);
+    Peer door = peer(DOOR, HelloMessages.DOOR_ROLE);
     host.up(door);
     linkUp = true;
     host.down(door);
--- a/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
+++ b/control/src/test/java/nettletrail/control/shard/ClusterInvariants.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import nettletrail.control.ShardMap;
 
 /** The invariants of a {@link SimulatedCluster}; a violation is an AssertionError. */
 final class ClusterInvariants {
@@ -46,7 +47,7 @@
 
   /** The owner of the configuration knows every acknowledged change. */
   private void checkOwnerKnowsTheNewest() {
-    SimulatedCore owner = cluster.owner(CoreShards.CONFIGURATION_SHARD);
+    SimulatedCore owner = cluster.owner(ShardMap.CONFIGURATION_SHARD);
     if (owner == null || acknowledged.isEmpty()) {
       return;
     }
--- a/control/src/test/java/nettletrail/control/shard/OwnerFencingTest.java
+++ b/control/src/test/java/nettletrail/control/shard/OwnerFencingTest.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import nettletrail.control.ShardMap;
 import nettletrail.protocol.OrderForward;
 import nettletrail.protocol.OrderForwardReply;
 import nettletrail.protocol.ProposalNumber;
@@ -106,8 +107,8 @@
   }
 
   private static void assertIsEndOfLease(ScriptedOwner owner, long instant) {
-    assertTrue(owner.shards.owns(CoreShards.CONFIGURATION_SHARD, instant - 1));
-    assertFalse(owner.shards.owns(CoreShards.CONFIGURATION_SHARD, instant));
+    assertTrue(owner.shards.owns(ShardMap.CONFIGURATION_SHARD, instant - 1));
+    assertFalse(owner.shards.owns(ShardMap.CONFIGURATION_SHARD, instant));
   }
 
   private static ScriptedOwner ownerWithFirstConfiguration() {
@@ -130,7 +131,7 @@
             .after(
                 new ConfigurationRules.CheckedDocument(5, json), AppliedChanges.digest(change, 3));
     return new VersionReply(
-        CoreShards.CONFIGURATION_SHARD,
+        ShardMap.CONFIGURATION_SHARD,
         new ShardVersion(
             proposal,
             before.getSequence() + 1,
--- a/control/src/test/java/nettletrail/control/shard/ScriptedOwner.java
+++ b/control/src/test/java/nettletrail/control/shard/ScriptedOwner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import nettletrail.control.ShardMap;
 import nettletrail.protocol.Accept;
 import nettletrail.protocol.AcceptReply;
 import nettletrail.protocol.Member;
@@ -57,7 +58,7 @@
   /** Advances time until the process owns the configuration. */
   static ScriptedOwner elected() {
     ScriptedOwner owner = new ScriptedOwner();
-    while (!owner.shards.owns(CoreShards.CONFIGURATION_SHARD, owner.now)) {
+    while (!owner.shards.owns(ShardMap.CONFIGURATION_SHARD, owner.now)) {
       owner.pass(TICK);
     }
     return owner;
@@ -99,7 +100,7 @@
     ProposalNumber proposal = new ProposalNumber(1L, NodeIdentity.founding(PEER).getId());
     String recipient = NodeIdentity.founding(SELF).getId();
     ShardHeartbeat heartbeat =
-        new ShardHeartbeat(CoreShards.CONFIGURATION_SHARD, recipient, proposal, 0L);
+        new ShardHeartbeat(ShardMap.CONFIGURATION_SHARD, recipient, proposal, 0L);
     receive(PEER, new OwnerHeartbeat(proposal.getNode(), now, List.of(heartbeat)));
   }
 
--- a/control/src/test/java/nettletrail/control/shard/SimulatedOperatorClient.java
+++ b/control/src/test/java/nettletrail/control/shard/SimulatedOperatorClient.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import nettletrail.control.ShardMap;
 
 /** Sends operators' calls to the machines of a {@link SimulatedCluster}. */
 final class SimulatedOperatorClient {
@@ -63,7 +64,7 @@
 
   /** The machines that do not own the configuration. */
   List<SimulatedCore> followers() {
-    SimulatedCore owner = cluster.owner(CoreShards.CONFIGURATION_SHARD);
+    SimulatedCore owner = cluster.owner(ShardMap.CONFIGURATION_SHARD);
     return cluster.cores().stream().filter(core -> core != owner).toList();
   }
 
@@ -74,6 +75,6 @@
   }
 
   private SimulatedCore owner() {
-    return cluster.owner(CoreShards.CONFIGURATION_SHARD);
+    return cluster.owner(ShardMap.CONFIGURATION_SHARD);
   }
 }
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketDoor.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/sockets/SocketDoor.java
@@ -12,6 +12,7 @@
 import nettletrail.control.host.NetworkDoorLinks;
 import nettletrail.emulator.capacity.SimulatedRequests;
 import nettletrail.protocol.Hello;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Links;
@@ -23,7 +24,6 @@
  * loop.
  */
 final class SocketDoor implements LinkListener {
-  private static final int PROTOCOL_VERSION = 2;
   private static final long REVOKE_MS = 5_000;
   private static final long IN_FORCE_MS = 9_000;
 
@@ -54,7 +54,7 @@
         new DoorControl(
             new DoorControlSettings(name, "zone", incarnation, REVOKE_MS, IN_FORCE_MS, seeds),
             System.nanoTime());
-    Hello hello = new Hello(name, "", Links.DOOR_ROLE, incarnation, PROTOCOL_VERSION);
+    Hello hello = HelloMessages.ofDoor(name, "", incarnation);
     this.links = new Links(loop, LinkSettings.defaults(), hello, this);
     this.host =
         new DoorHost(control, System::nanoTime, new NetworkDoorLinks(links), new DataPlane());
--- a/fleet-emulator/src/main/java/nettletrail/emulator/explore/GroupChangeSystem.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/explore/GroupChangeSystem.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import nettletrail.control.shard.CoreShards;
+import nettletrail.control.ShardMap;
 import nettletrail.control.shard.ShardSettings;
 
 /**
@@ -54,7 +54,7 @@
 
   private void moveOwnerToFront() {
     for (int position = 0; position < group.size(); position++) {
-      if (group.get(position).shards().owns(CoreShards.CONFIGURATION_SHARD, network.now())) {
+      if (group.get(position).shards().owns(ShardMap.CONFIGURATION_SHARD, network.now())) {
         group.add(0, group.remove(position));
       }
     }
--- a/fleet-emulator/src/main/java/nettletrail/emulator/explore/RegisterChecks.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/explore/RegisterChecks.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import nettletrail.control.ShardMap;
 import nettletrail.control.shard.CoreAction;
-import nettletrail.control.shard.CoreShards;
 import nettletrail.emulator.actors.ChangeDocument;
 import nettletrail.emulator.checker.ChangeRequest;
 
@@ -86,7 +86,7 @@
   void checkOwners(ReplicaNetwork network) {
     long owners =
         network.replicas().stream()
-            .filter(replica -> replica.shards().owns(CoreShards.CONFIGURATION_SHARD, network.now()))
+            .filter(replica -> replica.shards().owns(ShardMap.CONFIGURATION_SHARD, network.now()))
             .count();
     if (owners > 1) {
       violations.add("two replicas own the shard");
--- a/fleet-emulator/src/main/java/nettletrail/emulator/explore/SimulatedReplica.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/explore/SimulatedReplica.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import nettletrail.control.ShardMap;
 import nettletrail.control.shard.CoreAction;
 import nettletrail.control.shard.CoreShards;
 import nettletrail.control.shard.ShardSettings;
@@ -53,7 +54,7 @@
             seeds,
             false,
             1,
-            Map.of(CoreShards.CONFIGURATION_SHARD, stored),
+            Map.of(ShardMap.CONFIGURATION_SHARD, stored),
             incarnations,
             now);
   }
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedCoreProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedCoreProcess.java
@@ -31,6 +31,7 @@
 import nettletrail.protocol.GrantReply;
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Member;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Peer;
@@ -49,8 +50,6 @@
   /** The port that takes calls of operators and backends. */
   public static final String CONTROL_PORT = ":8665";
 
-  private static final String ROLE = "core";
-  private static final int PROTOCOL_VERSION = 2;
   private static final long TICK = CoreHost.TICK_MS * VirtualTime.MILLISECOND;
 
   private final Simulation simulation;
@@ -121,12 +120,7 @@
     CoreRegistry registry =
         new CoreRegistry(registrySettings, new ShardLeases(shards, this::now), now());
     Hello hello =
-        new Hello(
-            incarnation.machine().name(),
-            self.getAddress(),
-            ROLE,
-            random.nextLong(),
-            PROTOCOL_VERSION);
+        HelloMessages.ofCore(incarnation.machine().name(), self.getAddress(), random.nextLong());
     links =
         new SimulatedLinks(
             simulation, incarnation, LinkSettings.defaults(), hello, this, random.split());
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedDoorProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedDoorProcess.java
@@ -16,6 +16,7 @@
 import nettletrail.emulator.simulation.VirtualTime;
 import nettletrail.protocol.Backend;
 import nettletrail.protocol.Hello;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Peer;
@@ -26,7 +27,6 @@
  * data plane. All calls come within steps of the incarnation.
  */
 public final class EmulatedDoorProcess implements LinkListener {
-  private static final int PROTOCOL_VERSION = 2;
 
   /** What the activation of a configuration takes of a door's thread; spaces the next one. */
   private static final long ACTIVATION_TIME = 20 * VirtualTime.MILLISECOND;
@@ -71,8 +71,7 @@
             limits.inForceMillis(),
             seeds);
     this.control = new DoorControl(settings, now());
-    Hello hello =
-        new Hello(name, "", SimulatedLinks.DOOR_ROLE, settings.incarnation(), PROTOCOL_VERSION);
+    Hello hello = HelloMessages.ofDoor(name, "", settings.incarnation());
     this.links =
         new SimulatedLinks(
             simulation, incarnation, LinkSettings.defaults(), hello, this, random.split());
--- a/fleet-emulator/src/main/java/nettletrail/emulator/link/SimulatedLink.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/link/SimulatedLink.java
@@ -5,6 +5,7 @@
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Ping;
 import nettletrail.protocol.Pong;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.Peer;
 import org.apache.avro.specific.SpecificRecord;
 
@@ -99,6 +100,6 @@
     if (dialledAddress != null) {
       return dialledAddress;
     }
-    return hello.getRole().equals(SimulatedLinks.DOOR_ROLE) ? hello.getNode() : hello.getAddress();
+    return HelloMessages.isOfDoor(hello) ? hello.getNode() : hello.getAddress();
   }
 }
--- a/fleet-emulator/src/main/java/nettletrail/emulator/link/SimulatedLinks.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/link/SimulatedLinks.java
@@ -12,6 +12,7 @@
 import nettletrail.emulator.simulation.Simulation;
 import nettletrail.emulator.simulation.VirtualTime;
 import nettletrail.protocol.Hello;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Peer;
@@ -24,9 +25,6 @@
  * and dialled addresses are dialled again with backoff.
  */
 public final class SimulatedLinks {
-  /** The role that doors name in their hello. */
-  public static final String DOOR_ROLE = "door";
-
   private static final int CHECKS_PER_PING = 4;
 
   private final Simulation simulation;
@@ -62,7 +60,7 @@
     this.listener = listener;
     this.random = random;
     this.lastCheck = now();
-    if (!me.getRole().equals(DOOR_ROLE)) {
+    if (!HelloMessages.isOfDoor(me)) {
       simulation
           .network()
           .listen(incarnation, me.getAddress(), connection -> add(connection, null));
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -25,6 +25,7 @@
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.Member;
 import nettletrail.protocol.event.LogEvent;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Links;
@@ -44,8 +45,6 @@
  */
 final class CoreProcess implements LinkListener, ControlRequestHandler, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(CoreProcess.class);
-  private static final String ROLE = "core";
-  private static final int PROTOCOL_VERSION = 2;
 
   /** Time for the messages that give the leases back to leave before the links are closed. */
   private static final long RELEASE_MS = 100;
@@ -89,8 +88,7 @@
             registrySettings(settings, incarnation),
             new ShardLeases(shards, System::nanoTime),
             now);
-    Hello hello =
-        new Hello(settings.node(), self.getAddress(), ROLE, incarnation, PROTOCOL_VERSION);
+    Hello hello = HelloMessages.ofCore(settings.node(), self.getAddress(), incarnation);
     this.links = new Links(loop, LinkSettings.defaults(), hello, this, metrics);
     this.peerLinks =
         new CorePeerLinks(links, settings.internalAddress(), settings.seedInternalAddresses());
--- a/fleet/src/main/java/nettletrail/fleet/CoreStatus.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreStatus.java
@@ -148,14 +148,14 @@
 
   private void versions(long call) {
     storage.readVersions(
-        CoreShards.CONFIGURATION_SHARD,
+        ShardMap.CONFIGURATION_SHARD,
         versions -> respond(call, versionsView(stored(versions))),
         failure -> diskFailed(call, failure));
   }
 
   private void version(long call, String edition) {
     storage.readVersions(
-        CoreShards.CONFIGURATION_SHARD,
+        ShardMap.CONFIGURATION_SHARD,
         versions -> document(call, edition, stored(versions)),
         failure -> diskFailed(call, failure));
   }
--- a/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/DoorProcess.java
@@ -19,6 +19,7 @@
 import nettletrail.fleet.settings.OperatingLimits;
 import nettletrail.protocol.Hello;
 import nettletrail.protocol.event.LogEvent;
+import nettletrail.protocol.link.HelloMessages;
 import nettletrail.protocol.link.LinkListener;
 import nettletrail.protocol.link.LinkSettings;
 import nettletrail.protocol.link.Links;
@@ -35,7 +36,6 @@
  */
 final class DoorProcess implements LinkListener, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(DoorProcess.class);
-  private static final int PROTOCOL_VERSION = 2;
 
   /** Descriptors that are kept for links, listeners and files. */
   private static final int RESERVED_DESCRIPTORS = 400;
@@ -80,13 +80,7 @@
             now);
     this.view = new DoorControlView(control, bounds.revokedClosed(), this::quotaShort);
     this.router = new Router(loop, routerSettings(settings, random.nextLong()), view);
-    Hello hello =
-        new Hello(
-            settings.node(),
-            settings.internalAddress(),
-            Links.DOOR_ROLE,
-            incarnation,
-            PROTOCOL_VERSION);
+    Hello hello = HelloMessages.ofDoor(settings.node(), settings.internalAddress(), incarnation);
     this.links = new Links(loop, LinkSettings.defaults(), hello, this, metrics);
     this.host =
         new DoorHost(control, System::nanoTime, new NetworkDoorLinks(links), new DataPlane());
--- a/fleet/src/main/java/nettletrail/fleet/cli/DiskCheckCommand.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/DiskCheckCommand.java
@@ -12,7 +12,6 @@
 import nettletrail.configuration.ConfigurationDocument;
 import nettletrail.configuration.ConfigurationException;
 import nettletrail.control.ShardMap;
-import nettletrail.control.shard.CoreShards;
 import nettletrail.control.shard.StoredConfiguration;
 import nettletrail.store.DiskCheck;
 import nettletrail.store.DiskReport;
@@ -57,7 +56,7 @@
   }
 
   private static void checkConfiguration(DiskReport.Shard shard, List<Finding> findings) {
-    if (shard.shard() != CoreShards.CONFIGURATION_SHARD || shard.newest() == null) {
+    if (shard.shard() != ShardMap.CONFIGURATION_SHARD || shard.newest() == null) {
       return;
     }
     String file = "shard-" + shard.shard();
--- a/protocol/src/main/java/nettletrail/protocol/link/HelloHandshake.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/HelloHandshake.java
@@ -47,6 +47,6 @@
     if (dialledAddress != null) {
       return dialledAddress;
     }
-    return hello.getRole().equals(Links.DOOR_ROLE) ? hello.getNode() : hello.getAddress();
+    return HelloMessages.isOfDoor(hello) ? hello.getNode() : hello.getAddress();
   }
 }
--- a/protocol/src/main/java/nettletrail/protocol/link/Links.java
+++ b/protocol/src/main/java/nettletrail/protocol/link/Links.java
@@ -26,9 +26,6 @@
  * <p>Every method is called on the event loop, {@link #listen} and {@link #close} excepted.
  */
 public final class Links {
-  /** The role that doors name in their hello; their links are known by the node's name. */
-  public static final String DOOR_ROLE = "door";
-
   private static final Logger LOG = LoggerFactory.getLogger(Links.class);
   private static final int MIN_CHECK_PERIOD_MILLIS = 20;
   private static final int CHECKS_PER_PING = 4;
--- a/protocol/src/test/java/nettletrail/protocol/link/BadPeerTest.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/BadPeerTest.java
@@ -60,7 +60,7 @@
   }
 
   private void completeHandshake() throws Exception {
-    socket.getOutputStream().write(frame(new Hello(DOOR, "", Links.DOOR_ROLE, 1L, 1)));
+    socket.getOutputStream().write(frame(new Hello(DOOR, "", HelloMessages.DOOR_ROLE, 1L, 1)));
     assertEquals(DOOR, core.next(Event.Up.class).peer().key());
   }
 
@@ -130,7 +130,7 @@
 
   @Test
   void otherProtocolVersionClosesTheConnection() throws Exception {
-    socket.getOutputStream().write(frame(new Hello(DOOR, "", Links.DOOR_ROLE, 1L, 2)));
+    socket.getOutputStream().write(frame(new Hello(DOOR, "", HelloMessages.DOOR_ROLE, 1L, 2)));
     lastFrame();
     assertTrue(core.events.isEmpty());
   }
--- a/protocol/src/test/java/nettletrail/protocol/link/LinkProcess.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/LinkProcess.java
@@ -40,7 +40,7 @@
   }
 
   static LinkProcess door(String node) {
-    return new LinkProcess(node, "", Links.DOOR_ROLE, 1, LinkSettings.defaults());
+    return new LinkProcess(node, "", HelloMessages.DOOR_ROLE, 1, LinkSettings.defaults());
   }
 
   /** Listens, and returns the address to dial. */
--- a/protocol/src/test/java/nettletrail/protocol/link/LinksTest.java
+++ b/protocol/src/test/java/nettletrail/protocol/link/LinksTest.java
@@ -33,7 +33,7 @@
       assertEquals(address, corePeer.key());
       assertTrue(corePeer.dialled());
       assertEquals(DOOR, doorPeer.key());
-      assertEquals(Links.DOOR_ROLE, doorPeer.role());
+      assertEquals(HelloMessages.DOOR_ROLE, doorPeer.role());
       assertFalse(doorPeer.dialled());
       assertTrue(door.send(address, new FeedAck(DOOR, 1L, 2L)));
       assertEquals(new FeedAck(DOOR, 1L, 2L), core.next(Event.Received.class).body());
@@ -99,8 +99,8 @@
   void newerLinkOfTheSamePeerReplacesTheOlder() throws Exception {
     LinkSettings settings = LinkSettings.defaults();
     try (LinkProcess core = LinkProcess.core("10.0.0.1:7680");
-        LinkProcess before = new LinkProcess(DOOR, "", Links.DOOR_ROLE, 1, settings);
-        LinkProcess after = new LinkProcess(DOOR, "", Links.DOOR_ROLE, 2, settings)) {
+        LinkProcess before = new LinkProcess(DOOR, "", HelloMessages.DOOR_ROLE, 1, settings);
+        LinkProcess after = new LinkProcess(DOOR, "", HelloMessages.DOOR_ROLE, 2, settings)) {
       String address = core.listen(ANY_PORT);
       before.dial(address);
       assertEquals(1, core.next(Event.Up.class).peer().hello().getIncarnation());
@@ -143,7 +143,7 @@
   void messageAboveTheFrameLimitIsDroppedAndTheLinkStaysUp() throws Exception {
     LinkSettings small = new LinkSettings(1000, 100_000, 8, 400, 1600, 500, 50, 500);
     try (LinkProcess core = new LinkProcess("core", "10.0.0.1:7680", "core", 1, small);
-        LinkProcess door = new LinkProcess(DOOR, "", Links.DOOR_ROLE, 1, small)) {
+        LinkProcess door = new LinkProcess(DOOR, "", HelloMessages.DOOR_ROLE, 1, small)) {
       String address = core.listen(ANY_PORT);
       door.dial(address);
       door.next(Event.Up.class);
