--- a/fleet-emulator/src/main/java/nettletrail/emulator/fleet/RandomRun.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/fleet/RandomRun.java
@@ -1,5 +1,6 @@
 package nettletrail.emulator.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -9,7 +10,9 @@
 import nettletrail.emulator.checker.Guarantee;
 import nettletrail.emulator.checker.Violation;
 import nettletrail.emulator.host.EmulatedDoorProcess;
+import nettletrail.emulator.simulation.CpuQuota;
 import nettletrail.emulator.simulation.NetworkSettings;
+import nettletrail.emulator.simulation.SimulatedMachine;
 import nettletrail.emulator.simulation.VirtualTime;
 import nettletrail.protocol.BackendState;
 
@@ -27,6 +30,10 @@
   private static final int UNLIMITED_ATTEMPTS = 1_000;
   private static final double LARGE_FLEET_PROBABILITY = 0.3;
   private static final double LOSSY_NETWORK_PROBABILITY = 0.4;
+  private static final double CPU_QUOTA_PROBABILITY = 0.25;
+  private static final long CPU_PERIOD = 100 * VirtualTime.MILLISECOND;
+  private static final long MIN_CPU_RUN = 10 * VirtualTime.MILLISECOND;
+  private static final long MAX_CPU_RUN = 50 * VirtualTime.MILLISECOND;
 
   private final long seed;
   private final long recoveryNanos;
@@ -49,6 +56,21 @@
     this.recoveryNanos = size.checkedLimits().recoveryNanos();
     this.random = drawn.split();
     this.randomFaults = new RandomFaultScheduler(fleet, drawn.split());
+    if (drawn.nextDouble() < CPU_QUOTA_PROBABILITY) {
+      limitCpu(drawn.split());
+    }
+  }
+
+  /** All machines get a share of a core that other work on them uses up in each period. */
+  private void limitCpu(SplittableRandom source) {
+    long runNanos = source.nextLong(MIN_CPU_RUN, MAX_CPU_RUN);
+    List<SimulatedMachine> machines = new ArrayList<>();
+    fleet.cores().forEach(core -> machines.add(core.machine()));
+    fleet.doors().forEach(door -> machines.add(door.machine()));
+    for (SimulatedMachine machine : machines) {
+      long offset = source.nextLong(CPU_PERIOD);
+      machine.limitCpu(new CpuQuota(runNanos, CPU_PERIOD, offset));
+    }
   }
 
   /** The fleet. */
--- a/fleet-emulator/src/main/java/nettletrail/emulator/simulation/SimulatedMachine.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/simulation/SimulatedMachine.java
@@ -8,7 +8,8 @@
 /**
  * One machine with at most one process. Every step of the process goes through {@link
  * Incarnation#run}, so it can be killed or frozen between any two steps. A frozen process runs its
- * steps after it was thawed, an ended one never does.
+ * steps after it was thawed, an ended one never does. A machine with a {@link CpuQuota} runs them
+ * in the first part of each period; unlike a frozen one it counts as running all the while.
  */
 public final class SimulatedMachine {
   /** How a process ends. */
@@ -28,6 +29,9 @@
   private int incarnations;
   private boolean powered = true;
 
+  /** Null without a quota. */
+  private CpuQuota cpuQuota;
+
   /**
    * @param host the machine's IP number
    * @param disk the machine's disk, or null if it has none
@@ -114,6 +118,11 @@
     }
   }
 
+  /** Limits this and later processes to a share of a core; null ends the limit. */
+  public void limitCpu(CpuQuota quota) {
+    cpuQuota = quota;
+  }
+
   /** Stops the process from running steps until {@link #thaw}. */
   public void freeze() {
     if (incarnation != null) {
@@ -140,6 +149,7 @@
     private final Deque<Runnable> deferred = new ArrayDeque<>();
     private boolean frozen;
     private boolean ended;
+    private boolean resumeScheduled;
 
     private Incarnation(int number) {
       this.number = number;
@@ -160,18 +170,39 @@
       return !ended;
     }
 
-    /** Runs a step now, or after the process is thawed; never if it has ended by then. */
+    /**
+     * Runs a step now, or after the process is thawed, or in the next period of its quota; never if
+     * it has ended by then.
+     */
     public void run(Runnable step) {
       if (ended) {
         return;
       }
-      if (frozen) {
+      if (frozen || isStandingStill()) {
         deferred.add(step);
+        scheduleResume();
         return;
       }
       step.run();
     }
 
+    private boolean isStandingStill() {
+      return cpuQuota != null && cpuQuota.isSpent(time.now());
+    }
+
+    private void scheduleResume() {
+      if (frozen || resumeScheduled) {
+        return;
+      }
+      resumeScheduled = true;
+      time.after(cpuQuota.nanosToNextPeriod(time.now()), this::resume);
+    }
+
+    private void resume() {
+      resumeScheduled = false;
+      runDeferred();
+    }
+
     /** Runs a step after a delay in nanoseconds, under the rules of {@link #run}. */
     public VirtualTime.Event after(long delay, Runnable step) {
       return time.after(delay, () -> run(step));
@@ -184,9 +215,16 @@
 
     private void thaw() {
       frozen = false;
-      while (!deferred.isEmpty() && !frozen && !ended) {
+      runDeferred();
+    }
+
+    private void runDeferred() {
+      while (!deferred.isEmpty() && !frozen && !ended && !isStandingStill()) {
         deferred.poll().run();
       }
+      if (!deferred.isEmpty() && isStandingStill()) {
+        scheduleResume();
+      }
     }
 
     private void finish(End end) {
