Take out the tool of hollow doors of the router fleet (measure fleet-capacity)

Kept are the sizes of messages with their test, the cost of single steps, and the fitted lines that `measure roles` uses. Figures measured with the tool stay in docs/capacity as history.

--- a/app/src/main/java/nettletrail/app/Measure.java
+++ b/app/src/main/java/nettletrail/app/Measure.java
@@ -37,7 +37,6 @@
             Map.entry("capacity", new MeasureCapacity()),
             Map.entry("ext-proc", new MeasureExtProc()),
             Map.entry("faults", new MeasureFaults()),
-            Map.entry("fleet-capacity", new MeasureFleetCapacity()),
             Map.entry("front-door", new MeasureFrontDoor()),
             Map.entry("limits", new MeasureLimits()),
             Map.entry("roles", new MeasureRoles()),
@@ -63,7 +62,7 @@
     private long seed;
     @Option(names = "--rate", paramLabel = "N", defaultValue = "0", description = "A second; 0 for the usual one.")
     private int rate;
-    @Option(names = "--full", description = "capacity: all sizes up to 480 front doors and 7,500 backends; fleet-capacity: up to 380 doors, 600 backends.")
+    @Option(names = "--full", description = "capacity: all sizes up to 480 front doors and 7,500 backends.")
     private boolean full;
     @Option(names = "--sizes", paramLabel = "N", defaultValue = "0",
             description = "capacity: only the first so many sizes of --full, 2 or more; 0 for all.")
--- a/fleet-emulator/src/main/java/nettletrail/emulator/capacity/package-info.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/capacity/package-info.java
@@ -1,5 +1,5 @@
 /**
  * What a fleet costs at the size that it is designed for: the numbers of that size, messages as
- * they are encoded, and runs of the control plane's deciders at growing sizes.
+ * they are encoded, the cost of single steps, and lines fitted through measured sizes.
  */
 package nettletrail.emulator.capacity;
