--- a/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
+++ b/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
@@ -189,6 +189,14 @@
     assertEquals(0.3 * CAPACITY, renewed, 1);
   }
 
+  @Test
+  void demandOfADoorThatStoppedAskingHoldsNothingBack() {
+    after(60_000);
+    request(ONE, 0, CAPACITY / 2, 0);
+    after(TERMS.outstandingMs(LIMIT));
+    assertEquals(0.6 * CAPACITY, prefetch(OTHER, CAPACITY), 1);
+  }
+
   @Test
   void nothingIsPrefetchedOfAnEmptyBucket() {
     after(300);
