Emulated core processes may stand still between a decision and its sending

SendQueue sends a step's messages and answers 0.1 ms after it, so a freeze or a spent share of a core can fall in between; what is valid no longer then is dropped, an operator's answer becomes 503, as in the real process.

--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedCoreProcess.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/EmulatedCoreProcess.java
@@ -59,7 +59,8 @@
   private final List<String> seeds;
   private final CoreStore store;
   private final StorageQueue storageQueue;
-  private final SimulatedCallers callers = new SimulatedCallers(this::call);
+  private final SendQueue sendQueue;
+  private final SimulatedCallers callers;
   private SimulatedLinks links;
   private CoreShards shards;
   private CoreHost host;
@@ -87,6 +88,8 @@
     this.observer = observer;
     this.seeds = List.copyOf(seeds);
     this.storageQueue = new StorageQueue(simulation.time(), incarnation);
+    this.sendQueue = new SendQueue(incarnation, this::now);
+    this.callers = new SimulatedCallers(this::call, sendQueue);
     this.store =
         CoreStore.open(
             new SimulatedDirectory(incarnation.machine().disk()),
@@ -251,9 +254,12 @@
 
   /** The links; the observer is notified before what it watches is sent. */
   private final class ObservedLinks implements CoreHostLinks {
-    /** Sends also what is not valid any more: no time passes between a decision and its sending. */
     @Override
     public void sendToCore(String address, SpecificRecord message, long validUntil) {
+      sendQueue.add(() -> sendToCore(address, message), () -> {}, validUntil);
+    }
+
+    private void sendToCore(String address, SpecificRecord message) {
       if (message instanceof Accept accept) {
         observer.accepting(EmulatedCoreProcess.this, accept);
       }
@@ -262,10 +268,13 @@
 
     @Override
     public void sendToDoor(String door, SpecificRecord message) {
-      if (message instanceof GrantReply reply) {
-        observer.granting(EmulatedCoreProcess.this, reply);
-      }
-      links.send(door, message);
+      sendQueue.add(
+          () -> {
+            if (message instanceof GrantReply reply) {
+              observer.granting(EmulatedCoreProcess.this, reply);
+            }
+            links.send(door, message);
+          });
     }
 
     @Override
--- a/fleet-emulator/src/main/java/nettletrail/emulator/host/SimulatedCallers.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/host/SimulatedCallers.java
@@ -18,13 +18,16 @@
   }
 
   private static final String EMPTY_BODY = "";
+  private static final int UNAVAILABLE = 503;
 
   private final CallHandler handler;
+  private final SendQueue sendQueue;
   private final Map<Long, Connection> connectionsByCall = new HashMap<>();
   private long lastCall;
 
-  SimulatedCallers(CallHandler handler) {
+  SimulatedCallers(CallHandler handler, SendQueue sendQueue) {
     this.handler = handler;
+    this.sendQueue = sendQueue;
   }
 
   /** Takes the calls of a new connection until it closes. */
@@ -52,12 +55,15 @@
   @Override
   public void answerOperator(AnswerOperator answer) {
     String body = new String(answer.body(), StandardCharsets.UTF_8);
-    answer(answer.call(), new ControlResponse(answer.status(), body));
+    sendQueue.add(
+        () -> answer(answer.call(), new ControlResponse(answer.status(), body)),
+        () -> answer(answer.call(), new ControlResponse(UNAVAILABLE, EMPTY_BODY)),
+        answer.validUntil());
   }
 
   @Override
   public void answerBackend(AnswerBackend answer) {
-    answer(answer.call(), new ControlResponse(answer.status(), EMPTY_BODY));
+    sendQueue.add(() -> answer(answer.call(), new ControlResponse(answer.status(), EMPTY_BODY)));
   }
 
   private void answer(long call, ControlResponse response) {
