--- a/plans/src/main/java/nettletrail/plans/export/CloudEventsBatch.java
+++ b/plans/src/main/java/nettletrail/plans/export/CloudEventsBatch.java
@@ -9,45 +9,55 @@
 import java.util.Map;
 import nettletrail.plans.ledger.Line;
 
-/** A batch as it goes over the wire: CloudEvents 1.0, JSON batch format (sections 3 and 4), one event for each line. */
+/**
+ * A batch as it goes over the wire: CloudEvents 1.0, JSON batch format (sections 3 and 4), one
+ * event for each line.
+ */
 public final class CloudEventsBatch {
-    /** Content type of a batch. */
-    public static final String TYPE = "application/cloudevents-batch+json";
-    /** Whose lines: door and life. */
-    public static final String LEDGER = "X-Usage-Ledger";
-    /** Entries from-to. */
-    public static final String BATCH = "X-Usage-Batch";
-    /** End of what must have been taken before. */
-    public static final String BEFORE = "X-Usage-Before";
-    private static final String EVENT = "nettletrail.usage.line.v1";
-
-    private CloudEventsBatch() { }
-
-    /** @param ledger door and life, as "n0/1a2b" */
-    static String json(String ledger, List<Line> lines) throws IOException {
-        List<Map<String, Object>> events = new ArrayList<>();
-        for (Line line : lines) {
-            Map<String, Object> data = new LinkedHashMap<>();
-            data.put("kind", line.kind().name());
-            data.put("request", String.format("%016x", line.request()));
-            data.put("customer", String.format("%016x", line.customer()));
-            data.put("plan", line.plan());
-            data.put("plan_number", line.planNumber());
-            data.put("class", line.requestClass());
-            data.put("guess_milli", line.guessMilli());
-            data.put("milli", line.milli());
-            data.put("text", line.text());
-            Map<String, Object> event = new LinkedHashMap<>();
-            event.put("specversion", "1.0");
-            // source and id together name a line for ever; "sequence" lets a receiver compare without reading ids.
-            event.put("id", Long.toString(line.sequence()));
-            event.put("source", "/nettletrail/usage/" + ledger);
-            event.put("type", EVENT);
-            event.put("time", Instant.ofEpochMilli(line.wallMs()).toString());
-            event.put("datacontenttype", "application/json");
-            event.put("data", data);
-            events.add(event);
-        }
-        return JSON.std.asString(events);
+  /** Content type of a batch. */
+  public static final String TYPE = "application/cloudevents-batch+json";
+
+  /** Whose lines: door and life. */
+  public static final String LEDGER = "X-Usage-Ledger";
+
+  /** Entries from-to. */
+  public static final String BATCH = "X-Usage-Batch";
+
+  /** End of what must have been taken before. */
+  public static final String BEFORE = "X-Usage-Before";
+
+  private static final String EVENT = "nettletrail.usage.line.v1";
+
+  private CloudEventsBatch() {}
+
+  /**
+   * @param ledger door and life, as "n0/1a2b"
+   */
+  static String json(String ledger, List<Line> lines) throws IOException {
+    List<Map<String, Object>> events = new ArrayList<>();
+    for (Line line : lines) {
+      Map<String, Object> data = new LinkedHashMap<>();
+      data.put("kind", line.kind().name());
+      data.put("request", String.format("%016x", line.request()));
+      data.put("customer", String.format("%016x", line.customer()));
+      data.put("plan", line.plan());
+      data.put("plan_number", line.planNumber());
+      data.put("class", line.requestClass());
+      data.put("guess_milli", line.guessMilli());
+      data.put("milli", line.milli());
+      data.put("text", line.text());
+      Map<String, Object> event = new LinkedHashMap<>();
+      event.put("specversion", "1.0");
+      // source and id together name a line for ever; "sequence" lets a receiver compare without
+      // reading ids.
+      event.put("id", Long.toString(line.sequence()));
+      event.put("source", "/nettletrail/usage/" + ledger);
+      event.put("type", EVENT);
+      event.put("time", Instant.ofEpochMilli(line.wallMs()).toString());
+      event.put("datacontenttype", "application/json");
+      event.put("data", data);
+      events.add(event);
     }
+    return JSON.std.asString(events);
+  }
 }
--- a/plans/src/main/java/nettletrail/plans/ledger/Line.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/Line.java
@@ -1,38 +1,78 @@
 package nettletrail.plans.ledger;
 
 /**
- * One line of a bill, made of one entry of a ledger and named by it: door, life and sequence. An operator can contest it.
+ * One line of a bill, made of one entry of a ledger and named by it: door, life and sequence. An
+ * operator can contest it.
  *
  * @param milli units in thousandths; below 0 for a credit
  * @param text why, where it isn't a plain use; else ""
  */
-public record Line(long sequence, Kind kind, long request, long customer, String plan, long planNumber, String requestClass,
-        long guessMilli, long milli, long wallMs, String text) {
-    /** What it is for. */
-    public enum Kind { USE, DOUBTFUL, CORRECTION, CREDIT }
+public record Line(
+    long sequence,
+    Kind kind,
+    long request,
+    long customer,
+    String plan,
+    long planNumber,
+    String requestClass,
+    long guessMilli,
+    long milli,
+    long wallMs,
+    String text) {
+  /** What it is for. */
+  public enum Kind {
+    USE,
+    DOUBTFUL,
+    CORRECTION,
+    CREDIT
+  }
 
-    /** The entry's line, or null if it has none. */
-    public static Line of(Entry entry) {
-        Entry.What what = entry.what();
-        if (what instanceof Entry.Used used) {
-            return of(entry, Kind.USE, used.use(), used.milli(), used.settled() ? "" : "guessed");
-        }
-        if (what instanceof Entry.Unknown unknown) {
-            return of(entry, Kind.DOUBTFUL, unknown.use(), unknown.milli(), unknown.why());
-        }
-        if (what instanceof Entry.Settled settled) {
-            return of(entry, Kind.CORRECTION, settled.use(), settled.milli() - settled.beforeMilli(), "settled after line "
-                    + settled.sent());
-        }
-        if (what instanceof Entry.Credit credit) {
-            return new Line(entry.sequence(), Kind.CREDIT, 0, credit.customer(), credit.plan(), 0, "", 0, -credit.milli(),
-                    entry.wallMs(), credit.text());
-        }
-        return null;
+  /** The entry's line, or null if it has none. */
+  public static Line of(Entry entry) {
+    Entry.What what = entry.what();
+    if (what instanceof Entry.Used used) {
+      return of(entry, Kind.USE, used.use(), used.milli(), used.settled() ? "" : "guessed");
     }
-
-    private static Line of(Entry entry, Kind kind, Entry.Use use, long milli, String text) {
-        return new Line(entry.sequence(), kind, use.request(), use.customer(), use.plan(), use.planNumber(), use.requestClass(),
-                use.guessMilli(), milli, entry.wallMs(), text);
+    if (what instanceof Entry.Unknown unknown) {
+      return of(entry, Kind.DOUBTFUL, unknown.use(), unknown.milli(), unknown.why());
+    }
+    if (what instanceof Entry.Settled settled) {
+      return of(
+          entry,
+          Kind.CORRECTION,
+          settled.use(),
+          settled.milli() - settled.beforeMilli(),
+          "settled after line " + settled.sent());
     }
+    if (what instanceof Entry.Credit credit) {
+      return new Line(
+          entry.sequence(),
+          Kind.CREDIT,
+          0,
+          credit.customer(),
+          credit.plan(),
+          0,
+          "",
+          0,
+          -credit.milli(),
+          entry.wallMs(),
+          credit.text());
+    }
+    return null;
+  }
+
+  private static Line of(Entry entry, Kind kind, Entry.Use use, long milli, String text) {
+    return new Line(
+        entry.sequence(),
+        kind,
+        use.request(),
+        use.customer(),
+        use.plan(),
+        use.planNumber(),
+        use.requestClass(),
+        use.guessMilli(),
+        milli,
+        entry.wallMs(),
+        text);
+  }
 }
