--- a/app/src/main/java/nettletrail/app/Usage.java
+++ b/app/src/main/java/nettletrail/app/Usage.java
@@ -13,13 +13,14 @@
 import java.util.concurrent.Callable;
 import nettletrail.plans.Statement;
 import nettletrail.plans.UsageLedger;
+import nettletrail.plans.UsageLedgerSettings;
 import nettletrail.plans.export.ExportClient;
 import nettletrail.plans.export.ExportDecider;
 import nettletrail.plans.ledger.Entry;
 import nettletrail.plans.ledger.FolderDisk;
 import nettletrail.plans.ledger.LedgerReader;
 import nettletrail.plans.ledger.Line;
-import nettletrail.plans.ledger.OpenUses;
+import nettletrail.plans.ledger.UnfinishedUses;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -65,9 +66,9 @@
 
         @Override
         public Integer call() throws IOException {
-            Statement.Wish wish;
+            Statement.Filter wish;
             try {
-                wish = new Statement.Wish(customer.isEmpty() ? -1 : Long.parseLong(customer, 16), plan,
+                wish = new Statement.Filter(customer.isEmpty() ? -1 : Long.parseLong(customer, 16), plan,
                         from.isEmpty() ? Long.MIN_VALUE : Instant.parse(from).toEpochMilli(),
                         to.isEmpty() ? Long.MAX_VALUE : Instant.parse(to).toEpochMilli());
             } catch (NumberFormatException e) {
@@ -86,9 +87,9 @@
                     return App.UNUSABLE;
                 }
                 List<Line> lines = new ArrayList<>();
-                LedgerReader.Found found = LedgerReader.read(disk, entry -> {
+                LedgerReader.LedgerContents found = LedgerReader.read(disk, entry -> {
                     Line line = Line.of(entry);
-                    if (line != null && wish.covers(line)) {
+                    if (line != null && wish.matches(line)) {
                         statement.add(line);
                         if (each) {
                             lines.add(line);
@@ -128,7 +129,7 @@
             if (disk == null) {
                 return App.UNUSABLE;
             }
-            LedgerReader.Found found = LedgerReader.read(disk, entry -> { });
+            LedgerReader.LedgerContents found = LedgerReader.read(disk, entry -> { });
             PrintWriter out = spec.commandLine().getOut();
             if (found.door() == null) {
                 out.println(folder + ": no ledger");
@@ -136,11 +137,11 @@
             }
             out.println(found.door() + "/" + found.life() + ": entries to " + found.last() + ", " + found.segments().size()
                     + " segments, token " + found.token() + ", " + found.missing() + " entries missing");
-            found.damages().forEach(damage -> out.println((damage.bad() ? "BAD  " : "note ") + damage.segment() + " at " + damage.at()
-                    + ", " + damage.bytes() + " bytes: " + damage.what()));
+            found.damages().forEach(damage -> out.println((damage.isSerious() ? "BAD  " : "note ") + damage.segment() + " at " + damage.at()
+                    + ", " + damage.bytes() + " bytes: " + damage.description()));
             out.println("chain " + found.chain() + " over " + found.segments().get(found.segments().size() - 1));
             out.flush();
-            return found.missing() > 0 || found.damages().stream().anyMatch(LedgerReader.Damage::bad) ? 1 : 0;
+            return found.missing() > 0 || found.damages().stream().anyMatch(LedgerReader.SegmentDamage::isSerious) ? 1 : 0;
         }
     }
 
@@ -148,7 +149,7 @@
     @Command(name = "export", mixinStandardHelpOptions = true, description = "Takes over the ledger of a front door that is gone, ends "
             + "the uses that it left open, and exports the rest. If it isn't gone, it takes its ledger back.")
     static final class Export implements Callable<Integer> {
-        private static final UsageLedger.Terms TERMS = new UsageLedger.Terms(8 << 20, 10_000, 10_000, OpenUses.Rule.NOTHING,
+        private static final UsageLedgerSettings TERMS = new UsageLedgerSettings(8 << 20, 10_000, 10_000, UnfinishedUses.Rule.NOTHING,
                 new ExportDecider.Terms(1_000, 1, 100_000_000L, 10_000_000_000L, 60_000_000_000L));
 
         @Parameters(paramLabel = "FOLDER", description = "The ledger's folder.")
@@ -172,7 +173,7 @@
             PrintWriter out = spec.commandLine().getOut();
             if (shelf) {
                 LedgerReader.read(disk, entry -> {
-                    if (entry.what() instanceof Entry.Shelved shelved) {
+                    if (entry.event() instanceof Entry.BatchRejected shelved) {
                         out.println("entries to " + shelved.to() + ": " + shelved.why());
                     }
                 });
--- a/plans/src/main/java/nettletrail/plans/ReservationsDecider.java
+++ b/plans/src/main/java/nettletrail/plans/ReservationsDecider.java
@@ -6,47 +6,40 @@
 import java.util.Map;
 
 /**
- * Allowance set aside for customers, as one front door holds its even part of it. No I/O and no
- * clock. One thread.
+ * Quota reserved for customers, as one front door keeps its even share of it. Does no I/O and reads
+ * no clock. One thread.
  *
- * <p><b>Granting.</b> A reservation is a rate from one instant to another, with a total. It is
- * granted if at no instant of it all granted ones together, of all customers, take more than a
- * stated share of what the nodes can do. When nodes leave, those granted last lose first, and as
- * much as is missing; when nodes come back they gain in the order in which they were granted. Both
- * are told.
+ * <p><b>Granting.</b> A reservation is a rate between two instants, with a total. It is granted if
+ * at no instant all granted reservations together take more than a fraction of the backends'
+ * capacity. When backends leave, the reservations that were granted last lose first, as much as is
+ * missing; when backends come back they regain in the order in which they were granted. {@link
+ * Actions#rateChanged} reports both.
  *
- * <p><b>Using.</b> There is one store for all that the nodes can do (rate C, W of it at once) and
- * one for each reservation in force (its rate r, W of it at once, from full at its begin, its total
- * at most):
+ * <p><b>Using.</b> There is one token bucket for the complete capacity (rate C, burst of a window W
+ * of it), and one for each reservation in force (its rate, burst of a window of it, full at its
+ * start, its total at most). A customer with a reservation uses its own bucket and takes the units
+ * from the shared one too. Beyond its reservation it is like all others: it needs units in the
+ * shared bucket above what is withheld.
  *
- * <pre>
- * who asks                       passes if                                               draws from
- * a customer with a reservation  its store holds the units                               its store, and the one for all
- * that one beyond it, others     the one for all holds them, and above what is held back  the one for all
- * </pre>
- *
- * Held back is what stands in the stores of those reservations that are wanted: their customers
- * asked within the last W. So a reserved unit that is wanted is spent by nobody else, and one that
- * isn't serves others. A customer that begins to ask finds its own store full, whatever others
- * took: the one for all may fall below nothing by what stands in reserved stores, and others wait
- * until it has filled. What all are let have in any time t is C (t + W) plus at most W of each
+ * <p>Withheld is what the buckets of wanted reservations hold; a reservation is wanted if its
+ * customer made a request within the last W. So nobody else uses a reserved unit that is wanted,
+ * and one that isn't serves others. A customer that begins to make requests finds its own bucket
+ * full: the shared one may fall below zero by what reserved buckets hold, and others wait until it
+ * has refilled. In any time t all together are admitted C (t + W) plus at most W of each
  * reservation's rate.
  *
- * <p>Units are in thousandths, a rate is units a second, times in ns of a clock that does not go
- * back.
+ * <p>Units are thousandths, a rate is units a second, instants are nanoseconds of a clock that
+ * never goes back.
  */
 public final class ReservationsDecider {
-  /** Hears what becomes of reservations. */
+  /** Notified of changes to reservations. */
   public interface Actions {
-    /**
-     * What a granted reservation is held to from now on, of what was granted; for staff and the
-     * customer's.
-     */
-    void held(Reservation reservation, double ratePerS);
+    /** A granted reservation gets this rate from now on instead of the one that was granted. */
+    void rateChanged(Reservation reservation, double ratePerS);
   }
 
   /**
-   * Allowance set aside.
+   * Quota that is reserved.
    *
    * @param id unique
    * @param ratePerS over all front doors together
@@ -54,6 +47,7 @@
    */
   public record Reservation(
       long id, long customer, double ratePerS, double units, long from, long to) {
+    /** Checks the values. */
     public Reservation {
       if (!(ratePerS > 0 && units > 0) || to <= from) {
         throw new IllegalArgumentException(
@@ -62,27 +56,34 @@
     }
   }
 
-  /** What came of a wish. */
-  public enum Answer {
+  /** The outcome of a request for a reservation. */
+  public enum ReservationResult {
+    /** Granted, or changed as requested. */
     GRANTED,
-    KNOWN,
-    TOO_MUCH,
-    PAST,
+    /** The same reservation was granted before. */
+    DUPLICATE,
+    /** It doesn't fit beside those granted, or its id is taken by another one. */
+    EXCEEDS_CAPACITY,
+    /** Its end is in the past. */
+    EXPIRED,
+    /** As many are granted as can be kept. */
     TOO_MANY,
-    NOT_KNOWN
+    /** No reservation of this id is granted. */
+    UNKNOWN_RESERVATION
   }
 
   /**
-   * How it goes about it.
+   * Settings.
    *
-   * @param share of what the nodes can do that may be promised, 0 to 1
-   * @param windowNs W
-   * @param fleet front doors that reserved customers' requests come in through evenly
-   * @param most reservations
+   * @param share fraction of the capacity that may be reserved, above 0, at most 1
+   * @param windowNs the window W, in nanoseconds
+   * @param fleet how many front doors the requests of these customers come in through, evenly
+   * @param maxReservations how many may be granted at a time
    */
-  public record Terms(double share, long windowNs, int fleet, int most) {
+  public record Terms(double share, long windowNs, int fleet, int maxReservations) {
+    /** Checks the values. */
     public Terms {
-      if (!(share > 0 && share <= 1) || windowNs < 1 || fleet < 1 || most < 1) {
+      if (!(share > 0 && share <= 1) || windowNs < 1 || fleet < 1 || maxReservations < 1) {
         throw new IllegalArgumentException("Terms: out of range");
       }
     }
@@ -90,19 +91,19 @@
 
   private static final double SECOND = 1e9;
 
-  private static final class Held {
+  private static final class GrantedReservation {
     Reservation reservation;
 
-    /** What it is held to now, over all front doors. */
+    /** Its present rate over all front doors together. */
     double ratePerS;
 
     double store;
     double left;
     long filledAt;
     long askedAt = Long.MIN_VALUE / 2;
-    boolean begun;
+    boolean started;
 
-    Held(Reservation reservation) {
+    GrantedReservation(Reservation reservation) {
       this.reservation = reservation;
       ratePerS = reservation.ratePerS();
     }
@@ -112,91 +113,91 @@
   private final Actions actions;
 
   /** In the order in which they were granted. */
-  private final Map<Long, Held> granted = new LinkedHashMap<>();
+  private final Map<Long, GrantedReservation> granted = new LinkedHashMap<>();
 
-  /** What the nodes can do together, units a second. */
+  /** Capacity of all backends together, units a second. */
   private double capacity;
 
-  private double common;
+  private double sharedTokens;
   private long filledAt;
 
+  /** No reservation is granted yet; {@code capacity} in units a second. */
   public ReservationsDecider(Terms terms, double capacity, long now, Actions actions) {
     this.terms = terms;
     this.actions = actions;
     this.capacity = capacity;
-    common = capacity / terms.fleet() * terms.windowNs() / SECOND;
+    sharedTokens = capacity / terms.fleet() * terms.windowNs() / SECOND;
     filledAt = now;
   }
 
-  // ---- Granting
-  // ------------------------------------------------------------------------------------------
-
-  /** A wish; heard again it is known. */
-  public Answer reserve(long now, Reservation wish) {
-    Held there = granted.get(wish.id());
+  /** Grants a reservation if it fits. */
+  public ReservationResult reserve(long now, Reservation request) {
+    GrantedReservation there = granted.get(request.id());
     if (there != null) {
-      return there.reservation.equals(wish) ? Answer.KNOWN : Answer.TOO_MUCH;
+      return there.reservation.equals(request)
+          ? ReservationResult.DUPLICATE
+          : ReservationResult.EXCEEDS_CAPACITY;
     }
     settle(now);
-    if (wish.to() <= now) {
-      return Answer.PAST;
+    if (request.to() <= now) {
+      return ReservationResult.EXPIRED;
     }
-    if (granted.size() >= terms.most()) {
-      return Answer.TOO_MANY;
+    if (granted.size() >= terms.maxReservations()) {
+      return ReservationResult.TOO_MANY;
     }
-    if (!fits(wish, null)) {
-      return Answer.TOO_MUCH;
+    if (!fits(request, null)) {
+      return ReservationResult.EXCEEDS_CAPACITY;
     }
-    granted.put(wish.id(), new Held(wish));
+    granted.put(request.id(), new GrantedReservation(request));
     settle(now);
-    return Answer.GRANTED;
+    return ReservationResult.GRANTED;
   }
 
   /**
-   * Another end for one that is granted: a later one if that fits, an earlier one always, and not
-   * before now.
+   * Moves the end of a granted reservation: to a later instant if that fits, to an earlier one, not
+   * before now, always.
    */
-  public Answer extend(long now, long id, long to) {
-    Held held = granted.get(id);
-    if (held == null) {
-      return Answer.NOT_KNOWN;
+  public ReservationResult extend(long now, long id, long to) {
+    GrantedReservation existing = granted.get(id);
+    if (existing == null) {
+      return ReservationResult.UNKNOWN_RESERVATION;
     }
     settle(now);
-    Reservation was = held.reservation;
+    Reservation was = existing.reservation;
     if (to <= now || to <= was.from()) {
-      return Answer.PAST;
+      return ReservationResult.EXPIRED;
     }
-    Reservation wish =
+    Reservation request =
         new Reservation(id, was.customer(), was.ratePerS(), was.units(), was.from(), to);
-    if (to > was.to() && !fits(wish, held)) {
-      return Answer.TOO_MUCH;
+    if (to > was.to() && !fits(request, existing)) {
+      return ReservationResult.EXCEEDS_CAPACITY;
     }
-    held.reservation = wish;
-    return Answer.GRANTED;
+    existing.reservation = request;
+    return ReservationResult.GRANTED;
   }
 
-  /** Ends it; what it didn't use serves others from now on. */
-  public Answer cancel(long now, long id) {
+  /** Ends a reservation; what it didn't use serves others from now on. */
+  public ReservationResult cancel(long now, long id) {
     settle(now);
     if (granted.remove(id) == null) {
-      return Answer.NOT_KNOWN;
+      return ReservationResult.UNKNOWN_RESERVATION;
     }
     adjust();
-    return Answer.GRANTED;
+    return ReservationResult.GRANTED;
   }
 
-  /** At each instant of it; the sum changes only where a reservation begins. */
-  private boolean fits(Reservation wish, Held but) {
-    List<Long> begins = new ArrayList<>(List.of(wish.from()));
+  /** Whether it fits at each of its instants; the sum grows only where a reservation starts. */
+  private boolean fits(Reservation request, GrantedReservation except) {
+    List<Long> begins = new ArrayList<>(List.of(request.from()));
     granted.values().forEach(each -> begins.add(each.reservation.from()));
     for (long at : begins) {
-      if (at < wish.from() || at >= wish.to()) {
+      if (at < request.from() || at >= request.to()) {
         continue;
       }
-      double sum = wish.ratePerS();
-      for (Held each : granted.values()) {
+      double sum = request.ratePerS();
+      for (GrantedReservation each : granted.values()) {
         sum +=
-            each != but && each.reservation.from() <= at && at < each.reservation.to()
+            each != except && each.reservation.from() <= at && at < each.reservation.to()
                 ? each.reservation.ratePerS()
                 : 0;
       }
@@ -207,7 +208,7 @@
     return true;
   }
 
-  /** Nodes left or came: what all of them can do now, units a second. */
+  /** Backends left or came: the present capacity of all together, units a second. */
   public void capacity(long now, double unitsPerS) {
     settle(now);
     capacity = unitsPerS;
@@ -215,77 +216,73 @@
   }
 
   /**
-   * Who was granted first is held to first; those that have begun only, since the others may still
-   * find more.
+   * Distributes the capacity to the reservations that have started, in the order in which they were
+   * granted.
    */
   private void adjust() {
     double left = terms.share() * capacity;
-    for (Held each : granted.values()) {
-      if (!each.begun) {
+    for (GrantedReservation each : granted.values()) {
+      if (!each.started) {
         continue;
       }
       double rate = Math.max(0, Math.min(each.reservation.ratePerS(), left));
       left -= rate;
       if (rate != each.ratePerS) {
         each.ratePerS = rate;
-        each.store = Math.min(each.store, most(each));
-        actions.held(each.reservation, rate);
+        each.store = Math.min(each.store, maxTokens(each));
+        actions.rateChanged(each.reservation, rate);
       }
     }
   }
 
-  // ---- Using
-  // ---------------------------------------------------------------------------------------------
-
-  /**
-   * Whether a customer may use so many units now, as far as reservations go; if so they are used.
-   */
+  /** Uses units for a customer if the reservations permit it; returns whether they do. */
   public boolean use(long now, long customer, double units) {
     settle(now);
-    for (Held each : granted.values()) {
-      if (each.begun && each.reservation.customer() == customer) {
+    for (GrantedReservation each : granted.values()) {
+      if (each.started && each.reservation.customer() == customer) {
         each.askedAt = now;
         if (each.store >= units) {
           each.store -= units;
           each.left -= units;
-          common -= units;
+          sharedTokens -= units;
           return true;
         }
       }
     }
-    double heldBack = 0;
-    for (Held each : granted.values()) {
-      boolean wanted = each.begun && now - each.askedAt < terms.windowNs();
-      heldBack += wanted && each.reservation.customer() != customer ? each.store : 0;
+    double withheld = 0;
+    for (GrantedReservation each : granted.values()) {
+      boolean wanted = each.started && now - each.askedAt < terms.windowNs();
+      withheld += wanted && each.reservation.customer() != customer ? each.store : 0;
     }
-    if (common - heldBack < units) {
+    if (sharedTokens - withheld < units) {
       return false;
     }
-    common -= units;
+    sharedTokens -= units;
     return true;
   }
 
-  /** It was let in and came whole to no backend. */
-  public void giveBack(long now, double units) {
+  /** Returns the units of an accepted request that reached no backend completely. */
+  public void refund(long now, double units) {
     settle(now);
-    common = Math.min(capacity / terms.fleet() * terms.windowNs() / SECOND, common + units);
+    sharedTokens =
+        Math.min(capacity / terms.fleet() * terms.windowNs() / SECOND, sharedTokens + units);
   }
 
-  private double most(Held held) {
-    return Math.min(held.left, held.ratePerS / terms.fleet() * terms.windowNs() / SECOND);
+  private double maxTokens(GrantedReservation existing) {
+    return Math.min(existing.left, existing.ratePerS / terms.fleet() * terms.windowNs() / SECOND);
   }
 
-  /** Ends and begins what is due, and fills. */
+  /** Ends and starts the reservations that are due, and refills the buckets. */
   private void settle(long now) {
     boolean changed =
         granted
             .values()
-            .removeIf(each -> each.reservation.to() <= now || each.begun && each.left <= 0);
-    for (Held each : granted.values()) {
-      if (!each.begun && each.reservation.from() <= now) {
-        each.begun = true;
+            .removeIf(each -> each.reservation.to() <= now || each.started && each.left <= 0);
+    for (GrantedReservation each : granted.values()) {
+      if (!each.started && each.reservation.from() <= now) {
+        each.started = true;
         each.left = each.reservation.units() / terms.fleet();
-        each.store = most(each);
+        each.store = maxTokens(each);
         each.filledAt = now;
         changed = true;
       }
@@ -295,13 +292,14 @@
     }
     if (now - filledAt > 0) {
       double rate = capacity / terms.fleet();
-      common =
-          Math.min(rate * terms.windowNs() / SECOND, common + rate * (now - filledAt) / SECOND);
-      for (Held each : granted.values()) {
-        if (each.begun) {
+      sharedTokens =
+          Math.min(
+              rate * terms.windowNs() / SECOND, sharedTokens + rate * (now - filledAt) / SECOND);
+      for (GrantedReservation each : granted.values()) {
+        if (each.started) {
           each.store =
               Math.min(
-                  most(each),
+                  maxTokens(each),
                   each.store + each.ratePerS / terms.fleet() * (now - each.filledAt) / SECOND);
           each.filledAt = now;
         }
@@ -310,20 +308,17 @@
     }
   }
 
-  /**
-   * When something begins or ends next, in ns; {@link Long#MAX_VALUE} for never. For whoever shows
-   * them.
-   */
+  /** When a reservation starts or ends next, in nanoseconds; {@link Long#MAX_VALUE} for never. */
   public long nextDue(long now) {
     long due = Long.MAX_VALUE;
-    for (Held each : granted.values()) {
+    for (GrantedReservation each : granted.values()) {
       Reservation of = each.reservation;
       due = Math.min(due, of.from() > now ? of.from() : of.to() > now ? of.to() : Long.MAX_VALUE);
     }
     return due;
   }
 
-  /** What is granted, in that order, and what each is held to now. */
+  /** The granted reservations in their order, with their present rates. */
   public Map<Reservation, Double> granted(long now) {
     settle(now);
     Map<Reservation, Double> all = new LinkedHashMap<>();
--- a/plans/src/main/java/nettletrail/plans/Statement.java
+++ b/plans/src/main/java/nettletrail/plans/Statement.java
@@ -5,38 +5,37 @@
 import java.util.TreeMap;
 import nettletrail.plans.ledger.Line;
 
-/**
- * What customers used in a period, by plan and kind of line, out of one or several ledgers. Each
- * line counts once.
- */
+/** What customers used in a period, summed by plan and kind of line over one or several ledgers. */
 public final class Statement {
-  /** What is added up. */
+  /** By what lines are summed. */
   public record Key(long customer, String plan, Line.Kind kind) {}
 
   /**
+   * The sum of some lines.
+   *
    * @param milli units in thousandths
    */
   public record Sum(long lines, long milli) {
-    private Sum and(long more) {
+    private Sum plus(long more) {
       return new Sum(lines + 1, milli + more);
     }
   }
 
   /**
-   * Which lines are asked for.
+   * Selects lines.
    *
    * @param customer below 0 for all
    * @param plan "" for all
    * @param fromMs Unix time, ms, inclusive
-   * @param toMs the same, exclusive
+   * @param toMs Unix time, ms, exclusive
    */
-  public record Wish(long customer, String plan, long fromMs, long toMs) {
-    /** Whether this line is. */
-    public boolean covers(Line line) {
-      return (customer < 0 || line.customer() == customer)
-          && (plan.isEmpty() || line.plan().equals(plan))
-          && line.wallMs() >= fromMs
-          && line.wallMs() < toMs;
+  public record Filter(long customer, String plan, long fromMs, long toMs) {
+    /** Whether this line is selected. */
+    public boolean matches(Line line) {
+      boolean inPeriod = line.wallMs() >= fromMs && line.wallMs() < toMs;
+      boolean ofCustomer = customer < 0 || line.customer() == customer;
+      boolean ofPlan = plan.isEmpty() || line.plan().equals(plan);
+      return inPeriod && ofCustomer && ofPlan;
     }
   }
 
@@ -51,15 +50,15 @@
     sums.merge(
         new Key(line.customer(), line.plan(), line.kind()),
         new Sum(1, line.milli()),
-        (there, one) -> there.and(line.milli()));
+        (sum, one) -> sum.plus(line.milli()));
   }
 
-  /** By customer, plan and kind. */
+  /** The sums by customer, plan and kind. */
   public Map<Key, Sum> sums() {
     return sums;
   }
 
-  /** All units, thousandths. */
+  /** The sum of all lines, in thousandths of a unit. */
   public long milli() {
     return sums.values().stream().mapToLong(Sum::milli).sum();
   }
--- a/plans/src/main/java/nettletrail/plans/Timeline.java
+++ b/plans/src/main/java/nettletrail/plans/Timeline.java
@@ -4,24 +4,24 @@
 import java.util.List;
 
 /**
- * One customer's plans, each with the instant from which it holds. The past is never rewritten:
- * what is charged was charged under the plan in force when its request was accepted.
+ * One customer's plans, each with the instant from which it applies. The past is never rewritten: a
+ * charge was made under the plan that applied when its request was accepted.
  *
- * <p>Changes may come late, twice and out of order. Each has a number of its own, given by whoever
- * decides on tariffs; among those for one customer the numbers rise with the decision, not with the
- * instant. At one instant the later decision holds (the higher number), whichever came here first;
- * at other instants what was announced stays as it was announced.
+ * <p>Changes may come late, twice and out of order. Each has a number; among those of one customer
+ * numbers increase with the decision, not with the instant. Of two changes for one instant the one
+ * with the higher number applies, whichever arrived first.
  */
 public final class Timeline {
   /**
-   * A plan from an instant on.
+   * A plan that applies from an instant on.
    *
-   * @param number of the decision; 1 or more, unique for the customer
+   * @param number of the decision, at least 1, unique for the customer
    * @param fromMs Unix time, ms
    * @param plan its name
-   * @param author who decided
+   * @param author who made the decision
    */
   public record Change(long number, long fromMs, String plan, String author) {
+    /** Checks the values. */
     public Change {
       if (number < 1 || plan.isEmpty() || author.isEmpty()) {
         throw new IllegalArgumentException(
@@ -31,101 +31,95 @@
   }
 
   /** What came of a change. */
-  public enum Answer {
-    /** It will hold from its instant on. */
-    TAKEN,
-    /** The same was here before. */
-    KNOWN,
-    /** This number was here with another plan or instant: its sender is at fault. */
-    CONTRADICTS,
-    /** Its instant is past by more than the way here explains: a correction is a credit line. */
+  public enum ChangeResult {
+    /** It applies from its instant on. */
+    ACCEPTED,
+    /** The same change was received before. */
+    DUPLICATE,
+    /** The number was received before with another plan or instant: an error of the sender. */
+    CONFLICTING,
+    /** Its instant is further in the past than the grace period: use a credit instead. */
     RETROACTIVE,
-    /** A later decision is here for the same instant. */
-    OVERRULED,
-    /** No plan of that name is known here. */
+    /** A later decision for the same instant is known. */
+    SUPERSEDED,
+    /** There is no plan of that name. */
     UNKNOWN_PLAN,
-    /** More are announced than are kept. */
+    /** There are more than can be kept. */
     TOO_MANY
   }
 
-  private static final int MOST = 64;
+  private static final int MAX_CHANGES = 64;
 
-  /**
-   * By instant; at one instant the highest number only. The first has been in force from the
-   * beginning.
-   */
+  /** By instant; at one instant the highest number only. The first applies from the beginning. */
   private final List<Change> changes = new ArrayList<>();
 
-  /** Numbers heard of, with what they said, so that a repeat is told from a contradiction. */
-  private final List<Change> heard = new ArrayList<>();
+  /** Changes that were received, so that a duplicate is distinguished from a conflict. */
+  private final List<Change> seen = new ArrayList<>();
 
   /**
-   * @param first in force until the first change
+   * @param first the plan that applies until the first change
    */
   public Timeline(String first) {
     changes.add(new Change(1, Long.MIN_VALUE, first, "settings"));
   }
 
   /**
-   * Takes a change in.
+   * Takes in a change.
    *
-   * @param graceMs by how much its instant may be past: it holds from now on then, not before
+   * @param graceMs by how much its instant may be in the past; it then applies from now on
    */
-  public Answer change(long nowMs, Change change, long graceMs) {
-    for (Change each : heard) {
+  public ChangeResult change(long nowMs, Change change, long graceMs) {
+    for (Change each : seen) {
       if (each.number() == change.number()) {
-        return each.equals(change) ? Answer.KNOWN : Answer.CONTRADICTS;
+        return each.equals(change) ? ChangeResult.DUPLICATE : ChangeResult.CONFLICTING;
       }
     }
     if (change.fromMs() < nowMs - graceMs) {
-      return Answer.RETROACTIVE;
+      return ChangeResult.RETROACTIVE;
     }
-    Change held =
+    Change effective =
         change.fromMs() < nowMs
             ? new Change(change.number(), nowMs, change.plan(), change.author())
             : change;
     for (int i = 1; i < changes.size(); i++) {
       Change there = changes.get(i);
-      if (there.fromMs() == held.fromMs()) {
-        if (there.number() > held.number()) {
-          return Answer.OVERRULED;
+      if (there.fromMs() == effective.fromMs()) {
+        if (there.number() > effective.number()) {
+          return ChangeResult.SUPERSEDED;
         }
-        changes.set(i, held);
+        changes.set(i, effective);
         remember(change);
-        return Answer.TAKEN;
+        return ChangeResult.ACCEPTED;
       }
     }
-    forgetPast(nowMs);
-    if (changes.size() >= MOST) {
-      return Answer.TOO_MANY;
+    dropPast(nowMs);
+    if (changes.size() >= MAX_CHANGES) {
+      return ChangeResult.TOO_MANY;
     }
     int at = changes.size();
-    while (at > 1 && changes.get(at - 1).fromMs() > held.fromMs()) {
+    while (at > 1 && changes.get(at - 1).fromMs() > effective.fromMs()) {
       at--;
     }
-    changes.add(at, held);
+    changes.add(at, effective);
     remember(change);
-    return Answer.TAKEN;
+    return ChangeResult.ACCEPTED;
   }
 
   private void remember(Change change) {
-    heard.add(change);
-    if (heard.size() > MOST) {
-      heard.remove(0);
+    seen.add(change);
+    if (seen.size() > MAX_CHANGES) {
+      seen.remove(0);
     }
   }
 
-  /** Only the one in force is of use among those that are past. */
-  private void forgetPast(long nowMs) {
+  /** Of past changes only the one that applies is kept. */
+  private void dropPast(long nowMs) {
     while (changes.size() > 1 && changes.get(1).fromMs() <= nowMs) {
       changes.remove(0);
     }
   }
 
-  /**
-   * The change whose plan is in force at this instant; one that was forgotten is not found, but the
-   * oldest kept is.
-   */
+  /** The change whose plan applies at this instant, or the oldest one that is kept. */
   public Change at(long ms) {
     Change in = changes.get(0);
     for (Change each : changes) {
@@ -144,7 +138,7 @@
     return Long.MAX_VALUE;
   }
 
-  /** Those in force and to come. */
+  /** The change that applies and all future ones. */
   public List<Change> changes() {
     return List.copyOf(changes);
   }
--- a/plans/src/main/java/nettletrail/plans/UsageLedger.java
+++ b/plans/src/main/java/nettletrail/plans/UsageLedger.java
@@ -22,119 +22,115 @@
 import nettletrail.plans.ledger.Ledger;
 import nettletrail.plans.ledger.LedgerReader;
 import nettletrail.plans.ledger.Line;
-import nettletrail.plans.ledger.OpenUses;
+import nettletrail.plans.ledger.UnfinishedUses;
 
 /**
- * A ledger at work: uses in from any thread, one thread that writes and commits them in groups,
- * lines out to the receiver.
+ * Runs a ledger: takes uses from any thread, commits them in groups on a thread of its own, and
+ * exports their lines.
  *
- * <p>What is put in while a commit is under way goes into the next one: the slower the disk, the
- * larger the groups. The queue is bounded; who finds it full is told at once, and so is who asks
- * while the disk fails ({@link #isTaking}).
+ * <p>What arrives during a commit goes into the next one: the slower the disk, the larger the
+ * groups. The queue is bounded; callers learn at once when it is full or the disk fails ({@link
+ * #isAccepting}).
  */
 public final class UsageLedger implements AutoCloseable {
-  /**
-   * How it goes about it.
-   *
-   * @param segmentBytes after which a new segment is begun
-   * @param mostQueued entries that wait for a commit
-   * @param mostLines lines kept in memory for the export; others are read again from the disk
-   * @param rule for uses of which nobody knows
-   */
-  public record Terms(
-      long segmentBytes,
-      int mostQueued,
-      int mostLines,
-      OpenUses.Rule rule,
-      ExportDecider.Terms export) {}
-
   private static final long RETRY_MS = 100;
-  private static final long LOOK_MS = 200;
+  private static final long MAX_WAIT_MS = 200;
   private static final long MS = 1_000_000L;
 
-  private interface Op {
+  /** How long callers wait for the ledger's thread, in seconds. */
+  private static final long MAX_CALL_S = 5;
+
+  private interface Task {
     void run() throws IOException;
   }
 
-  private final Terms terms;
-  private final Disk disk;
+  private final UsageLedgerSettings settings;
   private final ExportClient client;
   private final LongSupplier wallMs;
-  private final BlockingQueue<Op> ops;
+  private final BlockingQueue<Task> tasks;
   private final AtomicLong handles = new AtomicLong();
   private final Thread thread;
   private final Ledger ledger;
   private ExportDecider decider;
 
-  /** By handle: the sequence of its Sent, and the use. */
+  /** The sequence of the Sent, by handle. */
   private final Map<Long, Long> sent = new HashMap<>();
 
   private final Map<Long, Entry.Use> uses = new HashMap<>();
 
-  /** Sequences of commits to come, and who waits for them. */
+  /** Callers that wait for a commit, by sequence. */
   private final NavigableMap<Long, List<Runnable>> waiting = new TreeMap<>();
 
-  private final NavigableMap<Long, Line> lines = new TreeMap<>();
-  private volatile boolean taking = true;
+  private final BatchLines lines;
+  private volatile boolean accepting = true;
   private volatile boolean closed;
 
   /**
-   * A new life's ledger in an empty folder.
+   * Starts the ledger of a new incarnation in an empty folder.
    *
    * @param client null for no export
    */
   public static UsageLedger begin(
-      Terms terms, Disk disk, String door, String life, ExportClient client, LongSupplier wallMs)
+      UsageLedgerSettings settings,
+      Disk disk,
+      String door,
+      String life,
+      ExportClient client,
+      LongSupplier wallMs)
       throws IOException {
     UsageLedger made =
         new UsageLedger(
-            terms,
+            settings,
             disk,
             client,
             wallMs,
-            Ledger.begin(disk, door, life, terms.segmentBytes(), wallMs.getAsLong()));
+            Ledger.begin(disk, door, life, settings.segmentBytes(), wallMs.getAsLong()));
     made.start();
     return made;
   }
 
   /**
-   * Takes over one whose process is dead: uses that it left open are ended by the rule, and the
+   * Takes over the ledger of a dead process: uses without an outcome are ended by the rule, and the
    * rest is exported.
    *
    * @return null if there is nothing in the folder
    */
   public static UsageLedger adopt(
-      Terms terms,
+      UsageLedgerSettings settings,
       Disk disk,
       ExportClient client,
       LongSupplier wallMs,
-      Consumer<LedgerReader.Found> found)
+      Consumer<LedgerReader.LedgerContents> found)
       throws IOException {
     List<Entry> entries = new ArrayList<>();
     Ledger ledger =
-        Ledger.adopt(disk, terms.segmentBytes(), wallMs.getAsLong(), entries::add, found);
+        Ledger.adopt(disk, settings.segmentBytes(), wallMs.getAsLong(), entries::add, found);
     if (ledger == null) {
       return null;
     }
-    UsageLedger made = new UsageLedger(terms, disk, client, wallMs, ledger);
-    OpenUses open = new OpenUses();
+    UsageLedger made = new UsageLedger(settings, disk, client, wallMs, ledger);
+    UnfinishedUses open = new UnfinishedUses();
     for (Entry each : entries) {
       open.add(each);
-      made.hear(each);
+      made.entryConfirmed(each);
     }
-    open.ends("its front door died before it knew", terms.rule()).forEach(made::put);
+    open.closingEntries("its front door died before it knew", settings.rule()).forEach(made::put);
     made.start();
     return made;
   }
 
   private UsageLedger(
-      Terms terms, Disk disk, ExportClient client, LongSupplier wallMs, Ledger ledger) {
-    this.terms = terms;
-    this.disk = disk;
+      UsageLedgerSettings settings,
+      Disk disk,
+      ExportClient client,
+      LongSupplier wallMs,
+      Ledger ledger) {
+    this.settings = settings;
+    this.lines = new BatchLines(disk, settings.maxLines());
     this.client = client;
     this.wallMs = wallMs;
     this.ledger = ledger;
-    ops = new ArrayBlockingQueue<>(terms.mostQueued());
+    tasks = new ArrayBlockingQueue<>(settings.maxQueued());
     decider = decider();
     thread = new Thread(this::run, "usage " + ledger.door());
     thread.setDaemon(true);
@@ -142,11 +138,11 @@
 
   private ExportDecider decider() {
     return new ExportDecider(
-        terms.export(),
+        settings.export(),
         ledger.door().hashCode(),
         new ExportDecider.Actions() {
           @Override
-          public void put(Entry.What what) {
+          public void put(Entry.Event what) {
             UsageLedger.this.put(what);
           }
 
@@ -166,18 +162,15 @@
     thread.start();
   }
 
-  // ---- Uses, from any thread
-  // -----------------------------------------------------------------------------
-
-  /** Whether uses can be written down now: the disk takes them, and the queue has room. */
-  public boolean isTaking() {
-    return taking && ops.remainingCapacity() > 0;
+  /** Whether uses can be recorded now: the disk works and the queue has room. */
+  public boolean isAccepting() {
+    return accepting && tasks.remainingCapacity() > 0;
   }
 
   /**
-   * A request's first attempt goes out.
+   * A request's first attempt is about to be sent.
    *
-   * @return what it is called from here on; 0 if it can't be written down now
+   * @return a handle for the use; 0 if it can't be recorded now
    */
   public long sent(Entry.Use use) {
     long handle = handles.incrementAndGet();
@@ -191,10 +184,10 @@
   }
 
   /**
-   * A good answer came.
+   * A successful response arrived.
    *
-   * @param settled whether the amount is the backend's word
-   * @param confirmed on the ledger's thread, once it counts
+   * @param settled whether the backend reported the amount
+   * @param confirmed run on the ledger's thread once the use is confirmed
    * @return false if the queue is full: nothing is written, and {@code confirmed} isn't called
    */
   public boolean used(long handle, long milli, boolean settled, Runnable confirmed) {
@@ -207,7 +200,7 @@
                 .add(confirmed));
   }
 
-  /** It may have run, and nobody will tell. */
+  /** The use may have run, which will never be known. */
   public boolean unknown(long handle, String why) {
     return offer(
         () -> {
@@ -217,11 +210,11 @@
                   sent.remove(handle),
                   use,
                   why,
-                  terms.rule() == OpenUses.Rule.GUESS ? use.guessMilli() : 0));
+                  settings.rule() == UnfinishedUses.Rule.GUESS ? use.guessMilli() : 0));
         });
   }
 
-  /** Surely nothing ran. */
+  /** The use certainly did not run. */
   public boolean unused(long handle) {
     return offer(
         () -> {
@@ -230,7 +223,7 @@
         });
   }
 
-  /** The true amount of a use that is confirmed already; named by its line. */
+  /** The true amount of a use that is confirmed already, identified by its line. */
   public boolean settled(Line line, long milli) {
     Entry.Use use =
         new Entry.Use(
@@ -243,39 +236,35 @@
     return offer(() -> put(new Entry.Settled(line.sequence(), use, line.milli(), milli)));
   }
 
-  /** A correction, by staff. */
+  /** A correction by an operator. */
   public boolean credit(Entry.Credit credit) {
     return offer(() -> put(credit));
   }
 
-  private boolean offer(Op op) {
-    return !closed && ops.offer(op);
+  private boolean offer(Task task) {
+    return !closed && tasks.offer(task);
   }
 
-  // ---- The thread
-  // ----------------------------------------------------------------------------------------
-
-  private long put(Entry.What what) {
+  private long put(Entry.Event what) {
     return ledger.put(what, wallMs.getAsLong(), System.nanoTime());
   }
 
   private void run() {
-    List<Op> group = new ArrayList<>();
+    List<Task> group = new ArrayList<>();
     try {
-      work(); // first what an adoption put in, or whoever asks would be told that there is nothing
-      // to do
+      work(); // commits what a takeover appended before the first call
     } catch (InterruptedException e) {
       return;
     }
     while (!closed) {
       try {
-        long wait = Math.max(0, Math.min(LOOK_MS * MS, decider.nextDue() - System.nanoTime()));
-        Op first = ops.poll(ledger.unconfirmed() > 0 ? 0 : wait, TimeUnit.NANOSECONDS);
+        long wait = Math.max(0, Math.min(MAX_WAIT_MS * MS, decider.nextDue() - System.nanoTime()));
+        Task first = tasks.poll(ledger.unconfirmed() > 0 ? 0 : wait, TimeUnit.NANOSECONDS);
         if (first != null) {
           group.add(first);
-          ops.drainTo(group);
+          tasks.drainTo(group);
         }
-        for (Op each : group) {
+        for (Task each : group) {
           each.run();
         }
         group.clear();
@@ -292,26 +281,26 @@
   private void work() throws InterruptedException {
     try {
       for (Entry each : ledger.commit()) {
-        hear(each);
+        entryConfirmed(each);
       }
-      if (!taking) {
-        taking = true;
+      if (!accepting) {
+        accepting = true;
         Log.line("usage: the disk takes entries again");
       }
       while (!waiting.isEmpty() && waiting.firstKey() <= ledger.confirmed()) {
         waiting.pollFirstEntry().getValue().forEach(Runnable::run);
       }
       if (ledger.isFenced()) {
-        retake();
+        reclaim();
       }
       if (client != null) {
         decider.tick(System.nanoTime());
       }
     } catch (Ledger.Fenced e) {
-      retake();
+      reclaim();
     } catch (IOException e) {
-      if (taking) {
-        taking = false;
+      if (accepting) {
+        accepting = false;
         Log.line(
             "usage: the disk does not take entries ("
                 + e.getMessage()
@@ -323,32 +312,27 @@
     }
   }
 
-  private void hear(Entry entry) {
+  private void entryConfirmed(Entry entry) {
     Line line = Line.of(entry);
-    if (line != null) {
-      lines.put(entry.sequence(), line);
-      if (lines.size() > terms.mostLines()) {
-        lines.pollFirstEntry();
-      }
-    }
+    lines.add(line);
     decider.confirmed(System.nanoTime(), entry, line != null);
   }
 
-  /** Another process thought that this one was dead. */
-  private void retake() throws InterruptedException {
+  /** Takes the ledger back from a process that took this one for dead. */
+  private void reclaim() throws InterruptedException {
     Log.line("usage: another process took the ledger over; taking it back");
     try {
       decider = decider();
       lines.clear();
       long known = ledger.confirmed();
-      Map<Long, Long> renumbered = ledger.retake(wallMs.getAsLong(), this::hear);
+      Map<Long, Long> newSequences = ledger.reclaim(wallMs.getAsLong(), this::entryConfirmed);
       sent.replaceAll(
           (handle, sequence) ->
-              sequence > known ? renumbered.getOrDefault(sequence, sequence) : sequence);
+              sequence > known ? newSequences.getOrDefault(sequence, sequence) : sequence);
       List<Runnable> all = new ArrayList<>();
       waiting.values().forEach(all::addAll);
       waiting.clear();
-      // They count once all that was put in again does.
+      // They are confirmed once everything that was appended again is.
       waiting.put(ledger.last(), all);
     } catch (IOException e) {
       Log.line("usage: can't take the ledger back; trying again: " + e.getMessage());
@@ -357,81 +341,68 @@
   }
 
   private void post(Batch batch) {
-    List<Line> of = new ArrayList<>(lines.subMap(batch.from(), true, batch.to(), true).values());
-    if (lines.isEmpty() || lines.firstKey() > batch.from()) {
-      of.clear();
-      try {
-        LedgerReader.read(
-            disk,
-            entry -> {
-              Line line =
-                  entry.sequence() >= batch.from() && entry.sequence() <= batch.to()
-                      ? Line.of(entry)
-                      : null;
-              if (line != null) {
-                of.add(line);
-              }
-            });
-      } catch (IOException e) {
-        Log.line("usage: a batch can't be read from the disk: " + e.getMessage());
-        ops.offer(() -> decider.unanswered(System.nanoTime(), 0));
-        return;
-      }
+    try {
+      client.post(ledger.door() + "/" + ledger.life(), batch, lines.of(batch), callback());
+    } catch (IOException e) {
+      Log.line("usage: a batch can't be read from the disk: " + e.getMessage());
+      tasks.offer(() -> decider.attemptFailed(System.nanoTime(), 0));
     }
-    ExportDecider asked = decider;
-    client.post(
-        ledger.door() + "/" + ledger.life(),
-        batch,
-        of,
-        answer -> {
-          Op told =
-              () -> {
-                if (asked == decider) {
-                  told(answer);
-                }
-              };
-          while (!closed && !offerSoon(told)) {
-            continue;
-          }
-        });
   }
 
-  private boolean offerSoon(Op op) {
+  /** Passes a response to the ledger's thread; dropped if the ledger was reclaimed meanwhile. */
+  private Consumer<ExportClient.Answer> callback() {
+    ExportDecider poster = decider;
+    return answer -> {
+      Task task =
+          () -> {
+            if (poster == decider) {
+              receiverAnswered(answer);
+            }
+          };
+      while (!closed && !offerSoon(task)) {
+        continue;
+      }
+    };
+  }
+
+  private boolean offerSoon(Task task) {
     try {
-      return ops.offer(op, 1, TimeUnit.SECONDS);
+      return tasks.offer(task, 1, TimeUnit.SECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return true;
     }
   }
 
-  private void told(ExportClient.Answer answer) {
+  private void receiverAnswered(ExportClient.Answer answer) {
     long now = System.nanoTime();
-    if (answer instanceof ExportClient.Has has) {
+    if (answer instanceof ExportClient.Acknowledged has) {
       decider.answered(now, has.end());
-    } else if (answer instanceof ExportClient.Later later) {
-      decider.unanswered(now, later.retryAfterNs());
-    } else if (answer instanceof ExportClient.Never never) {
-      decider.turnedDown(now, never.why());
+    } else if (answer instanceof ExportClient.RetryLater later) {
+      decider.attemptFailed(now, later.retryAfterNs());
+    } else if (answer instanceof ExportClient.Rejected never) {
+      decider.rejected(now, never.why());
     }
   }
 
-  /** What the export does; for operators. From any thread; null if it doesn't answer in time. */
+  /** Figures of the export, on any thread; null if they are not there in time. */
   public ExportDecider.Status exportStatus() throws InterruptedException {
     BlockingQueue<ExportDecider.Status> answer = new ArrayBlockingQueue<>(1);
-    return offer(() -> answer.add(decider.status())) ? answer.poll(5, TimeUnit.SECONDS) : null;
+    return offer(() -> answer.add(decider.status()))
+        ? answer.poll(MAX_CALL_S, TimeUnit.SECONDS)
+        : null;
   }
 
   /**
-   * Ends as a killed process does: what waits is not written. For a proper end, wait for the uses
-   * to be confirmed first.
+   * Ends like a killed process: queued entries are not written. For a graceful end, wait for the
+   * confirmations first.
    */
   @Override
   public void close() {
     closed = true;
     thread.interrupt();
     try {
-      thread.join(TimeUnit.SECONDS.toMillis(5));
+      thread.join(TimeUnit.SECONDS.toMillis(MAX_CALL_S));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/plans/src/main/java/nettletrail/plans/export/CloudEventsBatch.java
+++ b/plans/src/main/java/nettletrail/plans/export/CloudEventsBatch.java
@@ -10,20 +10,20 @@
 import nettletrail.plans.ledger.Line;
 
 /**
- * A batch as it goes over the wire: CloudEvents 1.0, JSON batch format (sections 3 and 4), one
- * event for each line.
+ * A batch on the wire: CloudEvents 1.0, JSON batch format (sections 3 and 4), one event for each
+ * line.
  */
 public final class CloudEventsBatch {
   /** Content type of a batch. */
   public static final String TYPE = "application/cloudevents-batch+json";
 
-  /** Whose lines: door and life. */
+  /** Header with the ledger: door and incarnation. */
   public static final String LEDGER = "X-Usage-Ledger";
 
-  /** Entries from-to. */
+  /** Header with the first and last entry. */
   public static final String BATCH = "X-Usage-Batch";
 
-  /** End of what must have been taken before. */
+  /** Header with the end that the receiver must have reached before. */
   public static final String BEFORE = "X-Usage-Before";
 
   private static final String EVENT = "nettletrail.usage.line.v1";
@@ -48,8 +48,7 @@
       data.put("text", line.text());
       Map<String, Object> event = new LinkedHashMap<>();
       event.put("specversion", "1.0");
-      // source and id together name a line for ever; "sequence" lets a receiver compare without
-      // reading ids.
+      // Source and id together identify a line.
       event.put("id", Long.toString(line.sequence()));
       event.put("source", "/nettletrail/usage/" + ledger);
       event.put("type", EVENT);
--- a/plans/src/main/java/nettletrail/plans/export/ExportClient.java
+++ b/plans/src/main/java/nettletrail/plans/export/ExportClient.java
@@ -10,28 +10,33 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import nettletrail.plans.export.ExportDecider.Batch;
 import nettletrail.plans.ledger.Line;
 
 /**
- * Posts batches and reads what the receiver says. Nothing decided; answers come on a thread of the
- * client.
+ * Posts batches and parses the receiver's responses; decides nothing. Responses arrive on a thread
+ * of the HTTP client.
  */
 public final class ExportClient {
-  /** What the receiver said. */
+  /** The outcome of an attempt. */
   public sealed interface Answer {}
 
-  /** It has all up to there. */
-  public record Has(long end) implements Answer {}
+  /** The receiver has everything up to this entry. */
+  public record Acknowledged(long end) implements Answer {}
 
-  /** Nothing, or to come again. */
-  public record Later(long retryAfterNs) implements Answer {}
+  /** No usable response, or a request to retry later; 0 for no stated time. */
+  public record RetryLater(long retryAfterNs) implements Answer {}
 
-  /** It will never take it. */
-  public record Never(String why) implements Answer {}
+  /** The receiver rejects the batch for good. */
+  public record Rejected(String why) implements Answer {}
 
-  private static final int MOST_ANSWER = 4_096;
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final Set<Integer> REJECTING_STATUSES = Set.of(400, 413, 422);
+  private static final int MAX_REASON_LENGTH = 200;
+  private static final int MAX_ANSWER_BYTES = 4_096;
   private static final long SECOND = 1_000_000_000L;
 
   private final HttpClient client =
@@ -42,15 +47,18 @@
   private final URI receiver;
   private final Duration timeout;
 
+  /** Posts to this address, with a time-out for each response. */
   public ExportClient(URI receiver, Duration timeout) {
     this.receiver = receiver;
     this.timeout = timeout;
   }
 
   /**
-   * @param told once, on any thread
+   * Posts a batch.
+   *
+   * @param answered called once, on any thread
    */
-  public void post(String ledger, Batch batch, List<Line> lines, Consumer<Answer> told) {
+  public void post(String ledger, Batch batch, List<Line> lines, Consumer<Answer> answered) {
     HttpRequest request;
     try {
       request =
@@ -67,35 +75,37 @@
     }
     client
         .sendAsync(request, ExportClient::bounded)
-        .whenComplete((answer, fault) -> told.accept(fault == null ? read(answer) : new Later(0)));
+        .whenComplete(
+            (answer, fault) -> answered.accept(fault == null ? read(answer) : new RetryLater(0)));
   }
 
-  /** An answer that doesn't tell its length, or a long one, is not read. */
+  /** A response without a length, or a long one, is not read. */
   private static HttpResponse.BodySubscriber<String> bounded(HttpResponse.ResponseInfo head) {
     long length = head.headers().firstValueAsLong("Content-Length").orElse(-1);
-    return length >= 0 && length <= MOST_ANSWER
+    return length >= 0 && length <= MAX_ANSWER_BYTES
         ? HttpResponse.BodySubscribers.ofString(StandardCharsets.UTF_8)
         : HttpResponse.BodySubscribers.replacing("");
   }
 
   private static Answer read(HttpResponse<String> answer) {
     int status = answer.statusCode();
-    if (status == 200 || status == 409) {
+    if (status == OK || status == CONFLICT) {
       try {
         Map<String, Object> body = JSON.std.mapFrom(answer.body());
-        // What doesn't say how far it has come acknowledges nothing.
+        // A response without an end acknowledges nothing.
         return body.get("end") instanceof Number end && end.longValue() >= 0
-            ? new Has(end.longValue())
-            : new Later(0);
+            ? new Acknowledged(end.longValue())
+            : new RetryLater(0);
       } catch (IOException e) {
-        return new Later(0);
+        return new RetryLater(0);
       }
     }
-    if (status == 400 || status == 413 || status == 422) {
-      String said = answer.body().length() > 200 ? answer.body().substring(0, 200) : answer.body();
-      return new Never(status + " " + said.replaceAll("[^\\x20-\\x7e]", " ").strip());
+    if (REJECTING_STATUSES.contains(status)) {
+      String body = answer.body();
+      String said = body.substring(0, Math.min(MAX_REASON_LENGTH, body.length()));
+      return new Rejected(status + " " + said.replaceAll("[^\\x20-\\x7e]", " ").strip());
     }
-    return new Later(
+    return new RetryLater(
         answer.headers().firstValue("Retry-After").map(ExportClient::seconds).orElse(0L));
   }
 
--- a/plans/src/main/java/nettletrail/plans/export/ExportDecider.java
+++ b/plans/src/main/java/nettletrail/plans/export/ExportDecider.java
@@ -7,90 +7,91 @@
 import nettletrail.plans.ledger.Entry;
 
 /**
- * When a ledger's lines are told to the receiver, in which batches, and what its answers mean. No
- * I/O and no clock. One thread; one for each ledger.
+ * Decides when the lines of a ledger are sent to the receiver, in which batches, and what its
+ * responses mean. Does no I/O and reads no clock. One thread; one for each ledger.
  *
- * <p><b>Batches.</b> A batch is the lines of the entries from..to; the bounds are themselves an
- * entry (Cut) that is confirmed before the batch is posted for the first time, so whoever posts it
- * again, after whatever death, posts the same. A batch names the end of the one before it.
+ * <p><b>Batches.</b> A batch contains the lines of the entries from..to. Its boundaries are
+ * themselves an entry that is confirmed before the batch is posted for the first time, so every
+ * retry, by whatever process, posts the same. A batch names the end of the one before it.
  *
- * <p><b>The receiver</b> keeps, for each ledger, the end of what it has taken. It takes a batch
- * whose name follows, all or a first part, and answers with the end that it has then; whatever else
- * comes changes nothing there and is answered the same. So lines count once however often they
- * come, and a receiver that forgot (it broke after its answer, or was restored from an old backup)
- * says so by itself.
+ * <p><b>The receiver</b> keeps, for each ledger, the end of what it has accepted. It accepts a
+ * batch that follows this end, all of it or a first part, and responds with its new end; anything
+ * else changes nothing there and gets the same response. So lines count once however often they
+ * arrive, and a receiver that lost data (a crash, an old backup) reports it by itself.
  *
- * <p><b>States</b> of the export; batches are cut in all of them, one Cut at a time:
+ * <p><b>States</b>; batches are closed in all of them, one boundary at a time:
  *
- * <pre>
- * state     what is out                                             until
- * IDLE      nothing                                                 a batch that the receiver doesn't have: POSTING
- * POSTING   the first such batch                                    its answer: IDLE; no answer, or no word of it: RESTING
- * RESTING   nothing; back-off, doubled and jittered                 its time: IDLE
- * </pre>
+ * <ul>
+ *   <li>IDLE: nothing is in flight, until there is a batch that the receiver doesn't have
+ *       (POSTING).
+ *   <li>POSTING: the first such batch is in flight, until its response (IDLE) or none
+ *       (BACKING_OFF).
+ *   <li>BACKING_OFF: nothing is in flight, for an exponential backoff with jitter (IDLE).
+ * </ul>
  *
- * A batch that the receiver will never take is shelved: that is an entry too, staff see it, and the
- * next batch names the same end before it as the shelved one did.
+ * <p>A batch that the receiver rejects for good is marked so by an entry of its own, for operators;
+ * the next batch names the same end before it as the rejected one did.
  *
- * <p>Sources: CloudEvents 1.0 (batched content mode); Saltzer, Reed, Clark, End-to-end arguments in
- * system design, 1984.
+ * <p>Sources: CloudEvents 1.0 (batched content mode); Saltzer, Reed, Clark, "End-to-end arguments
+ * in system design", 1984.
  */
 public final class ExportDecider {
-  /** What the decider asks for; only while it is told something. */
+  /** What the decider requests, during calls of its methods. */
   public interface Actions {
-    /** Put this entry into the ledger; {@link #confirmed} comes of it, later, with its sequence. */
-    void put(Entry.What what);
+    /** Appends an entry to the ledger; {@link #confirmed} follows later. */
+    void put(Entry.Event what);
 
     /**
-     * Post the batch; exactly one {@link #answered}, {@link #unanswered} or {@link #turnedDown}
-     * comes of it, later.
+     * Posts a batch; exactly one {@link #answered}, {@link #attemptFailed} or {@link #rejected}
+     * follows later.
      */
     void post(Batch batch);
 
-    /** A line for operators. */
+    /** Logs a line for operators. */
     void log(String line);
   }
 
   /**
    * A batch.
    *
-   * @param before end of what must have been taken before it
+   * @param before the end that the receiver must have reached before it
    */
   public record Batch(long from, long to, long before) {}
 
   /**
-   * How it goes about it; times in ns.
+   * Settings; times in nanoseconds.
    *
-   * @param mostLines in a batch
-   * @param mostAgeNs after which a line goes out, however few there are
-   * @param leastRestNs between two tries that failed
-   * @param mostRestNs the same after many
-   * @param askNs after which the receiver is asked for its end though nothing is new
+   * @param maxLines in a batch, at least 1
+   * @param maxAgeNs after which a batch is closed, however few lines it has
+   * @param minBackoffNs between two attempts that failed
+   * @param maxBackoffNs after many failed attempts
+   * @param probeIntervalNs after which the receiver is asked for its end without anything new
    */
   public record Terms(
-      int mostLines, long mostAgeNs, long leastRestNs, long mostRestNs, long askNs) {
+      int maxLines, long maxAgeNs, long minBackoffNs, long maxBackoffNs, long probeIntervalNs) {
+    /** Checks the values. */
     public Terms {
-      if (mostLines < 1
-          || mostAgeNs < 0
-          || leastRestNs < 1
-          || mostRestNs < leastRestNs
-          || askNs < 1) {
+      if (maxLines < 1
+          || maxAgeNs < 0
+          || minBackoffNs < 1
+          || maxBackoffNs < minBackoffNs
+          || probeIntervalNs < 1) {
         throw new IllegalArgumentException("Terms: out of range");
       }
     }
   }
 
-  /** For operators. */
+  /** Figures for operators. */
   public record Status(
       String state,
       long cutTo,
       long taken,
       long unposted,
       long waiting,
-      long tries,
+      long attempts,
       long rewinds,
       long shelved) {
-    /** Whether the receiver has, or has turned down, all that there is. */
+    /** Whether the receiver has accepted or rejected everything. */
     public boolean isDone() {
       return unposted == 0 && waiting == 0;
     }
@@ -99,10 +100,10 @@
   private enum State {
     IDLE,
     POSTING,
-    RESTING
+    BACKING_OFF
   }
 
-  /** The line of an entry that is in no batch yet, and since when it waits. */
+  /** A line that is in no batch yet. */
   private record Waiting(long sequence, long since) {}
 
   private static final long NEVER = Long.MAX_VALUE;
@@ -111,7 +112,7 @@
   private final Actions actions;
   private final SplittableRandom random;
 
-  /** All batches, in order; shelved ones too. */
+  /** All batches in order, rejected ones too. */
   private final List<Batch> batches = new ArrayList<>();
 
   private final List<Boolean> shelved = new ArrayList<>();
@@ -119,57 +120,57 @@
   private final ArrayDeque<Waiting> lines = new ArrayDeque<>();
   private long cutTo;
 
-  /** A Cut is put in and not confirmed. */
+  /** Whether a boundary is appended and not confirmed. */
   private boolean cutting;
 
-  /** End of what the receiver has, as it said last, and as the ledger has it. */
+  /** The end of what the receiver has, by its last response. */
   private long taken;
 
-  private long takenNoted;
-  private Batch out;
-  private long restUntil;
-  private long rest;
+  /** The same as recorded in the ledger. */
+  private long recordedAcknowledged;
+
+  private Batch inFlight;
+  private long backoffUntil;
+  private long backoffNs;
   private long askAt;
-  private long tries;
+  private long attempts;
   private long rewinds;
   private long shelvedCount;
 
+  /** Nothing is exported yet; {@code seed} of the jitter. */
   public ExportDecider(Terms terms, long seed, Actions actions) {
     this.terms = terms;
     this.actions = actions;
     random = new SplittableRandom(seed);
   }
 
-  // ---- What the ledger says
-  // ------------------------------------------------------------------------------
-
   /**
-   * A confirmed entry, at recovery and later, in order.
+   * An entry is confirmed; to be called with all entries in order, at recovery too.
    *
-   * @param isLine whether it makes a line
+   * @param isLine whether it has a billing line
    */
   public void confirmed(long now, Entry entry, boolean isLine) {
     if (isLine) {
       lines.addLast(new Waiting(entry.sequence(), now));
     }
-    if (entry.what() instanceof Entry.Cut cut) {
+    if (entry.event() instanceof Entry.BatchBoundary cut) {
       batches.add(new Batch(cut.from(), cut.to(), endBefore(batches.size())));
       shelved.add(false);
       cutTo = cut.to();
       cutting = false;
-      // What came between the putting in and the confirmation is behind it, and in the next one.
+      // What was appended before the confirmation is behind it, and in the next batch.
       while (!lines.isEmpty() && lines.peekFirst().sequence() <= cutTo) {
         lines.pollFirst();
       }
-    } else if (entry.what() instanceof Entry.Acked acked) {
+    } else if (entry.event() instanceof Entry.BatchAcknowledged acked) {
       taken = acked.to();
-      takenNoted = acked.to();
-    } else if (entry.what() instanceof Entry.Shelved mark) {
+      recordedAcknowledged = acked.to();
+    } else if (entry.event() instanceof Entry.BatchRejected mark) {
       shelve(mark.to());
     }
   }
 
-  /** The end that the batch at this place must follow: shelved ones are passed over. */
+  /** The end that the batch at this index must follow; rejected ones are skipped. */
   private long endBefore(int place) {
     for (int i = place - 1; i >= 0; i--) {
       if (!shelved.get(i)) {
@@ -192,12 +193,9 @@
     }
   }
 
-  // ---- Time
-  // ----------------------------------------------------------------------------------------------
-
-  /** To be called when something was confirmed or answered, and at {@link #nextDue}. */
+  /** Does what is due; to be called after a confirmation or response, and at {@link #nextDue}. */
   public void tick(long now) {
-    if (state == State.RESTING && now - restUntil >= 0) {
+    if (state == State.BACKING_OFF && now - backoffUntil >= 0) {
       state = State.IDLE;
     }
     cut(now);
@@ -207,18 +205,18 @@
     Batch next = next();
     if (next != null) {
       post(now, next);
-    } else if (lastTakeable() != null && now - askAt >= 0) {
-      post(now, lastTakeable()); // it has it, and says so; or it has forgotten, and says that
+    } else if (lastAcceptableBatch() != null && now - askAt >= 0) {
+      post(now, lastAcceptableBatch()); // it has it, or it reports that it lost it
     }
   }
 
   private void cut(long now) {
-    boolean old = !lines.isEmpty() && now - lines.peekFirst().since() >= terms.mostAgeNs();
-    if (cutting || !old && lines.size() < terms.mostLines()) {
+    boolean old = !lines.isEmpty() && now - lines.peekFirst().since() >= terms.maxAgeNs();
+    if (cutting || !old && lines.size() < terms.maxLines()) {
       return;
     }
     long to = 0;
-    int taking = terms.mostLines();
+    int taking = terms.maxLines();
     for (Waiting each : lines) {
       if (taking-- == 0) {
         break;
@@ -226,22 +224,22 @@
       to = each.sequence();
     }
     cutting = true;
-    actions.put(new Entry.Cut(cutTo + 1, to));
+    actions.put(new Entry.BatchBoundary(cutTo + 1, to));
   }
 
-  /** When {@link #tick} is wanted next; {@link Long#MAX_VALUE} for when something happens. */
+  /** When {@link #tick} is due next; {@link Long#MAX_VALUE} if not by time. */
   public long nextDue() {
-    long cut = cutting || lines.isEmpty() ? NEVER : lines.peekFirst().since() + terms.mostAgeNs();
+    long cut = cutting || lines.isEmpty() ? NEVER : lines.peekFirst().since() + terms.maxAgeNs();
     return Math.min(
         cut,
         switch (state) {
           case POSTING -> NEVER;
-          case RESTING -> restUntil;
-          case IDLE -> lastTakeable() == null ? NEVER : askAt;
+          case BACKING_OFF -> backoffUntil;
+          case IDLE -> lastAcceptableBatch() == null ? NEVER : askAt;
         });
   }
 
-  /** The first batch that the receiver doesn't have all of. */
+  /** The first batch that the receiver doesn't have completely; null if there is none. */
   private Batch next() {
     int low = 0;
     int high = batches.size();
@@ -259,7 +257,7 @@
     return low < batches.size() ? batches.get(low) : null;
   }
 
-  private Batch lastTakeable() {
+  private Batch lastAcceptableBatch() {
     for (int i = batches.size() - 1; i >= 0; i--) {
       if (!shelved.get(i)) {
         return batches.get(i);
@@ -270,20 +268,17 @@
 
   private void post(long now, Batch batch) {
     state = State.POSTING;
-    out = batch;
-    tries++;
-    askAt = now + terms.askNs();
+    inFlight = batch;
+    attempts++;
+    askAt = now + terms.probeIntervalNs();
     actions.post(batch);
   }
 
-  // ---- What the receiver says
-  // ----------------------------------------------------------------------------
-
-  /** Its answer: the end of what it has of this ledger now. */
+  /** The receiver responded with the end of what it has of this ledger. */
   public void answered(long now, long end) {
     state = State.IDLE;
-    Batch posted = out;
-    out = null;
+    Batch posted = inFlight;
+    inFlight = null;
     if (end > cutTo) {
       actions.log(
           "export: the receiver says that it has entries up to "
@@ -291,7 +286,7 @@
               + "; batches were cut up to "
               + cutTo
               + " only: another ledger's name, or another receiver's answer");
-      rest(now);
+      backOff(now);
       return;
     }
     boolean further = end > taken;
@@ -306,30 +301,30 @@
     }
     taken = end;
     if (further) {
-      rest = 0;
-      if (taken > takenNoted) {
-        takenNoted = taken;
-        actions.put(new Entry.Acked(taken));
+      backoffNs = 0;
+      if (taken > recordedAcknowledged) {
+        recordedAcknowledged = taken;
+        actions.put(new Entry.BatchAcknowledged(taken));
       }
     }
     if (end < posted.to() && !further && end >= posted.before()) {
-      rest(now); // it took nothing of it and says nothing against it: not at once again
+      backOff(now); // it accepted nothing without a reason: no immediate retry
     }
     tick(now);
   }
 
-  /** No answer, or one that says to come again. */
-  public void unanswered(long now, long retryAfterNs) {
-    out = null;
-    rest(now);
-    restUntil = Math.max(restUntil, now + Math.min(retryAfterNs, terms.mostRestNs()));
+  /** There was no response, or one that asks to retry later. */
+  public void attemptFailed(long now, long retryAfterNs) {
+    inFlight = null;
+    backOff(now);
+    backoffUntil = Math.max(backoffUntil, now + Math.min(retryAfterNs, terms.maxBackoffNs()));
   }
 
-  /** It will never take this batch. */
-  public void turnedDown(long now, String why) {
+  /** The receiver rejects the batch in flight for good. */
+  public void rejected(long now, String why) {
     state = State.IDLE;
-    Batch posted = out;
-    out = null;
+    Batch posted = inFlight;
+    inFlight = null;
     actions.log(
         "export: the receiver turned down entries "
             + posted.from()
@@ -338,20 +333,20 @@
             + ": "
             + why
             + "; they are shelved: see ./nettletrail usage export --shelf");
-    // At once for ourselves, or it would be posted again before the entry is confirmed.
+    // At once, or it would be posted again before the entry is confirmed.
     shelve(posted.to());
-    actions.put(new Entry.Shelved(posted.to(), why));
+    actions.put(new Entry.BatchRejected(posted.to(), why));
     tick(now);
   }
 
-  private void rest(long now) {
-    state = State.RESTING;
-    rest = Math.min(terms.mostRestNs(), Math.max(terms.leastRestNs(), rest * 2));
-    restUntil = now + rest / 2 + random.nextLong(rest / 2 + 1);
+  private void backOff(long now) {
+    state = State.BACKING_OFF;
+    backoffNs = Math.min(terms.maxBackoffNs(), Math.max(terms.minBackoffNs(), backoffNs * 2));
+    backoffUntil = now + backoffNs / 2 + random.nextLong(backoffNs / 2 + 1);
   }
 
-  /** All that what it does next depends on, times left out: for the exploration of its states. */
-  String inner() {
+  /** The complete state without times, for the exploration of states. */
+  String stateText() {
     List<Long> open = new ArrayList<>();
     lines.forEach(each -> open.add(each.sequence()));
     return state
@@ -365,17 +360,18 @@
         + ","
         + taken
         + ","
-        + takenNoted
+        + recordedAcknowledged
         + ","
-        + out;
+        + inFlight;
   }
 
+  /** The present figures. */
   public Status status() {
     long unposted = 0;
     for (int i = batches.size() - 1; i >= 0 && batches.get(i).to() > taken; i--) {
       unposted += shelved.get(i) ? 0 : 1;
     }
     return new Status(
-        state.name(), cutTo, taken, unposted, lines.size(), tries, rewinds, shelvedCount);
+        state.name(), cutTo, taken, unposted, lines.size(), attempts, rewinds, shelvedCount);
   }
 }
--- a/plans/src/main/java/nettletrail/plans/export/package-info.java
+++ b/plans/src/main/java/nettletrail/plans/export/package-info.java
@@ -1,2 +1,5 @@
-/** Use is told to the billing system: at least once on the way, once in effect. */
+/**
+ * Export of billing lines to the receiver: delivered at least once, counted exactly once. Entry
+ * class: {@link nettletrail.plans.export.ExportDecider}.
+ */
 package nettletrail.plans.export;
--- a/plans/src/main/java/nettletrail/plans/ledger/Disk.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/Disk.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The file system as a ledger sees it: one folder. A seam, so that tests can lose, tear and delay
- * what was written.
+ * The file system as a ledger uses it: one folder. An interface, so that tests can lose, tear and
+ * delay what was written.
  */
 public interface Disk {
   /** A file that is being written. */
@@ -14,8 +14,8 @@
     void write(byte[] bytes) throws IOException;
 
     /**
-     * Returns when all written so far lasts. After a failure nothing is known of what was not
-     * synced before it.
+     * Makes everything written so far durable. After a failure nothing is known about what was not
+     * synced before.
      */
     void sync() throws IOException;
 
@@ -29,19 +29,22 @@
   /** Whether there is a file of this name. */
   boolean exists(String name) throws IOException;
 
+  /** The complete content of a file. */
   byte[] read(String name) throws IOException;
 
   /**
-   * A new file whose name lasts. @throws java.nio.file.FileAlreadyExistsException if there is one
-   * of that name
+   * Creates a file whose name is durable.
+   *
+   * @throws java.nio.file.FileAlreadyExistsException if there is a file of this name
    */
   File create(String name) throws IOException;
 
-  /** Returns when all that this file holds lasts, whoever wrote it. */
+  /** Makes the content of a file durable, whoever wrote it. */
   void sync(String name) throws IOException;
 
+  /** Deletes a file. */
   void delete(String name) throws IOException;
 
-  /** Bytes that can still be written, about. */
+  /** About how many bytes can still be written. */
   long free() throws IOException;
 }
--- a/plans/src/main/java/nettletrail/plans/ledger/Entry.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/Entry.java
@@ -1,23 +1,23 @@
 package nettletrail.plans.ledger;
 
 /**
- * One entry of a ledger. Entries of one life are numbered without gaps from 1; what an entry says
- * of a use, it says by the number of the use's {@link Sent}. Amounts are milli-units.
+ * One entry of a ledger. The entries of one incarnation are numbered from 1 without gaps. Entries
+ * about a use name it by the number of its {@link Sent}. Amounts are thousandths of a unit.
  *
- * @param sequence its number; 0 while it has none
- * @param wallMs Unix time, ms, by this machine's clock, which may jump
- * @param monoNs a clock that never goes back within a life, ns of any origin
+ * @param sequence its number; 0 before it has one
+ * @param wallMs Unix time in ms by this machine's clock, which may jump
+ * @param monoNs steady clock of the incarnation, ns
  */
-public record Entry(long sequence, long wallMs, long monoNs, What what) {
-  /** What happened. */
-  public sealed interface What {}
+public record Entry(long sequence, long wallMs, long monoNs, Event event) {
+  /** Event happened. */
+  public sealed interface Event {}
 
   /**
-   * What one request uses, as it was accepted.
+   * A use: what one accepted request takes.
    *
-   * @param request the client's id, as the number that its 16 hex digits are
-   * @param planNumber which of the customer's plans it is, in the order in which they were in force
-   * @param guessMilli told by the client
+   * @param request the client's id: 16 hexadecimal digits, as a number
+   * @param planNumber number of the change by which the plan applies
+   * @param guessMilli the client's estimate
    */
   public record Use(
       long request,
@@ -27,44 +27,44 @@
       String requestClass,
       long guessMilli) {}
 
-  /** A request's first attempt goes out: from here on it may have been used. */
-  public record Sent(Use use) implements What {}
+  /** A request's first attempt is sent: from now on it may have run. */
+  public record Sent(Use use) implements Event {}
 
   /**
-   * A good answer came: the use is confirmed.
+   * A successful response arrived: the use is confirmed.
    *
-   * @param settled whether the amount is the backend's word, or still the guess
+   * @param settled whether the backend reported the amount; else it is the estimate
    */
-  public record Used(long sent, Use use, long milli, boolean settled) implements What {}
+  public record Used(long sent, Use use, long milli, boolean settled) implements Event {}
 
   /**
-   * It may have run, and nobody will tell.
+   * It may have run, which will never be known.
    *
-   * @param milli billed for it, by the rule in force
+   * @param milli what is billed for it by the configured rule
    */
-  public record Unknown(long sent, Use use, String why, long milli) implements What {}
+  public record Unknown(long sent, Use use, String why, long milli) implements Event {}
 
-  /** Surely nothing ran. */
-  public record Unused(long sent) implements What {}
+  /** It certainly did not run. */
+  public record Unused(long sent) implements Event {}
 
-  /** The true amount, told after the use was confirmed. */
-  public record Settled(long sent, Use use, long beforeMilli, long milli) implements What {}
+  /** The true amount, reported after the use was confirmed. */
+  public record Settled(long sent, Use use, long beforeMilli, long milli) implements Event {}
 
-  /** The lines of the entries from..to are one batch, whoever sends it and how often. */
-  public record Cut(long from, long to) implements What {}
+  /** The lines of the entries from..to form one batch, in every attempt to export it. */
+  public record BatchBoundary(long from, long to) implements Event {}
 
-  /** The receiver has all up to there. */
-  public record Acked(long to) implements What {}
+  /** The receiver has acknowledged everything up to this entry. */
+  public record BatchAcknowledged(long to) implements Event {}
 
-  /** The receiver will never take the batch that ends there; staff must look. */
-  public record Shelved(long to, String why) implements What {}
+  /** The receiver rejected the batch that ends here for good; an operator must look at it. */
+  public record BatchRejected(long to, String why) implements Event {}
 
-  /** A correction; the past is not written anew. */
+  /** A correction by an operator. */
   public record Credit(long customer, String plan, long milli, String text, String author)
-      implements What {}
+      implements Event {}
 
-  /** The same with its number. */
+  /** A copy with this number. */
   public Entry numbered(long number) {
-    return new Entry(number, wallMs, monoNs, what);
+    return new Entry(number, wallMs, monoNs, event);
   }
 }
--- a/plans/src/main/java/nettletrail/plans/ledger/FolderDisk.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/FolderDisk.java
@@ -13,7 +13,7 @@
 public final class FolderDisk implements Disk {
   private final Path folder;
 
-  /** Makes the folder if it isn't there. */
+  /** Creates the folder if it doesn't exist. */
   public FolderDisk(Path folder) throws IOException {
     this.folder = folder;
     Files.createDirectories(folder);
@@ -41,7 +41,7 @@
     FileChannel channel =
         FileChannel.open(
             folder.resolve(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-    // The name lasts only once the folder does.
+    // The name is durable only once the folder is synced.
     try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
       names.force(true);
     } catch (IOException e) {
--- a/plans/src/main/java/nettletrail/plans/ledger/Frames.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/Frames.java
@@ -10,63 +10,72 @@
 import nettletrail.plans.ledger.wire.Use;
 
 /**
- * A segment's bytes: frames of a mark, a length, a CRC32C over length and content, and the content
- * (protobuf). The first frame is the {@link Head}, the others are entries.
+ * Encodes and decodes the frames of a segment: a magic number, a length, a CRC32C over length and
+ * content, and the content (protobuf). The first frame is the {@link Head}, the others are entries.
  */
 final class Frames {
-  /** Mark (2 bytes), length (4), checksum (4). */
-  static final int AROUND = 10;
+  /** Magic number (2 bytes), length (4), checksum (4). */
+  static final int FRAME_OVERHEAD_BYTES = 10;
 
-  /** Larger is no frame of ours. */
-  static final int MOST = 4_096;
+  /** Frames with longer content are invalid. */
+  static final int MAX_CONTENT_BYTES = 4_096;
 
   static final int VERSION = 1;
-  private static final short MARK = (short) 0xE71A;
+  private static final short MAGIC = (short) 0xE71A;
 
   private Frames() {}
 
-  /** How much of a predecessor counts, and the chain over it. */
-  record Before(String name, long bytes, byte[] sha256) {}
+  /** How much of the segment before counts, with the hash chain over it. */
+  record Predecessor(String name, long bytes, byte[] sha256) {}
 
   /** A segment's first frame. */
-  record Opening(
-      String door, String life, long token, long number, long first, Before before, long wallMs) {}
+  record SegmentHeader(
+      String door,
+      String life,
+      long token,
+      long number,
+      long first,
+      Predecessor before,
+      long wallMs) {}
 
   static byte[] frame(MessageLite content) {
     byte[] body = content.toByteArray();
-    if (body.length > MOST) {
+    if (body.length > MAX_CONTENT_BYTES) {
       throw new IllegalArgumentException(
-          "an entry of " + body.length + " bytes; " + MOST + " at most");
+          "an entry of " + body.length + " bytes; " + MAX_CONTENT_BYTES + " at most");
     }
-    ByteBuffer frame = ByteBuffer.allocate(AROUND + body.length).order(ByteOrder.LITTLE_ENDIAN);
-    frame.putShort(MARK).putInt(body.length).putInt(checksum(body, 0, body.length)).put(body);
+    ByteBuffer frame =
+        ByteBuffer.allocate(FRAME_OVERHEAD_BYTES + body.length).order(ByteOrder.LITTLE_ENDIAN);
+    frame.putShort(MAGIC).putInt(body.length).putInt(checksum(body, 0, body.length)).put(body);
     return frame.array();
   }
 
   private static int checksum(byte[] from, int start, int length) {
     CRC32C sum = new CRC32C();
-    sum.update(length >>> 24);
-    sum.update(length >>> 16);
-    sum.update(length >>> 8);
-    sum.update(length);
+    sum.update(ByteBuffer.allocate(Integer.BYTES).putInt(length).flip());
     sum.update(from, start, length);
     return (int) sum.getValue();
   }
 
-  /** The length of the sound frame's content that begins here, or -1. */
-  static int soundAt(byte[] bytes, int at, int end) {
-    if (end - at < AROUND) {
+  /** The content length of the valid frame that begins here, or -1 if there is none. */
+  static int validContentLength(byte[] bytes, int at, int end) {
+    if (end - at < FRAME_OVERHEAD_BYTES) {
       return -1;
     }
-    ByteBuffer head = ByteBuffer.wrap(bytes, at, AROUND).order(ByteOrder.LITTLE_ENDIAN);
-    short mark = head.getShort();
+    ByteBuffer head =
+        ByteBuffer.wrap(bytes, at, FRAME_OVERHEAD_BYTES).order(ByteOrder.LITTLE_ENDIAN);
+    short magic = head.getShort();
     int length = head.getInt();
     int sum = head.getInt();
-    boolean whole = mark == MARK && length >= 0 && length <= MOST && length <= end - at - AROUND;
-    return whole && checksum(bytes, at + AROUND, length) == sum ? length : -1;
+    boolean complete =
+        magic == MAGIC
+            && length >= 0
+            && length <= MAX_CONTENT_BYTES
+            && length <= end - at - FRAME_OVERHEAD_BYTES;
+    return complete && checksum(bytes, at + FRAME_OVERHEAD_BYTES, length) == sum ? length : -1;
   }
 
-  static byte[] opening(Opening opening) {
+  static byte[] encodeHeader(SegmentHeader opening) {
     return frame(
         Head.newBuilder()
             .setVersion(VERSION)
@@ -83,26 +92,28 @@
   }
 
   /**
-   * @throws InvalidProtocolBufferException if it is none, or one of a version that is not known
-   *     here
+   * Decodes a header.
+   *
+   * @throws InvalidProtocolBufferException if it is malformed or of an unknown version
    */
-  static Opening opening(byte[] bytes, int at, int length) throws InvalidProtocolBufferException {
-    Head head = Head.parser().parseFrom(bytes, at + AROUND, length);
+  static SegmentHeader decodeHeader(byte[] bytes, int at, int length)
+      throws InvalidProtocolBufferException {
+    Head head = Head.parser().parseFrom(bytes, at + FRAME_OVERHEAD_BYTES, length);
     if (head.getVersion() != VERSION) {
       throw new InvalidProtocolBufferException(
           "version " + head.getVersion() + "; this program reads " + VERSION);
     }
-    return new Opening(
+    return new SegmentHeader(
         head.getDoor(),
         head.getLife(),
         head.getToken(),
         head.getNumber(),
         head.getFirst(),
-        new Before(head.getBefore(), head.getCounted(), head.getBeforeSha256().toByteArray()),
+        new Predecessor(head.getBefore(), head.getCounted(), head.getBeforeSha256().toByteArray()),
         head.getWallMs());
   }
 
-  private static Use use(Entry.Use use) {
+  private static Use encodeUse(Entry.Use use) {
     return Use.newBuilder()
         .setRequest(use.request())
         .setCustomer(use.customer())
@@ -113,7 +124,7 @@
         .build();
   }
 
-  private static Entry.Use use(Use use) {
+  private static Entry.Use decodeUse(Use use) {
     return new Entry.Use(
         use.getRequest(),
         use.getCustomer(),
@@ -123,26 +134,26 @@
         use.getGuessMilli());
   }
 
-  static byte[] entry(Entry entry, long confirmed) {
+  static byte[] encodeEntry(Entry entry, long confirmed) {
     var made =
         nettletrail.plans.ledger.wire.Entry.newBuilder()
             .setSequence(entry.sequence())
             .setWallMs(entry.wallMs())
             .setMonoNs(entry.monoNs())
             .setConfirmed(confirmed);
-    Entry.What what = entry.what();
+    Entry.Event what = entry.event();
     if (what instanceof Entry.Sent sent) {
-      made.getSentBuilder().setUse(use(sent.use()));
+      made.getSentBuilder().setUse(encodeUse(sent.use()));
     } else if (what instanceof Entry.Used used) {
       made.getUsedBuilder()
           .setSent(used.sent())
-          .setUse(use(used.use()))
+          .setUse(encodeUse(used.use()))
           .setMilli(used.milli())
           .setSettled(used.settled());
     } else if (what instanceof Entry.Unknown unknown) {
       made.getUnknownBuilder()
           .setSent(unknown.sent())
-          .setUse(use(unknown.use()))
+          .setUse(encodeUse(unknown.use()))
           .setWhy(unknown.why())
           .setMilli(unknown.milli());
     } else if (what instanceof Entry.Unused unused) {
@@ -150,14 +161,14 @@
     } else if (what instanceof Entry.Settled settled) {
       made.getSettledBuilder()
           .setSent(settled.sent())
-          .setUse(use(settled.use()))
+          .setUse(encodeUse(settled.use()))
           .setBeforeMilli(settled.beforeMilli())
           .setMilli(settled.milli());
-    } else if (what instanceof Entry.Cut cut) {
+    } else if (what instanceof Entry.BatchBoundary cut) {
       made.getCutBuilder().setFrom(cut.from()).setTo(cut.to());
-    } else if (what instanceof Entry.Acked acked) {
+    } else if (what instanceof Entry.BatchAcknowledged acked) {
       made.getAckedBuilder().setTo(acked.to());
-    } else if (what instanceof Entry.Shelved shelved) {
+    } else if (what instanceof Entry.BatchRejected shelved) {
       made.getShelvedBuilder().setTo(shelved.to()).setWhy(shelved.why());
     } else if (what instanceof Entry.Credit credit) {
       made.getCreditBuilder()
@@ -170,41 +181,44 @@
     return frame(made.build());
   }
 
-  /** Up to which entry all lasted before this one was written. */
+  /** Up to which entry everything was durable before this one was written. */
   static long confirmed(byte[] bytes, int at, int length) throws InvalidProtocolBufferException {
     return nettletrail.plans.ledger.wire.Entry.parser()
-        .parseFrom(bytes, at + AROUND, length)
+        .parseFrom(bytes, at + FRAME_OVERHEAD_BYTES, length)
         .getConfirmed();
   }
 
-  /** The entry, or null if it is of a kind that is not known here. */
-  static Entry entry(byte[] bytes, int at, int length) throws InvalidProtocolBufferException {
-    var read = nettletrail.plans.ledger.wire.Entry.parser().parseFrom(bytes, at + AROUND, length);
-    Entry.What what =
+  /** The entry, or null if its kind is unknown here. */
+  static Entry decodeEntry(byte[] bytes, int at, int length) throws InvalidProtocolBufferException {
+    var read =
+        nettletrail.plans.ledger.wire.Entry.parser()
+            .parseFrom(bytes, at + FRAME_OVERHEAD_BYTES, length);
+    Entry.Event what =
         switch (read.getWhatCase()) {
-          case SENT -> new Entry.Sent(use(read.getSent().getUse()));
+          case SENT -> new Entry.Sent(decodeUse(read.getSent().getUse()));
           case USED ->
               new Entry.Used(
                   read.getUsed().getSent(),
-                  use(read.getUsed().getUse()),
+                  decodeUse(read.getUsed().getUse()),
                   read.getUsed().getMilli(),
                   read.getUsed().getSettled());
           case UNKNOWN ->
               new Entry.Unknown(
                   read.getUnknown().getSent(),
-                  use(read.getUnknown().getUse()),
+                  decodeUse(read.getUnknown().getUse()),
                   read.getUnknown().getWhy(),
                   read.getUnknown().getMilli());
           case UNUSED -> new Entry.Unused(read.getUnused().getSent());
           case SETTLED ->
               new Entry.Settled(
                   read.getSettled().getSent(),
-                  use(read.getSettled().getUse()),
+                  decodeUse(read.getSettled().getUse()),
                   read.getSettled().getBeforeMilli(),
                   read.getSettled().getMilli());
-          case CUT -> new Entry.Cut(read.getCut().getFrom(), read.getCut().getTo());
-          case ACKED -> new Entry.Acked(read.getAcked().getTo());
-          case SHELVED -> new Entry.Shelved(read.getShelved().getTo(), read.getShelved().getWhy());
+          case CUT -> new Entry.BatchBoundary(read.getCut().getFrom(), read.getCut().getTo());
+          case ACKED -> new Entry.BatchAcknowledged(read.getAcked().getTo());
+          case SHELVED ->
+              new Entry.BatchRejected(read.getShelved().getTo(), read.getShelved().getWhy());
           case CREDIT ->
               new Entry.Credit(
                   read.getCredit().getCustomer(),
--- a/plans/src/main/java/nettletrail/plans/ledger/Ledger.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/Ledger.java
@@ -10,21 +10,21 @@
 import java.util.function.Consumer;
 
 /**
- * Writes one life's ledger. Entries are put in and become <b>confirmed</b> by {@link #commit}:
- * written, synced, and after that no higher token found. One thread.
+ * Writes the ledger of one incarnation. Appended entries are <b>confirmed</b> by {@link #commit}:
+ * written, synced, and no higher fencing token found afterwards. One thread.
  *
- * <p><b>Why in that order.</b> Who takes a ledger over first makes the name of a higher token last,
- * and then reads. If a writer finds no higher token after its sync, what it wrote was there before
- * the token, so whoever reads later has it. What is written behind a token may be read or not: it
- * is not confirmed, and {@link #retake} tells which.
+ * <p><b>Why in this order.</b> A process that takes a ledger over first makes the name of a higher
+ * token durable and then reads. If a writer finds no higher token after its sync, what it wrote was
+ * there before the token, so whoever reads later has it. What is written after a token may be read
+ * or not: it is not confirmed, and {@link #reclaim} finds out.
  *
- * <p><b>A sync that fails</b> may have thrown the pages away, and a second one would say that all
- * is well (Rebello et al., "Can Applications Recover from fsync Failures?", 2020). So the segment
- * is left as it was when it was synced last, and all since then is written anew into the next,
- * whose beginning says how much of the old one counts.
+ * <p><b>A sync that fails</b> may have discarded the pages, and a second one would report success
+ * (Rebello et al., "Can Applications Recover from fsync Failures?", 2020). So the segment is left
+ * as it was at its last successful sync, and everything since then is written again into the next
+ * one, whose header says how much of the former counts.
  */
 public final class Ledger {
-  /** Another process has this ledger now. Nothing since the last commit is confirmed. */
+  /** Another process has taken the ledger over. Nothing since the last commit is confirmed. */
   public static final class Fenced extends IOException {
     private static final long serialVersionUID = 1;
 
@@ -40,29 +40,29 @@
   private long token;
   private long number;
 
-  /** Up to where all is synced: the segment, its bytes, and the chain over them. */
+  /** Up to where everything is synced: segment, bytes, and the hash over them. */
   private Synced synced = new Synced("", 0, LedgerReader.sha256());
 
-  /** The segment that is written, and how far; null if the next commit must begin one. */
+  /** The segment that is being written; null if the next commit must start one. */
   private Disk.File file;
 
   private Synced writing;
   private long last;
   private long lastConfirmed;
 
-  /** Not confirmed yet, with their numbers. */
+  /** Appended entries that are not confirmed yet. */
   private final List<Entry> open = new ArrayList<>();
 
-  /** Of {@link #open}, those that are written into {@link #file}. */
+  /** How many entries of {@link #open} are written into {@link #file}. */
   private int written;
 
   private long wallMs;
 
   /**
-   * Found fenced, and not taken back yet: nothing is written meanwhile, or its numbers could be
-   * another's.
+   * Another process has taken over, and the ledger isn't reclaimed yet: nothing is written
+   * meanwhile, or the other one could use the same sequences.
    */
-  private boolean lost;
+  private boolean fenced;
 
   private record Synced(String name, long bytes, MessageDigest digest) {
     Synced and(byte[] more) {
@@ -80,24 +80,24 @@
   }
 
   /**
-   * Begins a new life's ledger in an empty folder.
+   * Starts the ledger of a new incarnation in an empty folder.
    *
-   * @param segmentBytes after which a new segment is begun
-   * @throws java.nio.file.FileAlreadyExistsException if another process has begun one there
+   * @param segmentBytes after which a new segment is started
+   * @throws java.nio.file.FileAlreadyExistsException if another process has started one there
    */
   public static Ledger begin(Disk disk, String door, String life, long segmentBytes, long wallMs)
       throws IOException {
-    Ledger made = new Ledger(disk, door, life, segmentBytes);
-    made.token = 1;
-    made.wallMs = wallMs;
+    Ledger ledger = new Ledger(disk, door, life, segmentBytes);
+    ledger.token = 1;
+    ledger.wallMs = wallMs;
     disk.create(LedgerReader.fenceName(1)).close();
-    return made;
+    return ledger;
   }
 
   /**
-   * Takes over what another process wrote, dead or not: from here on it confirms nothing more.
+   * Takes over the ledger of another process, dead or not, which confirms nothing from here on.
    *
-   * @param entries hears of all that counts
+   * @param entries gets all entries that count
    * @return null if there is nothing to take over
    */
   public static Ledger adopt(
@@ -105,20 +105,20 @@
       long segmentBytes,
       long wallMs,
       Consumer<Entry> entries,
-      Consumer<LedgerReader.Found> found)
+      Consumer<LedgerReader.LedgerContents> found)
       throws IOException {
     long token = fence(disk);
-    LedgerReader.Found read = LedgerReader.read(disk, entries);
+    LedgerReader.LedgerContents read = LedgerReader.read(disk, entries);
     found.accept(read);
     if (read.door() == null) {
       return null;
     }
-    Ledger made = new Ledger(disk, read.door(), read.life(), segmentBytes);
-    made.goOn(read, token, wallMs);
-    return made;
+    Ledger ledger = new Ledger(disk, read.door(), read.life(), segmentBytes);
+    ledger.resume(read, token, wallMs);
+    return ledger;
   }
 
-  /** A token of one's own, higher than all. */
+  /** Acquires a fencing token that is higher than all others. */
   private static long fence(Disk disk) throws IOException {
     while (true) {
       long token = LedgerReader.token(disk) + 1;
@@ -126,26 +126,27 @@
         disk.create(LedgerReader.fenceName(token)).close();
         return token;
       } catch (java.nio.file.FileAlreadyExistsException e) {
-        continue; // another one was quicker
+        continue; // another process was quicker
       }
     }
   }
 
-  private void goOn(LedgerReader.Found read, long ownToken, long now) throws IOException {
+  private void resume(LedgerReader.LedgerContents read, long ownToken, long now)
+      throws IOException {
     token = ownToken;
     number = read.lastNumber();
     MessageDigest digest = LedgerReader.sha256();
     if (!read.end().name().isEmpty()) {
-      // A process that was killed may have written it and not synced: what is said to count must
-      // last first.
+      // A process that was killed may have written it without a sync: what the new header says to
+      // count has to be durable first.
       disk.sync(read.end().name());
       digest.update(disk.read(read.end().name()), 0, (int) read.end().bytes());
     }
     synced = new Synced(read.end().name(), read.end().bytes(), digest);
     wallMs = now;
-    begin(read.last() + 1);
+    startSegment(read.last() + 1);
     try {
-      // At once, or what a fenced writer adds to the old segment would still be read as its end.
+      // At once, or what a fenced writer appends to the old segment would still count.
       file.sync();
     } catch (IOException e) {
       close();
@@ -154,23 +155,23 @@
     synced = writing;
     last = read.last();
     lastConfirmed = last;
-    lost = false;
+    fenced = false;
   }
 
   /**
-   * For one that was {@link Fenced}: takes its ledger back. What was put in of uses, wasn't
-   * confirmed and doesn't stand in what counts is put in again, under new numbers. Cuts and what
-   * else the export puts in is not: whoever exports decides that anew from what counts.
+   * Takes the ledger back after {@link Fenced}. Entries about uses that weren't confirmed and don't
+   * count are appended again under new sequences. Entries of the export are not: it decides anew
+   * from what counts.
    *
-   * @param entries hears of all that counts, as at an adoption
-   * @return by the old number of a Sent, its new one
+   * @param entries gets all entries that count
+   * @return the new sequence of each re-appended Sent, by its former one
    */
-  public Map<Long, Long> retake(long now, Consumer<Entry> entries) throws IOException {
+  public Map<Long, Long> reclaim(long now, Consumer<Entry> entries) throws IOException {
     close();
-    lost = true;
+    fenced = true;
     long ownToken = fence(disk);
     List<Entry> there = new ArrayList<>();
-    LedgerReader.Found read =
+    LedgerReader.LedgerContents read =
         LedgerReader.read(
             disk,
             entry -> {
@@ -179,104 +180,99 @@
               }
               entries.accept(entry);
             });
-    goOn(read, ownToken, now);
-    // Not before: if the disk would not, all is tried again.
+    resume(read, ownToken, now);
+    // Not before: if the disk fails, everything is retried.
     List<Entry> mine = new ArrayList<>(open);
     open.clear();
-    Map<Long, Long> renumbered = new HashMap<>();
+    Map<Long, Long> newSequences = new HashMap<>();
     for (Entry each : mine) {
-      if (there.contains(each)) {
-        continue;
-      }
-      Entry.What what = each.what();
-      if (what instanceof Entry.Sent) {
-        renumbered.put(each.sequence(), put(what, each.wallMs(), each.monoNs()));
-      } else if (what instanceof Entry.Used used) {
-        put(
-            new Entry.Used(
-                renumbered.getOrDefault(used.sent(), used.sent()),
-                used.use(),
-                used.milli(),
-                used.settled()),
-            each.wallMs(),
-            each.monoNs());
-      } else if (what instanceof Entry.Unknown unknown) {
-        put(
-            new Entry.Unknown(
-                renumbered.getOrDefault(unknown.sent(), unknown.sent()),
-                unknown.use(),
-                unknown.why(),
-                unknown.milli()),
-            each.wallMs(),
-            each.monoNs());
-      } else if (what instanceof Entry.Unused unused) {
-        put(
-            new Entry.Unused(renumbered.getOrDefault(unused.sent(), unused.sent())),
-            each.wallMs(),
-            each.monoNs());
-      } else if (what instanceof Entry.Settled || what instanceof Entry.Credit) {
-        put(what, each.wallMs(), each.monoNs());
+      if (!there.contains(each)) {
+        appendAgain(each, newSequences);
       }
     }
-    return renumbered;
+    return newSequences;
   }
 
-  /** Puts an entry in; it is confirmed by the next {@link #commit}. Returns its sequence. */
-  public long put(Entry.What what, long wall, long mono) {
+  /** Appends an entry about a use again, with the new sequence of its Sent. */
+  private void appendAgain(Entry entry, Map<Long, Long> newSequences) {
+    Entry.Event event = entry.event();
+    if (event instanceof Entry.Sent) {
+      newSequences.put(entry.sequence(), put(event, entry.wallMs(), entry.monoNs()));
+    } else if (event instanceof Entry.Used used) {
+      long sent = newSequences.getOrDefault(used.sent(), used.sent());
+      Entry.Event again = new Entry.Used(sent, used.use(), used.milli(), used.settled());
+      put(again, entry.wallMs(), entry.monoNs());
+    } else if (event instanceof Entry.Unknown unknown) {
+      long sent = newSequences.getOrDefault(unknown.sent(), unknown.sent());
+      Entry.Event again = new Entry.Unknown(sent, unknown.use(), unknown.why(), unknown.milli());
+      put(again, entry.wallMs(), entry.monoNs());
+    } else if (event instanceof Entry.Unused unused) {
+      long sent = newSequences.getOrDefault(unused.sent(), unused.sent());
+      put(new Entry.Unused(sent), entry.wallMs(), entry.monoNs());
+    } else if (event instanceof Entry.Settled || event instanceof Entry.Credit) {
+      put(event, entry.wallMs(), entry.monoNs());
+    }
+  }
+
+  /** Appends an entry, which the next {@link #commit} confirms. Returns its sequence. */
+  public long put(Entry.Event what, long wall, long mono) {
     open.add(new Entry(++last, wall, mono, what));
     wallMs = wall;
     return last;
   }
 
-  /** Entries put in and not confirmed. */
+  /** How many entries are appended and not confirmed. */
   public int unconfirmed() {
     return open.size();
   }
 
-  /** All up to this sequence are confirmed. */
+  /** All entries up to this sequence are confirmed. */
   public long confirmed() {
     return lastConfirmed;
   }
 
-  /** The sequence of the entry that was put in last. */
+  /** The sequence of the last appended entry. */
   public long last() {
     return last;
   }
 
+  /** The front door that writes it. */
   public String door() {
     return door;
   }
 
+  /** The incarnation of the front door. */
   public String life() {
     return life;
   }
 
+  /** The fencing token of this process. */
   public long token() {
     return token;
   }
 
   /**
-   * Confirms all that was put in.
+   * Confirms all appended entries.
    *
-   * @return what is confirmed by this, in order
+   * @return the entries that this call confirmed, in order
    * @throws Fenced if another process has the ledger
-   * @throws IOException if the disk would not; all is kept, and the next call tries again in a new
+   * @throws IOException if the disk fails; everything is kept, and the next call retries in a new
    *     segment
    */
   public List<Entry> commit() throws IOException {
-    if (lost) {
+    if (fenced) {
       throw new Fenced(token + 1);
     }
     if (open.isEmpty()) {
       return List.of();
     }
     if (file == null || writing.bytes() >= segmentBytes && written == 0) {
-      begin(lastConfirmed + 1);
+      startSegment(lastConfirmed + 1);
     }
     try {
       ByteArrayOutputStream all = new ByteArrayOutputStream();
       for (Entry each : open.subList(written, open.size())) {
-        all.writeBytes(Frames.entry(each, lastConfirmed));
+        all.writeBytes(Frames.encodeEntry(each, lastConfirmed));
       }
       writing = writing.and(all.toByteArray());
       written = open.size();
@@ -288,7 +284,7 @@
       throw e;
     }
     if (isFenced()) {
-      lost = true;
+      fenced = true;
       throw new Fenced(token + 1);
     }
     List<Entry> confirmed = List.copyOf(open);
@@ -298,31 +294,30 @@
     return confirmed;
   }
 
-  /**
-   * Whether another process has it now. Who has nothing to commit must ask, or it would never know.
-   */
+  /** Whether another process has taken over; to be polled by a process without commits. */
   public boolean isFenced() throws IOException {
-    return lost || disk.exists(LedgerReader.fenceName(token + 1));
+    return fenced || disk.exists(LedgerReader.fenceName(token + 1));
   }
 
-  /** A new segment, after what counts of the one before. */
-  private void begin(long first) throws IOException {
+  /** Starts a new segment after what counts of the one before. */
+  private void startSegment(long first) throws IOException {
     close();
-    // A number that failed is not taken again: what it left is no part of the chain.
+    // A number that failed is not used again: what it left is not part of the chain.
     number++;
     String name = LedgerReader.segmentName(token, number);
-    Frames.Before before =
-        new Frames.Before(synced.name(), synced.bytes(), copy(synced.digest()).digest());
+    Frames.Predecessor before =
+        new Frames.Predecessor(synced.name(), synced.bytes(), copy(synced.digest()).digest());
     byte[] opening =
-        Frames.opening(new Frames.Opening(door, life, token, number, first, before, wallMs));
-    Disk.File made = disk.create(name);
+        Frames.encodeHeader(
+            new Frames.SegmentHeader(door, life, token, number, first, before, wallMs));
+    Disk.File ledger = disk.create(name);
     try {
-      made.write(opening);
+      ledger.write(opening);
     } catch (IOException e) {
-      made.close();
+      ledger.close();
       throw e;
     }
-    file = made;
+    file = ledger;
     writing = new Synced(name, 0, LedgerReader.sha256()).and(opening);
   }
 
@@ -334,14 +329,14 @@
     }
   }
 
-  /** Ends the writing; what isn't confirmed stays unconfirmed. */
+  /** Closes the segment; what isn't confirmed stays so. */
   public void close() {
     written = 0;
     if (file != null) {
       try {
         file.close();
       } catch (IOException e) {
-        // All that counts of it is synced.
+        // Everything that counts of it is synced.
       }
       file = null;
     }
--- a/plans/src/main/java/nettletrail/plans/ledger/LedgerReader.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/LedgerReader.java
@@ -17,60 +17,63 @@
 import java.util.regex.Pattern;
 
 /**
- * Reads one life's ledger: which segments count and how far, what is sound in them, and what is
- * not.
+ * Reads the ledger of one incarnation: which segments count, how many of their bytes, which entries
+ * are valid in them, and what is damaged.
  *
- * <p>The newest segment that begins soundly, by token and then by number, names the one before it
- * and how many of its bytes count; that one names its own, and so on. What stands behind the bytes
- * that count was never confirmed: it was given up after a failed sync, or written by a process that
- * had been taken for dead. Of the newest, all sound frames count.
+ * <p>The newest segment with a valid header, by fencing token and then by number, names its
+ * predecessor and how many of its bytes count; that one names its own, and so on. Bytes behind
+ * those that count were never confirmed: they were abandoned after a failed sync, or written by a
+ * process that had been taken for dead. Of the newest segment all valid frames count.
  */
 public final class LedgerReader {
   private static final Pattern SEGMENT = Pattern.compile("seg-(\\d{10})-(\\d{10})");
   private static final Pattern FENCE = Pattern.compile("fence-(\\d{10})");
 
   /**
-   * Something that was passed over.
+   * Bytes that were skipped.
    *
-   * @param lost whether it counted, so that entries are missing
-   * @param changed whether it counted and is no longer what it was
+   * @param lost whether they counted, so that entries are missing
+   * @param changed whether they counted and differ from what was written
    */
-  public record Damage(
-      String segment, long at, long bytes, boolean lost, boolean changed, String what) {
-    /** Whether staff must look into it: nothing of the kind comes of a process that died. */
-    public boolean bad() {
+  public record SegmentDamage(
+      String segment, long at, long bytes, boolean lost, boolean changed, String description) {
+    /** Whether an operator must look into it: a process that dies leaves nothing of this kind. */
+    public boolean isSerious() {
       return lost || changed;
     }
   }
 
   /**
-   * What there is.
+   * What a ledger contains.
    *
-   * @param door whose it is; null if there is no segment
+   * @param door the front door that wrote it; null if there is no segment
    * @param last sequence of the last entry, 0 if there is none
-   * @param token the highest that anyone took
-   * @param missing entries that counted and can't be read
+   * @param token the highest fencing token that any process acquired
+   * @param missing how many entries counted and can't be read
    */
-  public record Found(
+  public record LedgerContents(
       String door,
       String life,
       long last,
       long token,
       long lastNumber,
-      Frames.Before end,
+      Frames.Predecessor end,
       long missing,
-      List<Damage> damages,
+      List<SegmentDamage> damages,
       List<String> segments) {
-    /** SHA-256 over the newest segment, which holds that over the one before, and so on: in hex. */
+    /** SHA-256 over the newest segment, which contains that of its predecessor; hexadecimal. */
     public String chain() {
       return HexFormat.of().formatHex(end.sha256());
     }
   }
 
-  private record Segment(String name, Frames.Opening opening, byte[] bytes, int entriesAt) {}
+  private record Segment(String name, Frames.SegmentHeader opening, byte[] bytes, int entriesAt) {}
+
+  /** A segment of the chain and how many of its bytes count. */
+  private record CountedSegment(Segment segment, int end) {}
 
   private final Disk disk;
-  private final List<Damage> damages = new ArrayList<>();
+  private final List<SegmentDamage> damages = new ArrayList<>();
   private long last;
   private long missing;
 
@@ -78,9 +81,9 @@
     this.disk = disk;
   }
 
-  /** Reads all of it; entries come in the order of their sequences. */
-  public static Found read(Disk disk, Consumer<Entry> entries) throws IOException {
-    return new LedgerReader(disk).all(entries);
+  /** Reads a ledger; passes its entries on in the order of their sequences. */
+  public static LedgerContents read(Disk disk, Consumer<Entry> entries) throws IOException {
+    return new LedgerReader(disk).readAll(entries);
   }
 
   static String segmentName(long token, long number) {
@@ -91,7 +94,7 @@
     return String.format("fence-%010d", token);
   }
 
-  /** The highest token that anyone took; 0 for none. */
+  /** The highest fencing token that any process acquired; 0 for none. */
   static long token(Disk disk) throws IOException {
     long token = 0;
     for (String name : disk.names()) {
@@ -101,91 +104,90 @@
     return token;
   }
 
-  private Found all(Consumer<Entry> entries) throws IOException {
+  private LedgerContents readAll(Consumer<Entry> entries) throws IOException {
     Map<String, Segment> segments = new HashMap<>();
-    Segment newest = null;
-    for (String name : disk.names()) {
-      if (!SEGMENT.matcher(name).matches()) {
-        continue;
-      }
-      Segment segment = open(name);
-      if (segment != null) {
-        segments.put(name, segment);
-        newest = newest == null || name.compareTo(newest.name()) > 0 ? segment : newest;
-      }
-    }
+    Segment newest = openAll(segments);
     long token = token(disk);
     if (newest == null) {
-      return new Found(
-          null,
-          null,
-          0,
-          token,
-          0,
-          new Frames.Before("", 0, new byte[0]),
-          0,
-          List.copyOf(damages),
-          List.of());
-    }
-    Deque<Segment> chain = new ArrayDeque<>();
-    Deque<Integer> ends = new ArrayDeque<>();
-    Frames.Before of = null;
-    for (Segment each = newest; each != null; ) {
-      chain.addFirst(each);
-      int end = of == null ? each.bytes().length : counted(each, of);
-      ends.addFirst(end);
-      of = each.opening().before();
-      Segment before = segments.get(of.name());
-      if (before == null && !of.name().isEmpty()) {
-        // Kept no longer, or gone: the sequences tell what is missing.
-        last = each.opening().first() - 1;
-      }
-      each = before;
+      Frames.Predecessor none = new Frames.Predecessor("", 0, new byte[0]);
+      return new LedgerContents(null, null, 0, token, 0, none, 0, List.copyOf(damages), List.of());
     }
+    Deque<CountedSegment> chain = chainOf(newest, segments);
     List<String> names = new ArrayList<>();
     int end = 0;
     while (!chain.isEmpty()) {
-      Segment segment = chain.removeFirst();
-      names.add(segment.name());
-      boolean isNewest = chain.isEmpty();
-      end = entries(segment, ends.removeFirst(), isNewest, entries);
+      CountedSegment next = chain.removeFirst();
+      names.add(next.segment().name());
+      end = entries(next.segment(), next.end(), chain.isEmpty(), entries);
     }
-    Frames.Opening opening = newest.opening();
-    return new Found(
-        opening.door(),
-        opening.life(),
+    Frames.SegmentHeader header = newest.opening();
+    return new LedgerContents(
+        header.door(),
+        header.life(),
         last,
         token,
-        opening.number(),
-        new Frames.Before(newest.name(), end, sha256(newest.bytes(), end)),
+        header.number(),
+        new Frames.Predecessor(newest.name(), end, sha256(newest.bytes(), end)),
         missing,
         List.copyOf(damages),
         names);
   }
 
+  /** Opens all segments with a valid header; returns the newest, or null if there is none. */
+  private Segment openAll(Map<String, Segment> segments) throws IOException {
+    Segment newest = null;
+    for (String name : disk.names()) {
+      Segment segment = SEGMENT.matcher(name).matches() ? open(name) : null;
+      if (segment != null) {
+        segments.put(name, segment);
+        newest = newest == null || name.compareTo(newest.name()) > 0 ? segment : newest;
+      }
+    }
+    return newest;
+  }
+
+  /** The newest segment and its predecessors, the oldest first. */
+  private Deque<CountedSegment> chainOf(Segment newest, Map<String, Segment> segments) {
+    Deque<CountedSegment> chain = new ArrayDeque<>();
+    Frames.Predecessor named = null;
+    for (Segment each = newest; each != null; ) {
+      int end = named == null ? each.bytes().length : counted(each, named);
+      chain.addFirst(new CountedSegment(each, end));
+      named = each.opening().before();
+      Segment before = segments.get(named.name());
+      if (before == null && !named.name().isEmpty()) {
+        // Deleted or lost: the sequences show what is missing.
+        last = each.opening().first() - 1;
+      }
+      each = before;
+    }
+    return chain;
+  }
+
   private Segment open(String name) throws IOException {
     byte[] bytes = disk.read(name);
-    int length = Frames.soundAt(bytes, 0, bytes.length);
+    int length = Frames.validContentLength(bytes, 0, bytes.length);
     if (length < 0) {
-      // Its writer died while it began it: nothing in it was ever confirmed, or the one after it
-      // would name it.
-      damages.add(new Damage(name, 0, bytes.length, false, false, "does not begin soundly"));
+      // Its writer died while it wrote the header: nothing in it was ever confirmed, or the next
+      // segment would name it.
+      damages.add(new SegmentDamage(name, 0, bytes.length, false, false, "does not begin soundly"));
       return null;
     }
     try {
-      return new Segment(name, Frames.opening(bytes, 0, length), bytes, Frames.AROUND + length);
+      return new Segment(
+          name, Frames.decodeHeader(bytes, 0, length), bytes, Frames.FRAME_OVERHEAD_BYTES + length);
     } catch (InvalidProtocolBufferException e) {
       throw new IOException(name + ": " + e.getMessage(), e);
     }
   }
 
-  /** How far a segment counts by what its successor says, and whether it is what it was. */
-  private int counted(Segment segment, Frames.Before of) {
+  /** How many bytes of a segment count by its successor; reports damage to them. */
+  private int counted(Segment segment, Frames.Predecessor of) {
     byte[] bytes = segment.bytes();
     int end = (int) Math.min(of.bytes(), bytes.length);
     if (of.bytes() > bytes.length) {
       damages.add(
-          new Damage(
+          new SegmentDamage(
               segment.name(),
               bytes.length,
               of.bytes() - bytes.length,
@@ -194,7 +196,7 @@
               "is shorter than it was"));
     } else if (!Arrays.equals(sha256(bytes, end), of.sha256())) {
       damages.add(
-          new Damage(
+          new SegmentDamage(
               segment.name(),
               0,
               end,
@@ -204,69 +206,70 @@
     }
     if (bytes.length > end) {
       damages.add(
-          new Damage(segment.name(), end, bytes.length - end, false, false, "was never confirmed"));
+          new SegmentDamage(
+              segment.name(), end, bytes.length - end, false, false, "was never confirmed"));
     }
     return end;
   }
 
-  /** Tells the sound entries; returns where the last of them ends. */
-  private int entries(Segment segment, int end, boolean newest, Consumer<Entry> told)
+  /** Passes on the valid entries; returns where the last of them ends. */
+  private int entries(Segment segment, int end, boolean newest, Consumer<Entry> consumer)
       throws IOException {
     byte[] bytes = segment.bytes();
-    int sound = segment.entriesAt();
-    int at = sound;
+    int validEnd = segment.entriesAt();
+    int at = validEnd;
     while (at < end) {
-      int length = Frames.soundAt(bytes, at, end);
+      int length = Frames.validContentLength(bytes, at, end);
       if (length < 0) {
-        int next = nextSound(bytes, at + 1, end);
+        int next = nextValidFrame(bytes, at + 1, end);
         if (newest && (next < 0 || confirmedBehind(segment, next, end) <= last)) {
-          // Blocks of one write reach a disk in any order: what nothing behind it calls confirmed
-          // never was.
-          damages.add(new Damage(segment.name(), at, end - at, false, false, "a torn end"));
-          return sound;
+          // Blocks of one write reach a disk in any order: what no later frame says to be
+          // confirmed never was.
+          damages.add(new SegmentDamage(segment.name(), at, end - at, false, false, "a torn end"));
+          return validEnd;
         }
         int until = next < 0 ? end : next;
-        damages.add(new Damage(segment.name(), at, until - at, true, true, "can't be read"));
+        damages.add(new SegmentDamage(segment.name(), at, until - at, true, true, "can't be read"));
         at = until;
         continue;
       }
       Entry entry;
       try {
-        entry = Frames.entry(bytes, at, length);
+        entry = Frames.decodeEntry(bytes, at, length);
       } catch (InvalidProtocolBufferException e) {
         throw new IOException(segment.name() + " at " + at + ": " + e.getMessage(), e);
       }
-      at += Frames.AROUND + length;
-      sound = at;
+      at += Frames.FRAME_OVERHEAD_BYTES + length;
+      validEnd = at;
       if (entry != null) {
         missing += Math.max(0, entry.sequence() - last - 1);
         last = Math.max(last, entry.sequence());
-        told.accept(entry);
+        consumer.accept(entry);
       } else {
-        last++; // of a later version: it has its number
+        last++; // of a later version: its number is taken
       }
     }
-    return sound;
+    return validEnd;
   }
 
-  /** Up to which entry the last sound one from here on says that all lasted. */
+  /** Up to which entry the last valid frame from here on says that everything is durable. */
   private static long confirmedBehind(Segment segment, int from, int end) throws IOException {
     long confirmed = 0;
     for (int at = from; at >= 0 && at < end; ) {
-      int length = Frames.soundAt(segment.bytes(), at, end);
+      int length = Frames.validContentLength(segment.bytes(), at, end);
       if (length < 0) {
-        at = nextSound(segment.bytes(), at + 1, end);
+        at = nextValidFrame(segment.bytes(), at + 1, end);
       } else {
         confirmed = Math.max(confirmed, Frames.confirmed(segment.bytes(), at, length));
-        at += Frames.AROUND + length;
+        at += Frames.FRAME_OVERHEAD_BYTES + length;
       }
     }
     return confirmed;
   }
 
-  private static int nextSound(byte[] bytes, int from, int end) {
-    for (int at = from; at + Frames.AROUND <= end; at++) {
-      if (Frames.soundAt(bytes, at, end) >= 0) {
+  private static int nextValidFrame(byte[] bytes, int from, int end) {
+    for (int at = from; at + Frames.FRAME_OVERHEAD_BYTES <= end; at++) {
+      if (Frames.validContentLength(bytes, at, end) >= 0) {
         return at;
       }
     }
--- a/plans/src/main/java/nettletrail/plans/ledger/Line.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/Line.java
@@ -1,11 +1,11 @@
 package nettletrail.plans.ledger;
 
 /**
- * One line of a bill, made of one entry of a ledger and named by it: door, life and sequence. An
- * operator can contest it.
+ * One line of a bill. It is made from one entry of a ledger and identified by the door, its
+ * incarnation and the sequence of the entry.
  *
  * @param milli units in thousandths; below 0 for a credit
- * @param text why, where it isn't a plain use; else ""
+ * @param text the reason, if it isn't a plain use; else ""
  */
 public record Line(
     long sequence,
@@ -19,7 +19,7 @@
     long milli,
     long wallMs,
     String text) {
-  /** What it is for. */
+  /** What a line charges or credits. */
   public enum Kind {
     USE,
     DOUBTFUL,
@@ -29,7 +29,7 @@
 
   /** The entry's line, or null if it has none. */
   public static Line of(Entry entry) {
-    Entry.What what = entry.what();
+    Entry.Event what = entry.event();
     if (what instanceof Entry.Used used) {
       return of(entry, Kind.USE, used.use(), used.milli(), used.settled() ? "" : "guessed");
     }
--- a/plans/src/main/java/nettletrail/plans/ledger/OpenUses.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/UnfinishedUses.java
@@ -6,15 +6,15 @@
 import java.util.Map;
 
 /**
- * Uses that were begun and have no end in the ledger. Who takes a ledger over ends them: its front
- * door died between sending a request and hearing of it, so nobody can know any more.
+ * Uses of which the ledger has no outcome. A process that takes a ledger over ends them: the front
+ * door died between sending a request and its response, so the outcome will never be known.
  */
-public final class OpenUses {
-  /** What is billed for a use of which nobody knows. */
+public final class UnfinishedUses {
+  /** What is billed for a use whose outcome is unknown. */
   public enum Rule {
-    /** Nothing: the operator's staff settle it by the backends' own ledgers, if at all. */
+    /** Nothing: operators settle it by the backends' records, if at all. */
     NOTHING,
-    /** What the client guessed. */
+    /** The client's estimate. */
     GUESS;
 
     long milli(Entry.Use use) {
@@ -24,9 +24,9 @@
 
   private final Map<Long, Entry.Use> open = new LinkedHashMap<>();
 
-  /** Hears of each entry, in order. */
+  /** Takes in an entry; to be called with all entries in their order. */
   public void add(Entry entry) {
-    Entry.What what = entry.what();
+    Entry.Event what = entry.event();
     if (what instanceof Entry.Sent sent) {
       open.put(entry.sequence(), sent.use());
     } else if (what instanceof Entry.Used used) {
@@ -38,14 +38,14 @@
     }
   }
 
-  /** How many there are. */
+  /** How many uses have no outcome. */
   public int size() {
     return open.size();
   }
 
-  /** What ends them all. */
-  public List<Entry.What> ends(String why, Rule rule) {
-    List<Entry.What> ends = new ArrayList<>();
+  /** The entries that end them all. */
+  public List<Entry.Event> closingEntries(String why, Rule rule) {
+    List<Entry.Event> ends = new ArrayList<>();
     open.forEach((sent, use) -> ends.add(new Entry.Unknown(sent, use, why, rule.milli(use))));
     return ends;
   }
--- a/plans/src/main/java/nettletrail/plans/ledger/package-info.java
+++ b/plans/src/main/java/nettletrail/plans/ledger/package-info.java
@@ -1,2 +1,6 @@
-/** The use ledger: what was used, written down so that it can be billed once and only once. */
+/**
+ * The ledger of uses on disk: chained segments and fencing tokens, so that each use is billed
+ * exactly once. Entry classes: {@link nettletrail.plans.ledger.Ledger} writes, {@link
+ * nettletrail.plans.ledger.LedgerReader} reads.
+ */
 package nettletrail.plans.ledger;
--- a/plans/src/test/java/nettletrail/plans/PlanStoreTest.java
+++ b/plans/src/test/java/nettletrail/plans/PlanTokenBucketTest.java
@@ -10,11 +10,11 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import nettletrail.plans.PlanStore.Bound;
+import nettletrail.plans.PlanTokenBucket.Bound;
 import org.junit.jupiter.api.Test;
 
 /** Over a change of plan, however it falls. */
-class PlanStoreTest {
+class PlanTokenBucketTest {
   private static final long SECOND = 1_000_000_000L;
   private static final double ROUNDING = 1e-6;
 
@@ -22,7 +22,7 @@
 
   /** What a greedy customer uses, in fits, between the two times. */
   private static void greedy(
-      PlanStore store, SplittableRandom random, long from, long to, List<Use> uses) {
+      PlanTokenBucket store, SplittableRandom random, long from, long to, List<Use> uses) {
     for (long now = from; now < to; now += random.nextLong(SECOND / 2)) {
       double units = random.nextInt(3) == 0 ? 0.5 + random.nextDouble() * 40 : store.units(now);
       if (units > 0 && random.nextInt(4) > 0 && store.use(now, units)) {
@@ -45,7 +45,7 @@
     SplittableRandom random = new SplittableRandom(seed);
     Bound before = new Bound(r1, b1);
     Bound after = new Bound(r2, b2);
-    PlanStore store = new PlanStore(before, 0);
+    PlanTokenBucket store = new PlanTokenBucket(before, 0);
     List<Use> uses = new ArrayList<>();
     long change = random.nextLong(10 * SECOND);
     greedy(store, random, 0, change, uses);
@@ -75,7 +75,7 @@
   void manyChangesAddNothing(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
     SplittableRandom random = new SplittableRandom(seed);
     Bound bound = new Bound(random.nextInt(30), random.nextInt(100));
-    PlanStore store = new PlanStore(bound, 0);
+    PlanTokenBucket store = new PlanTokenBucket(bound, 0);
     double most = bound.burst();
     double filled = 0;
     double used = 0;
@@ -96,7 +96,7 @@
 
   @Test
   void whatIsLeftOverIsUsedBeforeTheNewStoreFillsAnew() {
-    PlanStore store = new PlanStore(new Bound(1, 100), 0);
+    PlanTokenBucket store = new PlanTokenBucket(new Bound(1, 100), 0);
     store.change(0, new Bound(10, 10));
     assertEquals(100, store.units(0));
     assertTrue(store.use(0, 100));
@@ -107,7 +107,7 @@
 
   @Test
   void aStoreAboveItsBurstFillsNoMoreUntilItIsBelow() {
-    PlanStore store = new PlanStore(new Bound(10, 100), 0);
+    PlanTokenBucket store = new PlanTokenBucket(new Bound(10, 100), 0);
     store.change(0, new Bound(5, 20));
     assertEquals(100, store.units(50 * SECOND), "and doesn't fade");
     assertTrue(store.use(50 * SECOND, 90));
--- a/plans/src/test/java/nettletrail/plans/PlansDeciderTest.java
+++ b/plans/src/test/java/nettletrail/plans/PlansDeciderTest.java
@@ -6,11 +6,11 @@
 
 import java.util.List;
 import java.util.Map;
-import nettletrail.plans.PlanStore.Bound;
+import nettletrail.plans.PlanTokenBucket.Bound;
 import nettletrail.plans.PlansDecider.Accepted;
-import nettletrail.plans.PlansDecider.Exceeded;
-import nettletrail.plans.Timeline.Answer;
+import nettletrail.plans.PlansDecider.QuotaExceeded;
 import nettletrail.plans.Timeline.Change;
+import nettletrail.plans.Timeline.ChangeResult;
 import org.junit.jupiter.api.Test;
 
 /** Which plan a request is charged under, whatever way changes come. */
@@ -28,7 +28,7 @@
     return new Change(number, WALL + afterMs, plan, "jh");
   }
 
-  private Answer decided(long wallAfterMs, Change change) {
+  private ChangeResult decided(long wallAfterMs, Change change) {
     return decider.change(WALL + wallAfterMs, 7, "mini", change);
   }
 
@@ -40,7 +40,7 @@
   @Test
   void aRequestIsChargedUnderThePlanInForceWhenItIsAccepted() {
     assertEquals("mini 1", planAt(0));
-    assertEquals(Answer.TAKEN, decided(0, change(2, 1_000, "business")));
+    assertEquals(ChangeResult.ACCEPTED, decided(0, change(2, 1_000, "business")));
     assertEquals("mini 1", planAt(999));
     assertEquals("business 2", planAt(1_000));
     assertEquals(
@@ -52,37 +52,40 @@
   @Test
   void changesComeLateTwiceAndOutOfOrder() {
     planAt(0);
-    assertEquals(Answer.TAKEN, decided(0, change(4, 3_000, "business")));
+    assertEquals(ChangeResult.ACCEPTED, decided(0, change(4, 3_000, "business")));
     assertEquals(
-        Answer.TAKEN,
+        ChangeResult.ACCEPTED,
         decided(0, change(3, 2_000, "standard")),
         "decided before, and for an earlier instant");
-    assertEquals(Answer.KNOWN, decided(0, change(3, 2_000, "standard")));
-    assertEquals(Answer.CONTRADICTS, decided(0, change(3, 2_000, "business")));
-    assertEquals(Answer.OVERRULED, decided(0, change(2, 3_000, "mini")));
+    assertEquals(ChangeResult.DUPLICATE, decided(0, change(3, 2_000, "standard")));
+    assertEquals(ChangeResult.CONFLICTING, decided(0, change(3, 2_000, "business")));
+    assertEquals(ChangeResult.SUPERSEDED, decided(0, change(2, 3_000, "mini")));
     assertEquals(
-        Answer.TAKEN,
+        ChangeResult.ACCEPTED,
         decided(0, change(5, 3_000, "mini")),
         "a later decision for the same instant");
-    assertEquals(Answer.UNKNOWN_PLAN, decided(0, change(6, 9_000, "gold")));
+    assertEquals(ChangeResult.UNKNOWN_PLAN, decided(0, change(6, 9_000, "gold")));
     assertEquals("standard 3", planAt(2_000));
     assertEquals("mini 5", planAt(3_000));
     assertEquals(
-        Answer.RETROACTIVE, decided(4_000, change(7, 3_400, "business")), "the past is charged");
+        ChangeResult.RETROACTIVE,
+        decided(4_000, change(7, 3_400, "business")),
+        "the past is charged");
     assertEquals(
-        Answer.TAKEN,
+        ChangeResult.ACCEPTED,
         decided(4_000, change(8, 3_600, "business")),
         "late by less than the way here takes");
     assertEquals("business 8", planAt(4_000));
     assertTrue(decider.define("gold", new Bound(1, 1)) && !decider.define("gold", new Bound(2, 1)));
-    assertEquals(Answer.TAKEN, decided(4_000, change(6, 9_000, "gold")));
+    assertEquals(ChangeResult.ACCEPTED, decided(4_000, change(6, 9_000, "gold")));
     assertEquals(List.of("business", "gold"), decider.plans(7).stream().map(Change::plan).toList());
   }
 
   @Test
   void aRefusalSaysWhenItCouldBe() {
     decider.accept(0, WALL, 7, "mini", 2, 12);
-    Exceeded verdict = assertInstanceOf(Exceeded.class, decider.accept(0, WALL, 7, "mini", 2, 3));
+    QuotaExceeded verdict =
+        assertInstanceOf(QuotaExceeded.class, decider.accept(0, WALL, 7, "mini", 2, 3));
     assertEquals(SECOND, verdict.retryAfterNs(), 1.0 * MS, "3 units at half of 6 a second");
   }
 
@@ -105,7 +108,8 @@
         for (int i = 0; i < 3; i++) {
           if (ms == heardMs[i]) {
             assertEquals(
-                Answer.TAKEN, doors[i].change(WALL + ms, 7, first, change(2, 5_000, next)));
+                ChangeResult.ACCEPTED,
+                doors[i].change(WALL + ms, 7, first, change(2, 5_000, next)));
           }
           double units = 6.5 * 30 / 1_000 / 3;
           let +=
@@ -128,7 +132,7 @@
     for (int i = 0; i < 3; i++) {
       decider.accept(0, WALL, i, "mini", 1, 1);
     }
-    assertInstanceOf(PlansDecider.NoRoom.class, decider.accept(0, WALL, 9, "mini", 1, 1));
+    assertInstanceOf(PlansDecider.TooManyCustomers.class, decider.accept(0, WALL, 9, "mini", 1, 1));
     assertInstanceOf(Accepted.class, decider.accept(SECOND, WALL, 9, "mini", 1, 1));
     assertEquals(3, decider.status().customers());
   }
@@ -139,7 +143,7 @@
     assertInstanceOf(
         Accepted.class, decider.accept(0, WALL, 7, "business", 3, 59), "what was there stays");
     assertInstanceOf(
-        Exceeded.class,
+        QuotaExceeded.class,
         decider.accept(SECOND, WALL, 7, "business", 3, 11),
         "10 a second from now on");
     assertInstanceOf(Accepted.class, decider.accept(SECOND, WALL, 7, "business", 3, 10.5));
--- a/plans/src/test/java/nettletrail/plans/ReservationsDeciderTest.java
+++ b/plans/src/test/java/nettletrail/plans/ReservationsDeciderTest.java
@@ -10,8 +10,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import nettletrail.plans.ReservationsDecider.Answer;
 import nettletrail.plans.ReservationsDecider.Reservation;
+import nettletrail.plans.ReservationsDecider.ReservationResult;
 import org.junit.jupiter.api.Test;
 
 /** What is set aside is there when it is wanted, and serves others when it isn't. */
@@ -55,18 +55,22 @@
 
   @Test
   void noMoreIsPromisedThanTheStatedShare() {
-    assertEquals(Answer.GRANTED, decider.reserve(0, wish(1, 2, 50, 10, 20)));
-    assertEquals(Answer.KNOWN, decider.reserve(0, wish(1, 2, 50, 10, 20)));
-    assertEquals(Answer.TOO_MUCH, decider.reserve(0, wish(2, 3, 40, 15, 30)), "overlaps");
-    assertEquals(Answer.GRANTED, decider.reserve(0, wish(2, 3, 40, 20, 30)));
-    assertEquals(Answer.TOO_MUCH, decider.extend(0, 1, 21 * SECOND));
-    assertEquals(Answer.GRANTED, decider.extend(0, 1, 18 * SECOND));
-    assertEquals(Answer.GRANTED, decider.reserve(0, wish(3, 4, 40, 18, 20)));
-    assertEquals(Answer.TOO_MUCH, decider.reserve(0, wish(4, 5, 31, 5, 40)), "80 at once at 10 s");
-    assertEquals(Answer.GRANTED, decider.reserve(0, wish(4, 5, 30, 5, 40)));
-    assertEquals(Answer.PAST, decider.reserve(9 * SECOND, wish(6, 5, 1, 1, 2)));
-    assertEquals(Answer.GRANTED, decider.cancel(0, 4));
-    assertEquals(Answer.NOT_KNOWN, decider.cancel(0, 4));
+    assertEquals(ReservationResult.GRANTED, decider.reserve(0, wish(1, 2, 50, 10, 20)));
+    assertEquals(ReservationResult.DUPLICATE, decider.reserve(0, wish(1, 2, 50, 10, 20)));
+    assertEquals(
+        ReservationResult.EXCEEDS_CAPACITY, decider.reserve(0, wish(2, 3, 40, 15, 30)), "overlaps");
+    assertEquals(ReservationResult.GRANTED, decider.reserve(0, wish(2, 3, 40, 20, 30)));
+    assertEquals(ReservationResult.EXCEEDS_CAPACITY, decider.extend(0, 1, 21 * SECOND));
+    assertEquals(ReservationResult.GRANTED, decider.extend(0, 1, 18 * SECOND));
+    assertEquals(ReservationResult.GRANTED, decider.reserve(0, wish(3, 4, 40, 18, 20)));
+    assertEquals(
+        ReservationResult.EXCEEDS_CAPACITY,
+        decider.reserve(0, wish(4, 5, 31, 5, 40)),
+        "80 at once at 10 s");
+    assertEquals(ReservationResult.GRANTED, decider.reserve(0, wish(4, 5, 30, 5, 40)));
+    assertEquals(ReservationResult.EXPIRED, decider.reserve(9 * SECOND, wish(6, 5, 1, 1, 2)));
+    assertEquals(ReservationResult.GRANTED, decider.cancel(0, 4));
+    assertEquals(ReservationResult.UNKNOWN_RESERVATION, decider.cancel(0, 4));
   }
 
   /**
--- a/plans/src/test/java/nettletrail/plans/UsageLedgerTest.java
+++ b/plans/src/test/java/nettletrail/plans/UsageLedgerTest.java
@@ -21,7 +21,7 @@
 import nettletrail.plans.ledger.FolderDisk;
 import nettletrail.plans.ledger.LedgerReader;
 import nettletrail.plans.ledger.Line;
-import nettletrail.plans.ledger.OpenUses;
+import nettletrail.plans.ledger.UnfinishedUses;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,21 +32,21 @@
 @Timeout(60)
 class UsageLedgerTest {
   private static final long MS = 1_000_000L;
-  private static final UsageLedger.Terms TERMS =
-      new UsageLedger.Terms(
+  private static final UsageLedgerSettings TERMS =
+      new UsageLedgerSettings(
           4_000,
           10_000,
           64,
-          OpenUses.Rule.NOTHING,
+          UnfinishedUses.Rule.NOTHING,
           new ExportDecider.Terms(10, 5 * MS, 5 * MS, 40 * MS, 50 * MS));
 
   /** The same with more kept in memory and larger segments. */
-  private static final UsageLedger.Terms ROOMY =
-      new UsageLedger.Terms(
+  private static final UsageLedgerSettings ROOMY =
+      new UsageLedgerSettings(
           100_000,
           10_000,
           5_000,
-          OpenUses.Rule.NOTHING,
+          UnfinishedUses.Rule.NOTHING,
           new ExportDecider.Terms(50, 5 * MS, 5 * MS, 40 * MS, 50 * MS));
 
   @TempDir private Path folder;
@@ -187,11 +187,12 @@
     LedgerReader.read(disk, all::add);
     long milli = 0;
     for (Entry each : all) {
-      if (each.what() instanceof Entry.Cut cut
+      if (each.event() instanceof Entry.BatchBoundary cut
           && all.stream()
               .anyMatch(
                   other ->
-                      other.what() instanceof Entry.Shelved shelved && shelved.to() == cut.to())) {
+                      other.event() instanceof Entry.BatchRejected shelved
+                          && shelved.to() == cut.to())) {
         milli +=
             all.stream()
                 .filter(entry -> entry.sequence() >= cut.from() && entry.sequence() <= cut.to())
--- a/plans/src/test/java/nettletrail/plans/export/ExplorationTest.java
+++ b/plans/src/test/java/nettletrail/plans/export/ExportExplorationTest.java
@@ -9,7 +9,6 @@
 import java.util.EnumSet;
 import java.util.Set;
 import java.util.SplittableRandom;
-import nettletrail.plans.export.World.Step;
 import nettletrail.plans.ledger.Entry;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +16,7 @@
  * Export, adoption and recovery, explored: every order of what may happen within the bounds below,
  * over the real decider, ledger and reader; and long random runs beyond the bounds.
  */
-class ExplorationTest {
+class ExportExplorationTest {
   /** Uses, faults, states: all there are within the first two. */
   private static final int USES = Integer.getInteger("exploration.uses", 2);
 
@@ -29,15 +28,21 @@
     return deciderThatAsks(actions, 1_000_000);
   }
 
-  private static ExportDecider deciderThatAsks(ExportDecider.Actions actions, long askNs) {
-    return new ExportDecider(new ExportDecider.Terms(2, 0, 1, 1, askNs), 1, actions);
+  private static ExportDecider deciderThatAsks(
+      ExportDecider.Actions actions, long probeIntervalNs) {
+    return new ExportDecider(new ExportDecider.Terms(2, 0, 1, 1, probeIntervalNs), 1, actions);
   }
 
-  private static Exploration.Result explore(
-      int uses, int faults, boolean forgets, World.Receiver receiver, World.Deciders deciders)
+  private static ExportStateExplorer.Result explore(
+      int uses,
+      int faults,
+      boolean forgets,
+      SimulatedReceiver receiver,
+      ExportSimulation.Deciders deciders)
       throws IOException {
-    Exploration.Result result =
-        new Exploration(() -> new World(uses, faults, forgets, receiver.anew(), deciders), MOST)
+    ExportStateExplorer.Result result =
+        new ExportStateExplorer(
+                () -> new ExportSimulation(uses, faults, forgets, receiver.anew(), deciders), MOST)
             .run();
     System.out.println(
         "exploration: "
@@ -55,22 +60,23 @@
     return result;
   }
 
-  private static Exploration.Result explore(
-      boolean forgets, World.Receiver receiver, World.Deciders deciders) throws IOException {
+  private static ExportStateExplorer.Result explore(
+      boolean forgets, SimulatedReceiver receiver, ExportSimulation.Deciders deciders)
+      throws IOException {
     return explore(USES, FAULTS, forgets, receiver, deciders);
   }
 
   @Test
   void withinTheBoundsNoLineIsLostOrBilledTwice() throws IOException {
-    Set<Step> seen = EnumSet.noneOf(Step.class);
+    Set<ExportStep> seen = EnumSet.noneOf(ExportStep.class);
     for (int[] bounds : new int[][] {{USES, FAULTS}, {1, 2}}) {
-      Exploration.Result result =
-          explore(bounds[0], bounds[1], true, new World.Receiver(), ExplorationTest::real);
+      ExportStateExplorer.Result result =
+          explore(bounds[0], bounds[1], true, new SimulatedReceiver(), ExportExplorationTest::real);
       assertNull(result.wrong(), result.path().toString());
       assertTrue(result.states() < MOST, "all there are");
       seen.addAll(result.seen());
     }
-    assertEquals(EnumSet.allOf(Step.class), seen);
+    assertEquals(EnumSet.allOf(ExportStep.class), seen);
   }
 
   /**
@@ -79,18 +85,18 @@
    */
   @Test
   void aCursorSavedBeforeTheAcknowledgementIsFound() throws IOException {
-    World.Deciders withoutAsking = actions -> deciderThatAsks(actions, NEVER);
-    assertNull(explore(false, new World.Receiver(), withoutAsking).wrong());
-    Exploration.Result early =
+    ExportSimulation.Deciders withoutAsking = actions -> deciderThatAsks(actions, NEVER);
+    assertNull(explore(false, new SimulatedReceiver(), withoutAsking).wrong());
+    ExportStateExplorer.Result early =
         explore(
             false,
-            new World.Receiver(),
+            new SimulatedReceiver(),
             actions ->
                 deciderThatAsks(
                     new Through(actions) {
                       @Override
                       public void post(ExportDecider.Batch batch) {
-                        to.put(new Entry.Acked(batch.to()));
+                        to.put(new Entry.BatchAcknowledged(batch.to()));
                         to.post(batch);
                       }
                     },
@@ -102,19 +108,21 @@
   @Test
   void anExporterThatNeverAsksIsFound() throws IOException {
     assertNotNull(
-        explore(true, new World.Receiver(), actions -> deciderThatAsks(actions, NEVER)).wrong());
+        explore(true, new SimulatedReceiver(), actions -> deciderThatAsks(actions, NEVER)).wrong());
   }
 
   @Test
   void aReceiverThatAddsWhateverComesIsFound() throws IOException {
-    assertNotNull(explore(false, new World.AddsAll(), ExplorationTest::real).wrong());
+    assertNotNull(
+        explore(false, new SimulatedReceiver.AddsAll(), ExportExplorationTest::real).wrong());
   }
 
   @Test
   void longRandomRunsHoldToo() throws IOException {
     for (long seed = 1; seed <= 400; seed++) {
       SplittableRandom random = new SplittableRandom(seed);
-      World world = new World(12, 10, true, new World.Receiver(), ExplorationTest::real);
+      ExportSimulation world =
+          new ExportSimulation(12, 10, true, new SimulatedReceiver(), ExportExplorationTest::real);
       for (int i = 0; i < 120; i++) {
         var steps = world.steps();
         if (steps.isEmpty()) {
@@ -137,7 +145,7 @@
     }
 
     @Override
-    public void put(Entry.What what) {
+    public void put(Entry.Event what) {
       to.put(what);
     }
 
--- a/plans/src/test/java/nettletrail/plans/export/World.java
+++ b/plans/src/test/java/nettletrail/plans/export/ExportSimulation.java
@@ -5,98 +5,25 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import nettletrail.plans.export.ExportDecider.Batch;
 import nettletrail.plans.ledger.Entry;
+import nettletrail.plans.ledger.FaultyDisk;
 import nettletrail.plans.ledger.Ledger;
 import nettletrail.plans.ledger.Line;
-import nettletrail.plans.ledger.OpenUses;
-import nettletrail.plans.ledger.SimDisk;
+import nettletrail.plans.ledger.UnfinishedUses;
 
 /**
  * A front door, another process that may take its ledger over, a receiver and the way between them:
  * the ledger, the reader and the decider are the real ones; what happens next is chosen from
  * outside, one step at a time.
  */
-final class World {
-  /** What may happen next. */
-  enum Step {
-    BEGIN,
-    USE,
-    FAIL,
-    COMMIT_A,
-    COMMIT_B,
-    DELIVER_A,
-    DELIVER_B,
-    LOSE_A,
-    LOSE_B,
-    REPEAT_A,
-    REPEAT_B,
-    ANSWER_A,
-    ANSWER_B,
-    LATE,
-    DIE_A,
-    POWER,
-    DIE_B,
-    ADOPT,
-    FORGET
-  }
-
+final class ExportSimulation {
   private static final long SEGMENT = 300;
 
-  /** Each makes a token, so that there would be no end of states. */
-  private static final int MOST_ADOPTIONS = 2;
-
-  /** How the receiver takes batches in; a test may break it. */
-  static class Receiver {
-    long end;
-
-    /** What each line's name was billed with, each time. */
-    final Map<Long, List<Long>> billed = new LinkedHashMap<>();
-
-    /** Returns the end that it has then. */
-    long take(Batch batch, List<Line> lines) {
-      if (batch.before() <= end && batch.to() > end) {
-        lines.stream()
-            .filter(line -> line.sequence() > end)
-            .forEach(
-                line ->
-                    billed
-                        .computeIfAbsent(line.sequence(), name -> new ArrayList<>())
-                        .add(line.milli()));
-        end = batch.to();
-      }
-      return end;
-    }
-
-    /** Another one like it, which has heard of nothing. */
-    Receiver anew() {
-      return new Receiver();
-    }
-
-    long units() {
-      return billed.values().stream().flatMap(List::stream).mapToLong(Long::longValue).sum();
-    }
-  }
-
-  /** One that goes by no end: what comes again is added again. */
-  static final class AddsAll extends Receiver {
-    @Override
-    long take(Batch batch, List<Line> lines) {
-      long before = end;
-      end = Math.min(end, batch.from() - 1);
-      super.take(batch, lines);
-      end = Math.max(end, before);
-      return end;
-    }
-
-    @Override
-    Receiver anew() {
-      return new AddsAll();
-    }
-  }
+  /** Each acquires a token, so that the states would be infinite. */
+  private static final int MAX_TAKEOVERS = 2;
 
   /** Makes a decider for a node; a test may put a broken one there. */
   interface Deciders {
@@ -113,7 +40,7 @@
     private Batch going;
 
     private Long coming;
-    private OpenUses open = new OpenUses();
+    private UnfinishedUses open = new UnfinishedUses();
 
     Node(String name) {
       this.name = name;
@@ -124,7 +51,7 @@
     }
 
     @Override
-    public void put(Entry.What what) {
+    public void put(Entry.Event what) {
       ledger.put(what, 1, 1);
     }
 
@@ -147,7 +74,8 @@
     void commit() throws IOException {
       try {
         for (Entry each : ledger.commit()) {
-          confirmedUnits += each.what() instanceof Entry.Used used && mine(used) ? used.milli() : 0;
+          confirmedUnits +=
+              each.event() instanceof Entry.Used used && mine(used) ? used.milli() : 0;
           hear(each);
         }
       } catch (Ledger.Fenced e) {
@@ -161,12 +89,13 @@
         going = null;
         coming = null;
         decider = deciders.make(this);
-        open = new OpenUses();
+        open = new UnfinishedUses();
         List<Entry> all = new ArrayList<>();
-        ledger.retake(1, all::add);
+        ledger.reclaim(1, all::add);
         for (Entry each : all) {
           // What it wrote and wasn't sure of counts now.
-          confirmedUnits += each.what() instanceof Entry.Used used && mine(used) ? used.milli() : 0;
+          confirmedUnits +=
+              each.event() instanceof Entry.Used used && mine(used) ? used.milli() : 0;
           hear(each);
         }
       }
@@ -187,7 +116,7 @@
     String state() {
       return name
           + (alive()
-              ? decider.inner()
+              ? decider.stateText()
                   + "|"
                   + ledger.token()
                   + ","
@@ -205,9 +134,9 @@
   }
 
   private final int uses;
-  private final Receiver receiver;
+  private final SimulatedReceiver receiver;
   private final Deciders deciders;
-  private final SimDisk disk = new SimDisk(1);
+  private final FaultyDisk disk = new FaultyDisk(1);
   private final Node a = new Node("a");
   private final Node b = new Node("b");
   private final Map<Long, Entry> entries = new HashMap<>();
@@ -232,7 +161,8 @@
    * @param faults that may happen
    * @param forgets whether the receiver may be restored from an old backup
    */
-  World(int uses, int faults, boolean forgets, Receiver receiver, Deciders deciders) {
+  ExportSimulation(
+      int uses, int faults, boolean forgets, SimulatedReceiver receiver, Deciders deciders) {
     forgot = !forgets;
     this.uses = uses;
     this.faults = faults;
@@ -241,9 +171,9 @@
   }
 
   /** What may happen now. */
-  List<Step> steps() {
-    List<Step> steps = new ArrayList<>();
-    for (Step step : Step.values()) {
+  List<ExportStep> steps() {
+    List<ExportStep> steps = new ArrayList<>();
+    for (ExportStep step : ExportStep.values()) {
       if (may(step)) {
         steps.add(step);
       }
@@ -251,7 +181,7 @@
     return steps;
   }
 
-  private boolean may(Step step) {
+  private boolean may(ExportStep step) {
     return switch (step) {
       case BEGIN -> !began;
       case USE -> a.alive() && used < uses && a.ledger.unconfirmed() < 2;
@@ -269,25 +199,16 @@
       case LATE -> !late.isEmpty();
       case DIE_A, POWER -> faults > 0 && a.alive();
       case DIE_B -> faults > 0 && b.alive();
-      case ADOPT -> began && !b.alive() && adoptions < MOST_ADOPTIONS && (faults > 0 || !a.alive());
+      case ADOPT -> began && !b.alive() && adoptions < MAX_TAKEOVERS && (faults > 0 || !a.alive());
       case FORGET -> faults > 0 && !forgot && receiver.end > 0;
     };
   }
 
-  void step(Step step) throws IOException {
+  void step(ExportStep step) throws IOException {
     now++;
     switch (step) {
-      case BEGIN -> {
-        began = true;
-        a.ledger = Ledger.begin(disk, "n0", "l", SEGMENT, 1);
-        a.decider = deciders.make(a);
-      }
-      case USE -> {
-        used++;
-        uncertain.add((long) used);
-        a.ledger.put(
-            new Entry.Used(0, new Entry.Use(used, 7, "p", 1, "c", 1), 1 << used, false), 1, 1);
-      }
+      case BEGIN -> begin();
+      case USE -> use();
       case FAIL -> {
         faults--;
         disk.failSyncs = 1;
@@ -327,6 +248,19 @@
     }
   }
 
+  private void begin() throws IOException {
+    began = true;
+    a.ledger = Ledger.begin(disk, "n0", "l", SEGMENT, 1);
+    a.decider = deciders.make(a);
+  }
+
+  private void use() {
+    used++;
+    uncertain.add((long) used);
+    Entry.Use use = new Entry.Use(used, 7, "p", 1, "c", 1);
+    a.ledger.put(new Entry.Used(0, use, 1 << used, false), 1, 1);
+  }
+
   private void commit(Node node) throws IOException {
     try {
       node.commit();
@@ -341,7 +275,7 @@
     adoptions++;
     faults -= a.alive() ? 1 : 0;
     b.decider = deciders.make(b);
-    b.open = new OpenUses();
+    b.open = new UnfinishedUses();
     List<Entry> all = new ArrayList<>();
     try {
       b.ledger =
@@ -391,7 +325,7 @@
     faults--;
     node.going = null;
     node.posted = null;
-    node.decider.unanswered(now, 0);
+    node.decider.attemptFailed(now, 0);
     now += 5;
     node.decider.tick(now);
   }
@@ -431,26 +365,30 @@
           adopt();
         }
       }
-      for (Node node : List.of(a, b)) {
-        if (node.alive() && node.ledger.unconfirmed() > 0) {
-          commit(node);
-        }
-        if (node.going != null) {
-          deliver(node);
-        }
-        if (node.coming != null && node.posted != null) {
-          answer(node);
-        }
-        if (node.alive()) {
-          node.decider.tick(now);
-        }
-      }
+      proceed(a);
+      proceed(b);
       if (!late.isEmpty()) {
         take(late.pollFirst());
       }
     }
   }
 
+  /** Does without a fault whatever is possible at a node. */
+  private void proceed(Node node) throws IOException {
+    if (node.alive() && node.ledger.unconfirmed() > 0) {
+      commit(node);
+    }
+    if (node.going != null) {
+      deliver(node);
+    }
+    if (node.coming != null && node.posted != null) {
+      answer(node);
+    }
+    if (node.alive()) {
+      node.decider.tick(now);
+    }
+  }
+
   /** No line twice, at any time; null if all is well. */
   String wrong() {
     for (Map.Entry<Long, List<Long>> each : receiver.billed.entrySet()) {
@@ -474,19 +412,8 @@
   }
 
   String state() {
-    return a.state()
-        + b.state()
-        + receiver.end
-        + receiver.billed
-        + late
-        + used
-        + ","
-        + faults
-        + forgot
-        + disk.state()
-        + disk.failSyncs
-        + uncertain
-        + confirmedUnits
-        + adoptions;
+    List<Object> nodes = List.of(a.state(), b.state(), receiver.end, receiver.billed, late);
+    List<Object> counts = List.of(used, faults, forgot, confirmedUnits, adoptions);
+    return nodes + "" + counts + disk.state() + "," + disk.failSyncs + uncertain;
   }
 }
--- a/plans/src/test/java/nettletrail/plans/export/Exploration.java
+++ b/plans/src/test/java/nettletrail/plans/export/ExportStateExplorer.java
@@ -9,46 +9,46 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
-import nettletrail.plans.export.World.Step;
 
 /**
  * All orders of steps, breadth first, each state once: a world is played anew for each path, since
  * real classes can't be copied. From each state on, all is also played to its end without further
  * faults, and what is billed there is looked at.
  */
-final class Exploration {
+final class ExportStateExplorer {
   /**
    * What was found.
    *
    * @param ends states from which the end was looked at
    * @param path to what was wrong
    */
-  record Result(int states, int ends, int depth, String wrong, List<Step> path, Set<Step> seen) {}
+  record Result(
+      int states, int ends, int depth, String wrong, List<ExportStep> path, Set<ExportStep> seen) {}
 
-  private final Supplier<World> worlds;
+  private final Supplier<ExportSimulation> worlds;
   private final int most;
 
   /**
    * @param most states looked at, at most
    */
-  Exploration(Supplier<World> worlds, int most) {
+  ExportStateExplorer(Supplier<ExportSimulation> worlds, int most) {
     this.worlds = worlds;
     this.most = most;
   }
 
   Result run() throws IOException {
     Set<String> known = new HashSet<>();
-    Deque<List<Step>> open = new ArrayDeque<>(List.of(List.of()));
-    Set<Step> seen = EnumSet.noneOf(Step.class);
+    Deque<List<ExportStep>> open = new ArrayDeque<>(List.of(List.of()));
+    Set<ExportStep> seen = EnumSet.noneOf(ExportStep.class);
     int ends = 0;
     int depth = 0;
     while (!open.isEmpty() && known.size() < most) {
-      List<Step> path = open.pollFirst();
-      World world = play(path);
-      for (Step step : world.steps()) {
-        List<Step> longer = new ArrayList<>(path);
+      List<ExportStep> path = open.pollFirst();
+      ExportSimulation world = play(path);
+      for (ExportStep step : world.steps()) {
+        List<ExportStep> longer = new ArrayList<>(path);
         longer.add(step);
-        World next = play(longer);
+        ExportSimulation next = play(longer);
         if (!known.add(next.state())) {
           continue;
         }
@@ -69,9 +69,9 @@
     return new Result(known.size(), ends, depth, null, List.of(), seen);
   }
 
-  private World play(List<Step> path) throws IOException {
-    World world = worlds.get();
-    for (Step step : path) {
+  private ExportSimulation play(List<ExportStep> path) throws IOException {
+    ExportSimulation world = worlds.get();
+    for (ExportStep step : path) {
       world.step(step);
     }
     return world;
--- a/plans/src/test/java/nettletrail/plans/ledger/SimDisk.java
+++ b/plans/src/test/java/nettletrail/plans/ledger/FaultyDisk.java
@@ -13,7 +13,7 @@
  * sync fails and throws the pages away, there is no room. Each operation is a point at which a
  * process may be killed.
  */
-public final class SimDisk implements Disk {
+public final class FaultyDisk implements Disk {
   /** The process is dead: thrown out of whatever it was doing. */
   public static final class Killed extends Error {
     private static final long serialVersionUID = 1;
@@ -46,7 +46,7 @@
   long operations;
   long syncs;
 
-  public SimDisk(long seed) {
+  public FaultyDisk(long seed) {
     random = new SplittableRandom(seed);
   }
 
@@ -147,7 +147,7 @@
 
       @Override
       public void sync() throws IOException {
-        SimDisk.this.sync(content);
+        FaultyDisk.this.sync(content);
       }
 
       @Override
--- a/plans/src/test/java/nettletrail/plans/ledger/LedgerTest.java
+++ b/plans/src/test/java/nettletrail/plans/ledger/LedgerTest.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import nettletrail.plans.ledger.LedgerReader.Found;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -22,14 +21,14 @@
 class LedgerTest {
   private static final long SMALL = 600;
 
-  private final SimDisk disk = new SimDisk(1);
+  private final FaultyDisk disk = new FaultyDisk(1);
   private final List<Entry> there = new ArrayList<>();
 
   static Entry.Use use(long request) {
     return new Entry.Use(request, 7, "business", 1, "order-submit", 2_000);
   }
 
-  private static Entry.What used(long request) {
+  private static Entry.Event used(long request) {
     return new Entry.Used(1, use(request), 2_000, false);
   }
 
@@ -37,14 +36,14 @@
     return Ledger.begin(disk, "n0", "a1", SMALL, 5);
   }
 
-  private Found read() throws IOException {
+  private LedgerReader.LedgerContents read() throws IOException {
     there.clear();
     return LedgerReader.read(disk, there::add);
   }
 
   private List<Long> requests() throws IOException {
     read();
-    return there.stream().map(entry -> ((Entry.Used) entry.what()).use().request()).toList();
+    return there.stream().map(entry -> ((Entry.Used) entry.event()).use().request()).toList();
   }
 
   private static List<Long> upTo(long last) {
@@ -64,22 +63,22 @@
 
   @Test
   void eachKindOfEntryComesBackAsItWas() throws IOException {
-    List<Entry.What> all =
+    List<Entry.Event> all =
         List.of(
             new Entry.Sent(use(-1)),
             used(1),
             new Entry.Unknown(1, use(2), "killed", 5),
             new Entry.Unused(1),
             new Entry.Settled(1, use(3), 2_000, 2_500),
-            new Entry.Cut(1, 4),
-            new Entry.Acked(4),
-            new Entry.Shelved(9, "bad"),
+            new Entry.BatchBoundary(1, 4),
+            new Entry.BatchAcknowledged(4),
+            new Entry.BatchRejected(9, "bad"),
             new Entry.Credit(1L << 32, "mini", 100, "as agreed", "jh"));
     Ledger ledger = begin();
     all.forEach(each -> ledger.put(each, 10, 20));
     assertEquals(all.size(), ledger.commit().size());
-    Found found = read();
-    assertEquals(all, there.stream().map(Entry::what).toList());
+    LedgerReader.LedgerContents found = read();
+    assertEquals(all, there.stream().map(Entry::event).toList());
     assertEquals(new Entry(1, 10, 20, all.get(0)), there.get(0));
     assertEquals(List.of("n0", "a1"), List.of(found.door(), found.life()));
     assertEquals(all.size(), found.last());
@@ -92,13 +91,14 @@
     for (int i = 1; i <= 40; i++) {
       commit(ledger, i, i);
     }
-    Found found = read();
+    LedgerReader.LedgerContents found = read();
     assertTrue(found.segments().size() > 3, found.segments().toString());
     assertEquals(upTo(40), requests());
     disk.flip(found.segments().get(1), 300);
-    Found after = read();
+    LedgerReader.LedgerContents after = read();
     assertTrue(
-        after.damages().stream().anyMatch(each -> each.what().contains("is not what it was")),
+        after.damages().stream()
+            .anyMatch(each -> each.description().contains("is not what it was")),
         after.toString());
     assertTrue(after.missing() >= 1, "and the entries that can't be read are counted");
     assertEquals(40 - after.missing(), there.size());
@@ -110,7 +110,7 @@
     commit(ledger, 1, 3);
     ledger.put(used(4), 1, 1);
     disk.killAfter = 0;
-    assertThrows(SimDisk.Killed.class, ledger::commit);
+    assertThrows(FaultyDisk.Killed.class, ledger::commit);
     disk.killAfter = -1;
     disk.powerLoss();
     List<Entry> all = new ArrayList<>();
@@ -175,7 +175,7 @@
     assertThrows(Ledger.Fenced.class, owner::commit, "again");
     commit(adopter, 4, 4);
     assertEquals(upTo(4), requests(), "the fenced one's entry doesn't count");
-    owner.retake(10, entry -> {});
+    owner.reclaim(10, entry -> {});
     owner.commit();
     assertEquals(upTo(5), requests());
     adopter.put(used(6), 1, 1);
@@ -194,7 +194,7 @@
     disk.create(LedgerReader.fenceName(2)).close();
     owner.put(used(4), 1, 1);
     assertThrows(Ledger.Fenced.class, owner::commit);
-    owner.retake(10, entry -> {});
+    owner.reclaim(10, entry -> {});
     owner.put(used(5), 1, 1);
     owner.commit();
     assertEquals(upTo(5), requests());
@@ -207,7 +207,7 @@
       commit(ledger, i, i);
     }
     disk.flip(read().segments().get(0), 200);
-    Found found = read();
+    LedgerReader.LedgerContents found = read();
     assertEquals(1, found.missing());
     assertEquals(8, there.size());
     assertTrue(found.damages().get(0).lost());
@@ -249,7 +249,7 @@
 
   private static boolean killed(long seed) throws IOException {
     SplittableRandom random = new SplittableRandom(seed);
-    SimDisk disk = new SimDisk(seed);
+    FaultyDisk disk = new FaultyDisk(seed);
     Map<Long, Entry> confirmed = new LinkedHashMap<>();
     boolean killed = false;
     long request = 0;
@@ -271,20 +271,8 @@
         }
         assertHolds(confirmed, read, seed);
         confirmed.putAll(read); // an adopter's own beginning makes all that it read count
-        for (int i = 0; i < 30; i++) {
-          for (int n = random.nextInt(4); n >= 0; n--) {
-            ledger.put(used(++request), request, request);
-          }
-          disk.failSyncs = random.nextInt(8) == 0 ? 1 : 0;
-          try {
-            ledger.commit().forEach(entry -> assertNull(confirmed.put(entry.sequence(), entry)));
-          } catch (Ledger.Fenced e) {
-            throw new AssertionError("nobody else is there", e);
-          } catch (IOException e) {
-            continue; // tried again with the next
-          }
-        }
-      } catch (SimDisk.Killed e) {
+        request = commitOften(ledger, disk, random, confirmed, request);
+      } catch (FaultyDisk.Killed e) {
         killed = true;
         if (random.nextBoolean()) {
           disk.powerLoss();
@@ -301,6 +289,31 @@
     return killed;
   }
 
+  /** Appends and commits, at times with a failing disk; returns the last request. */
+  private static long commitOften(
+      Ledger ledger,
+      FaultyDisk disk,
+      SplittableRandom random,
+      Map<Long, Entry> confirmed,
+      long lastRequest)
+      throws IOException {
+    long request = lastRequest;
+    for (int i = 0; i < 30; i++) {
+      for (int n = random.nextInt(4); n >= 0; n--) {
+        ledger.put(used(++request), request, request);
+      }
+      disk.failSyncs = random.nextInt(8) == 0 ? 1 : 0;
+      try {
+        ledger.commit().forEach(entry -> assertNull(confirmed.put(entry.sequence(), entry)));
+      } catch (Ledger.Fenced e) {
+        throw new AssertionError("nobody else is there", e);
+      } catch (IOException e) {
+        continue; // tried again with the next
+      }
+    }
+    return request;
+  }
+
   private static void assertHolds(Map<Long, Entry> confirmed, Map<Long, Entry> read, long seed) {
     confirmed.forEach(
         (sequence, entry) ->
