Review case 2: streams that pause are cut off when their route moves

Change: review/2 now shows that one. The withdrawn tenants, which it showed before, stay as a stand-in and in the report, since the users' pages can be read both ways there.

--- a/review/stage/Stage.java
+++ b/review/stage/Stage.java
@@ -12,7 +12,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -78,17 +77,6 @@
       started.add(process);
       note("start " + name + " at " + ip + " pid " + process.pid());
     }
-
-    /** Sends a signal by name, as STOP, CONT or HUP. */
-    void signal(String signal) throws IOException, InterruptedException {
-      note("signal " + signal + " to " + name);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-    }
-
-    void kill() throws InterruptedException {
-      note("kill " + name);
-      process.destroyForcibly().waitFor();
-    }
   }
 
   Stage(Path recordFile) throws IOException {
@@ -496,7 +484,11 @@
   final Queue<Run> runs = new ConcurrentLinkedQueue<>();
   final Map<String, Integer> runsByAttempt = new ConcurrentHashMap<>();
   volatile Work work = run -> 5;
-  volatile boolean serial;
+  /** Streams, 0 events for none, with a pause after some of them. */
+  volatile int events;
+
+  volatile int pauseAfter;
+  volatile Work pauseMillis = run -> 0;
   private final Stage stage;
   private final String service;
   private final int slots;
@@ -627,19 +619,18 @@
     byte[] answer = ("ran " + attempt).getBytes(StandardCharsets.ISO_8859_1);
     StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\n");
     head.append("X-Backend-Seal: ").append(seal).append("\r\nVersions: 1\r\n");
-    if (serial) {
+    if (events > 0) {
       head.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
       out.write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
-      if (!method.equals("HEAD")) {
-        for (int event = 1; event <= 3; event++) {
-          byte[] bytes =
-              ("id: " + event + "\ndata: " + attempt + "\n\n").getBytes(StandardCharsets.ISO_8859_1);
-          out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-          out.write(bytes);
-          out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        }
-        out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+      int first = 1 + Integer.parseInt(headers.getOrDefault("last-event-id", "0"));
+      for (int event = first; event <= events && !method.equals("HEAD"); event++) {
+        String text = "id: " + event + "\ndata: " + attempt + "\n\n";
+        out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        Thread.sleep(event == pauseAfter ? Math.max(50, pauseMillis.millis(run)) : 50);
       }
+      out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
     } else {
       head.append("Content-Length: ").append(answer.length).append("\r\n\r\n");
       out.write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
--- a/review/stage/Withdrawal.java
+++ b/review/stage/Withdrawal.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Case 2: the operator withdraws the two tenants of a configuration, one after the other. The
+ * No case, see REPORT.md: the operator withdraws the two tenants of a configuration, one after the other. The
  * clients of both stay connected and go on with their keys.
  */
 final class Withdrawal {
