Cancel a stalled attempt only in the turn that sends its replacement

Of several streams that stalled at once, those beyond the retry budget were cut off too.

Cause: the stalled attempt was cancelled first. The routing table in force, the retry budget and the connection to the other backend were asked afterwards, and a refusal left the client without either attempt.

Change: StalledAttemptReplacer. The replacement gets its connection beside the stalled attempt. Directly before its first byte the routing table, the budget and the backend's readiness are asked, and only if all permit it is the stalled attempt cancelled and the other one sent, in one turn of the event loop. A refusal changes nothing, so there is no state in which the client has no attempt.

--- a/router/src/main/java/nettletrail/router/AttemptSender.java
+++ b/router/src/main/java/nettletrail/router/AttemptSender.java
@@ -25,17 +25,18 @@
   AttemptSender(
       EventLoop loop,
       ControlView control,
+      RouteResolver resolver,
       UpstreamPool pool,
       VirtualCounters counters,
       ExchangeCompletion completion,
       StallMonitor stallMonitor) {
     this.loop = loop;
     this.control = control;
+    this.resolver = resolver;
     this.pool = pool;
     this.counters = counters;
     this.completion = completion;
     this.stallMonitor = stallMonitor;
-    resolver = new RouteResolver(control);
   }
 
   /**
@@ -51,7 +52,7 @@
     long now = System.nanoTime();
     int doors = control.doorCount();
     Service configured = exchange.resolution().service();
-    expireAtDeadline(exchange, now);
+    completion.expireAtDeadline(exchange, now); // from the first attempt on the only time limit
     BackendLoad backend =
         exchange.service().backends().choose(exchange.choice(), configured.engine(), doors, now);
     exchange.service().backends().pollEjected().forEach(pool::closeIdle);
@@ -70,17 +71,6 @@
     }
   }
 
-  /** From its first attempt on, an exchange's only time limit is its deadline. */
-  private void expireAtDeadline(Exchange exchange, long now) {
-    exchange.timer().schedule(loop, exchange.deadline(), now, () -> deadlineReached(exchange));
-  }
-
-  private void deadlineReached(Exchange exchange) {
-    if (!exchange.hasEnded()) {
-      completion.expire(exchange);
-    }
-  }
-
   /** Repeats all checks whose result may have changed while it waited for a connection. */
   boolean confirmSend(Exchange exchange) {
     return exchange
@@ -114,7 +104,7 @@
       return false;
     }
     if (exchange.deadline() != deadlineBefore) {
-      expireAtDeadline(exchange, now);
+      completion.expireAtDeadline(exchange, now);
     }
     return true;
   }
--- a/router/src/main/java/nettletrail/router/Exchange.java
+++ b/router/src/main/java/nettletrail/router/Exchange.java
@@ -5,6 +5,7 @@
 import nettletrail.configuration.RouteKind;
 import nettletrail.router.admission.AdmissionQueue;
 import nettletrail.router.balance.BackendChoice;
+import nettletrail.router.balance.BackendLoad;
 import nettletrail.router.upstream.Attempt;
 
 /**
@@ -115,8 +116,12 @@
 
   /** Whether it may run more than once (RFC 9110, section 9.2.2). */
   boolean isIdempotent() {
-    RouteKind kind = route().kind();
-    return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAM && route().resume();
+    return isIdempotent(route());
+  }
+
+  private static boolean isIdempotent(Route route) {
+    RouteKind kind = route.kind();
+    return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAM && route.resume();
   }
 
   /** When it must be answered. */
@@ -165,8 +170,11 @@
 
   /** Whether the latest resolution still has the service and tenant it was queued for. */
   boolean isInRightQueue() {
-    return resolution.service().name().equals(service.name())
-        && resolution.tenantName().equals(tenantName);
+    return isInRightQueue(resolution);
+  }
+
+  private boolean isInRightQueue(Resolution latest) {
+    return latest.service().name().equals(service.name()) && latest.tenantName().equals(tenantName);
   }
 
   /** Its reserved quota tokens. */
@@ -209,8 +217,17 @@
     return attempts.sent() < route().attempts();
   }
 
+  /** Whether an attempt is in progress and has stalled. */
   boolean isStalled(long now) {
-    return attempts.isStalled(route(), now);
+    return attempts.isCurrentSent() && attempts.isStalled(route(), now);
+  }
+
+  /** Whether this resolution permits another attempt after one that may have run. */
+  boolean isRetryPermittedBy(Resolution latest) {
+    return latest.rejection() == null
+        && isIdempotent(latest.route())
+        && isInRightQueue(latest)
+        && attempts.sent() < latest.route().attempts();
   }
 
   /** The attempt that is passed to the connection pool. */
@@ -218,6 +235,11 @@
     return attempt;
   }
 
+  /** An attempt at this backend that may replace the current one; it is not yet in use. */
+  ReplacementAttempt createReplacement(BackendLoad backend, StalledAttemptReplacer replacer) {
+    return new ReplacementAttempt(this, handlers, backend, replacer);
+  }
+
   // ---- Response ----
 
   /** The response while it is relayed. */
--- a/router/src/main/java/nettletrail/router/ExchangeAttempt.java
+++ b/router/src/main/java/nettletrail/router/ExchangeAttempt.java
@@ -12,7 +12,7 @@
  * events on to {@link ExchangeHandlers}. One for all attempts of the exchange, which follow each
  * other. On the event loop.
  */
-final class ExchangeAttempt implements Attempt {
+class ExchangeAttempt implements Attempt {
   private final Exchange exchange;
   private final ExchangeHandlers handlers;
 
--- a/router/src/main/java/nettletrail/router/ExchangeAttempts.java
+++ b/router/src/main/java/nettletrail/router/ExchangeAttempts.java
@@ -25,6 +25,9 @@
 
   private AttemptHandle handle;
 
+  /** Waits for a connection, to replace the current attempt if that has stalled; null if none. */
+  private ReplacementAttempt replacement;
+
   /** Incremented with each attempt, so that a late return from the pool is recognised. */
   private int number;
 
@@ -74,6 +77,27 @@
     handle = null;
   }
 
+  /** Whether a replacement of the current attempt waits for its connection. */
+  boolean hasReplacement() {
+    return replacement != null;
+  }
+
+  /** A replacement of the current attempt waits for its connection from now on. */
+  void setReplacement(ReplacementAttempt waiting) {
+    replacement = waiting;
+  }
+
+  /** The replacement no longer waits. */
+  void clearReplacement() {
+    replacement = null;
+  }
+
+  /** No attempt is sent to this backend, since the replacement's connection to it failed. */
+  void replacementFailed(String backendId) {
+    replacement = null;
+    tried.add(backendId);
+  }
+
   /** The current attempt has failed and another one follows. */
   void giveUpCurrent() {
     handle = null;
@@ -158,6 +182,7 @@
   }
 
   private void end() {
+    cancelReplacement();
     if (currentSent) {
       completePrefill();
       backend.requestEnded(size.memoryTokens());
@@ -166,6 +191,14 @@
     handle = null;
   }
 
+  private void cancelReplacement() {
+    ReplacementAttempt waiting = replacement;
+    replacement = null;
+    if (waiting != null) {
+      waiting.cancel();
+    }
+  }
+
   /** The current attempt failed before its request left this process, or without a connection. */
   void recordConnectFailure() {
     connectFailures++;
--- a/router/src/main/java/nettletrail/router/ExchangeCompletion.java
+++ b/router/src/main/java/nettletrail/router/ExchangeCompletion.java
@@ -84,6 +84,17 @@
     respond(exchange, exchange.attempts().mayHaveRun() ? Rejection.BAD_GATEWAY : rejection);
   }
 
+  /** Ends it at its deadline, in place of its earlier timer. */
+  void expireAtDeadline(Exchange exchange, long now) {
+    exchange.timer().schedule(loop, exchange.deadline(), now, () -> deadlineReached(exchange));
+  }
+
+  private void deadlineReached(Exchange exchange) {
+    if (!exchange.hasEnded()) {
+      expire(exchange);
+    }
+  }
+
   /** Its deadline has passed. */
   void expire(Exchange exchange) {
     exchange.attempts().cancel();
--- a/router/src/main/java/nettletrail/router/RequestDispatcher.java
+++ b/router/src/main/java/nettletrail/router/RequestDispatcher.java
@@ -54,9 +54,11 @@
             this::dispatchQueued,
             tenant -> quotaGranted(List.of(tenant)));
     Retrier retrier = new Retrier(loop, control, completion);
-    stallMonitor = new StallMonitor(loop, retrier);
+    StalledAttemptReplacer replacer =
+        new StalledAttemptReplacer(control, resolver, pool, completion);
+    stallMonitor = new StallMonitor(loop, replacer);
     AttemptSender sender =
-        new AttemptSender(loop, control, pool, counters, completion, stallMonitor);
+        new AttemptSender(loop, control, resolver, pool, counters, completion, stallMonitor);
     sender.onMoved(this::requeue);
     retrier.onRetry(sender::resend);
     handlers =
--- a/router/src/main/java/nettletrail/router/Retrier.java
+++ b/router/src/main/java/nettletrail/router/Retrier.java
@@ -75,18 +75,6 @@
     }
   }
 
-  /** The current attempt has stalled: cancels it and retries if that is permitted. */
-  void retryIfPermitted(Exchange exchange) {
-    if (!mayRetry(exchange)) {
-      return;
-    }
-    exchange.attempts().cancelConnection();
-    exchange.attempts().backend().requestAbandoned(System.nanoTime());
-    exchange.response().clearUnusableResume();
-    exchange.attempts().endMayHaveRun();
-    startRetry(exchange);
-  }
-
   private boolean mayRetry(Exchange exchange) {
     return exchange.response().canResumeElsewhere()
         && exchange.hasAttemptLeft()
--- a/router/src/main/java/nettletrail/router/RouteResolver.java
+++ b/router/src/main/java/nettletrail/router/RouteResolver.java
@@ -10,12 +10,16 @@
 
   /** Sets the exchange's resolution to what the active routing table says now. */
   void resolve(Exchange exchange, long now) {
-    exchange.resolved(
-        Resolution.of(
-            control.isRoutingCurrent(now) ? control.routing() : null,
-            exchange.request(),
-            control.keysConfirmed(now),
-            control.routingConfirmed(now),
-            exchange.draw()));
+    exchange.resolved(resolution(exchange, now));
+  }
+
+  /** What the active routing table says now about the exchange's request; changes nothing. */
+  Resolution resolution(Exchange exchange, long now) {
+    return Resolution.of(
+        control.isRoutingCurrent(now) ? control.routing() : null,
+        exchange.request(),
+        control.keysConfirmed(now),
+        control.routingConfirmed(now),
+        exchange.draw());
   }
 }
--- a/router/src/main/java/nettletrail/router/StallMonitor.java
+++ b/router/src/main/java/nettletrail/router/StallMonitor.java
@@ -7,21 +7,21 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Checks the attempts of idempotent exchanges for stalls, and has stalled ones retried. On the
+ * Checks the attempts of idempotent exchanges for stalls, and has stalled ones replaced. On the
  * event loop.
  */
 final class StallMonitor {
   private static final long CHECK_INTERVAL_MS = 100;
 
   private final EventLoop loop;
-  private final Retrier retrier;
+  private final StalledAttemptReplacer replacer;
   private final Set<Exchange> watched = new LinkedHashSet<>();
   private boolean checkScheduled;
   private boolean stopped;
 
-  StallMonitor(EventLoop loop, Retrier retrier) {
+  StallMonitor(EventLoop loop, StalledAttemptReplacer replacer) {
     this.loop = loop;
-    this.retrier = retrier;
+    this.replacer = replacer;
   }
 
   /** Watches an exchange until its end, if it is idempotent. */
@@ -35,10 +35,7 @@
     }
   }
 
-  /**
-   * Stops all checks, since the process shuts down: a stream whose retry is rejected would be
-   * broken off.
-   */
+  /** Stops all checks, since the process shuts down: attempts in progress are to end there. */
   void stop() {
     stopped = true;
   }
@@ -53,8 +50,8 @@
     long now = System.nanoTime();
     watched.removeIf(exchange -> stopped || exchange.hasEnded());
     for (Exchange exchange : new ArrayList<>(watched)) {
-      if (exchange.attempts().isCurrentSent() && exchange.isStalled(now)) {
-        retrier.retryIfPermitted(exchange);
+      if (exchange.isStalled(now)) {
+        replacer.replaceIfPermitted(exchange);
       }
     }
     if (!watched.isEmpty()) {
