Keep a door's count of used quota while its limit is away

Cause: the owner keeps an account for each incarnation of a door; the door dropped its count of used tokens with the limit and began at 0 again. The owner took every report below the old count for no use and credited granted tokens as never received. Use that was not yet reported when the limit went was lost at each change as well.

Change: the door keeps count and grants of a tenant whose limit has gone, for a minute after the last use or report (an owner keeps an idle account for 6 s).

--- a/control/src/main/java/nettletrail/control/door/GrantClient.java
+++ b/control/src/main/java/nettletrail/control/door/GrantClient.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import nettletrail.control.ShardMap;
 import nettletrail.control.grant.QuotaLimit;
 import nettletrail.protocol.GrantReply;
@@ -20,6 +22,10 @@
  * The quota tokens that were granted to this door, and its requests for more to the owners of the
  * tenants' shards.
  *
+ * <p>The count of a tenant's used tokens belongs to this incarnation of the door, as its account at
+ * the owner does. So it outlasts a configuration that doesn't limit the tenant: an owner that has
+ * kept the account would take a count from 0 on for no use, and grant the used tokens again.
+ *
  * <p>Each request reports on all active tenants of one shard. Tokens expire on this door's steady
  * clock, counted from before the request. A reply with an older fencing token than one seen for the
  * shard is dropped.
@@ -31,9 +37,15 @@
   private final long incarnation;
   private final OwnerLookup ownerLookup;
   private final Map<Integer, ShardGrantRequests> requestsByShard = new HashMap<>();
+
+  /** The tenants that were used under the present limits. */
   private final Map<String, TenantTokens> tenants = new LinkedHashMap<>();
+
+  /** Tenants without a limit now, of which an owner may still have an account. */
+  private final Map<String, TenantTokens> formerlyLimited = new LinkedHashMap<>();
+
   private final Set<String> replenished = new LinkedHashSet<>();
-  private Map<String, QuotaLimit> limitsChanged = Map.of();
+  private Map<String, QuotaLimit> limits = Map.of();
   private long lastRequest;
   private boolean ownerMissing;
   private boolean shortOfTokens;
@@ -61,12 +73,25 @@
   }
 
   /**
-   * Replaces the limits by those of the active configuration, by tenant. The tokens of tenants
-   * without a limit are dropped.
+   * Replaces the limits by those of the active configuration, by tenant. What was granted to and
+   * used by a tenant that has no limit now is kept for a limit that comes back.
    */
   public void limitsChanged(Map<String, QuotaLimit> newLimits) {
-    limitsChanged = Map.copyOf(newLimits);
-    tenants.keySet().removeIf(tenant -> !isLimited(tenant));
+    limits = Map.copyOf(newLimits);
+    moveIf(tenant -> !isLimited(tenant), tenants, formerlyLimited);
+    moveIf(this::isLimited, formerlyLimited, tenants);
+  }
+
+  private static void moveIf(
+      Predicate<String> moves, Map<String, TenantTokens> from, Map<String, TenantTokens> to) {
+    Iterator<Map.Entry<String, TenantTokens>> entries = from.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<String, TenantTokens> entry = entries.next();
+      if (moves.test(entry.getKey())) {
+        to.put(entry.getKey(), entry.getValue());
+        entries.remove();
+      }
+    }
   }
 
   /**
@@ -80,7 +105,7 @@
 
   /** Returns the tokens of a request that was sent to no backend, or that no backend ran. */
   public void refund(String tenant, long tokens) {
-    TenantTokens tenantTokens = tenants.get(tenant);
+    TenantTokens tenantTokens = find(tenant);
     if (tenantTokens != null) {
       tenantTokens.refund(tokens);
     }
@@ -92,7 +117,7 @@
    * tried again after this.
    */
   public void withdraw(String tenant, long tokens) {
-    TenantTokens tenantTokens = tenants.get(tenant);
+    TenantTokens tenantTokens = find(tenant);
     if (tenantTokens != null) {
       tenantTokens.withdrawn(tokens);
     }
@@ -133,6 +158,7 @@
   List<DoorAction> poll(long now) {
     ownerMissing = false;
     shortOfTokens = false;
+    formerlyLimited.values().removeIf(tokens -> tokens.hasNoAccount(now));
     List<DoorAction> actions = new ArrayList<>();
     activeByShard(now)
         .forEach((shard, active) -> request(shard, active, now).ifPresent(actions::add));
@@ -198,7 +224,7 @@
     boolean isNewOwner = requests.isFromNewOwner(reply);
     requests.accept(reply);
     for (TenantGrant grant : reply.getGrants()) {
-      TenantTokens tokens = tenants.get(grant.getTenant());
+      TenantTokens tokens = find(grant.getTenant());
       if (tokens == null || !grant.getKnown() || !requests.reportedOn(grant.getTenant())) {
         continue;
       }
@@ -207,17 +233,23 @@
         tokens.ownerChanged();
       }
       tokens.granted(grant, requests.grantsExpireAt());
-      if (tokens.usable(now) > usableBefore) {
+      if (isLimited(grant.getTenant()) && tokens.usable(now) > usableBefore) {
         replenished.add(grant.getTenant());
       }
     }
   }
 
   private boolean isLimited(String tenant) {
-    QuotaLimit limit = limitsChanged.get(tenant);
+    QuotaLimit limit = limits.get(tenant);
     return limit != null && limit.limited();
   }
 
+  /** Null if nothing is known of the tenant. */
+  private TenantTokens find(String tenant) {
+    TenantTokens tokens = tenants.get(tenant);
+    return tokens == null ? formerlyLimited.get(tenant) : tokens;
+  }
+
   private TenantTokens tokensOf(String tenant, long now) {
     return tenants.computeIfAbsent(tenant, name -> new TenantTokens(name, now));
   }
--- a/control/src/main/java/nettletrail/control/door/TenantTokens.java
+++ b/control/src/main/java/nettletrail/control/door/TenantTokens.java
@@ -1,5 +1,6 @@
 package nettletrail.control.door;
 
+import java.util.concurrent.TimeUnit;
 import nettletrail.protocol.TenantGrant;
 import nettletrail.protocol.TenantUse;
 
@@ -17,6 +18,12 @@
   /** Below this part of what is wanted the owner is asked before the usual time. */
   private static final double LOW_PART = 0.4;
 
+  /**
+   * After this time without a request no owner has an account of this door: longer than an idle
+   * account or an owner's lease lasts, and than requests that use tokens take.
+   */
+  private static final long ACCOUNT_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(60);
+
   private final String tenant;
   private final DemandAverage demand;
   private final TokenShortage shortage = new TokenShortage();
@@ -26,6 +33,7 @@
   private long reportedTotal;
   private long queuedTokens;
   private TenantUse lastReport = new TenantUse("", 0L, 0L, 0L, 0L);
+  private long lastUseOrReportAt;
   private boolean reclaimed;
   private boolean grantedInFull;
   private double pressure;
@@ -35,6 +43,7 @@
   TenantTokens(String tenant, long now) {
     this.tenant = tenant;
     this.demand = new DemandAverage(now);
+    this.lastUseOrReportAt = now;
   }
 
   /** Uses tokens for a request if there are enough; false notes a shortage. */
@@ -44,6 +53,7 @@
       return false;
     }
     usedTotal += requested;
+    lastUseOrReportAt = now;
     tokens.spend(requested);
     formerOwnersTokens.spend(requested);
     demand.record(requested, now);
@@ -75,6 +85,7 @@
   /** The report for a request to the owner; what it gives as used can't be refunded any more. */
   TenantUse report(long now) {
     reportedTotal = usedTotal;
+    lastUseOrReportAt = now;
     shortage.reporting(now);
     reclaimed = false;
     grantedInFull = false;
@@ -136,6 +147,11 @@
     return usable(now) > 0 || wanted(now) > 0;
   }
 
+  /** Whether it was idle for so long that no owner has an account of it any more. */
+  boolean hasNoAccount(long now) {
+    return now - lastUseOrReportAt > ACCOUNT_LIFETIME_NANOS;
+  }
+
   /** Whether the usable tokens are few, compared with what is wanted. */
   boolean isLow(long now) {
     return usable(now) < LOW_PART * wanted(now);
--- a/control/src/main/java/nettletrail/control/grant/DoorAccount.java
+++ b/control/src/main/java/nettletrail/control/grant/DoorAccount.java
@@ -40,10 +40,15 @@
     lastRequestAt = now;
   }
 
-  /** Advances the door's count of used tokens and returns how many were used since. */
-  long advanceUsedTotal(long newUsedTotal) {
-    long used = Math.max(0, newUsedTotal - usedTotal);
-    usedTotal = Math.max(usedTotal, newUsedTotal);
+  /**
+   * Replaces the door's count of used tokens and returns how many were used since. A count that is
+   * lower than before was begun anew: what the door used until then is unknown, so all its tokens
+   * count as used.
+   */
+  long replaceUsedTotal(long newUsedTotal) {
+    boolean begunAnew = newUsedTotal < usedTotal;
+    long used = begunAnew ? (long) Math.ceil(outstanding) : newUsedTotal - usedTotal;
+    usedTotal = newUsedTotal;
     return used;
   }
 
--- a/control/src/main/java/nettletrail/control/grant/TenantBucket.java
+++ b/control/src/main/java/nettletrail/control/grant/TenantBucket.java
@@ -93,7 +93,7 @@
    * the tokens that it certainly still has.
    */
   private double settle(DoorAccount account, TenantUse use, long now) {
-    long used = account.advanceUsedTotal(use.getUsedTotal());
+    long used = account.replaceUsedTotal(use.getUsedTotal());
     usage.add(used, now);
     double remaining = Math.max(0, account.outstanding() - used);
     double unused = Math.min(Math.max(0, use.getUnusedTokens()), remaining);
--- a/control/src/test/java/nettletrail/control/ControlFleet.java
+++ b/control/src/test/java/nettletrail/control/ControlFleet.java
@@ -85,6 +85,10 @@
     return doors.get("door-" + index);
   }
 
+  Set<String> coreNames() {
+    return Set.copyOf(cores.keySet());
+  }
+
   int doorCount() {
     return doors.size();
   }
@@ -128,9 +132,17 @@
     ownerTerms.merge(shard, 1L, Long::sum);
   }
 
-  /** All core processes learn of a committed configuration. */
+  /** All core processes and doors learn of a committed configuration. */
   void commit(long configuration, Map<String, QuotaLimit> limits) {
+    commit(configuration, limits, Set.of());
+  }
+
+  /** All but the skipped core processes and doors learn of a committed configuration. */
+  void commit(long configuration, Map<String, QuotaLimit> limits, Set<String> skipped) {
     for (SimulatedCoreProcess core : cores.values()) {
+      if (skipped.contains(core.address)) {
+        continue;
+      }
       core.configurationSequence = configuration;
       core.confirming = true;
       perform(
@@ -140,7 +152,9 @@
     }
     currentLimits = limits;
     for (SimulatedDoor door : doors.values()) {
-      door.control.grants().limitsChanged(limits);
+      if (!skipped.contains(door.name)) {
+        door.limitsChanged(limits);
+      }
     }
   }
 
--- a/control/src/test/java/nettletrail/control/QuotaTraffic.java
+++ b/control/src/test/java/nettletrail/control/QuotaTraffic.java
@@ -143,7 +143,11 @@
     }
   }
 
+  /** Counts use under a limit. */
   private void used(int door, long tokens) {
+    if (!fleet.door(door).limits(tenant)) {
+      return;
+    }
     Use use = new Use(fleet.now, tokens);
     uses.add(use);
     long incarnation = fleet.door(door).incarnation;
@@ -185,6 +189,11 @@
 
   /** The largest use in any window, as a fraction of the bound. */
   double worstWindow(GrantTerms terms, QuotaLimit limit) {
+    return worstWindowFrom(Long.MIN_VALUE, terms, limit);
+  }
+
+  /** The largest use in any window that begins at this instant or later, as a fraction. */
+  double worstWindowFrom(long instant, GrantTerms terms, QuotaLimit limit) {
     double bound =
         (limit.ratePerSecond() * terms.windowSeconds() + limit.burst())
                 * (1 + terms.overshootFraction())
@@ -193,10 +202,11 @@
     double worst = 0;
     long sum = 0;
     int first = 0;
-    for (Use use : uses) {
+    List<Use> judged = uses.stream().filter(use -> use.at >= instant).toList();
+    for (Use use : judged) {
       sum += use.tokens;
-      while (use.at - uses.get(first).at > span) {
-        sum -= uses.get(first).tokens;
+      while (use.at - judged.get(first).at > span) {
+        sum -= judged.get(first).tokens;
         first++;
       }
       worst = Math.max(worst, sum);
--- a/control/src/test/java/nettletrail/control/SimulatedDoor.java
+++ b/control/src/test/java/nettletrail/control/SimulatedDoor.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import nettletrail.control.door.DoorControl;
 import nettletrail.control.door.DoorControlSettings;
+import nettletrail.control.grant.QuotaLimit;
 
 /** One door of a {@link ControlFleet}. */
 final class SimulatedDoor {
@@ -22,6 +24,7 @@
   boolean running = true;
   Runnable afterMessage = () -> {};
   private boolean pollScheduled;
+  private Map<String, QuotaLimit> limits = Map.of();
 
   SimulatedDoor(String name, ControlFleet fleet) {
     this.name = name;
@@ -44,10 +47,21 @@
                 ControlFleet.IN_FORCE_MS,
                 List.of(fleet.seedAddress())),
             fleet.now);
-    control.grants().limitsChanged(fleet.currentLimits());
+    limitsChanged(fleet.currentLimits());
     fleet.schedule(fleet.firstTickDelay(), () -> tick(incarnation));
   }
 
+  /** The door's active configuration has these limits. */
+  void limitsChanged(Map<String, QuotaLimit> newLimits) {
+    limits = newLimits;
+    control.grants().limitsChanged(newLimits);
+  }
+
+  /** Whether the door's active configuration limits the tenant. */
+  boolean limits(String tenant) {
+    return limits.getOrDefault(tenant, QuotaLimit.NONE).limited();
+  }
+
   private void tick(long ofIncarnation) {
     if (!running || incarnation != ofIncarnation) {
       return;
--- a/control/src/test/java/nettletrail/control/door/GrantClientTest.java
+++ b/control/src/test/java/nettletrail/control/door/GrantClientTest.java
@@ -20,6 +20,8 @@
   private static final long MILLIS = 1_000_000L;
   private static final String TENANT = "acme";
   private static final int SHARD = ShardMap.shardOf(TENANT);
+  private static final Map<String, QuotaLimit> LIMITED = Map.of(TENANT, new QuotaLimit(100, 100));
+  private static final Map<String, QuotaLimit> NO_TENANT = Map.of();
 
   private final GrantClient.OwnerLookup owners =
       new GrantClient.OwnerLookup() {
@@ -165,6 +167,59 @@
     assertTrue(client.poll(now).isEmpty());
   }
 
+  // Guards against: use of before a lifted limit is never reported, so that it is granted again.
+  @Test
+  void useIsCountedOnWhenALimitIsBack() {
+    reply(requestFor(100), 1, 100);
+    assertTrue(client.tryAcquire(TENANT, 40, now));
+    for (Map<String, QuotaLimit> between : List.of(Map.of(TENANT, QuotaLimit.NONE), NO_TENANT)) {
+      client.limitsChanged(between);
+      advance(3_000);
+      assertTrue(client.poll(now).isEmpty());
+      client.limitsChanged(LIMITED);
+      GrantRequest request = requestFor(50);
+      assertEquals(40, request.getTenants().get(0).getUsedTotal());
+      assertEquals(0, request.getTenants().get(0).getUnusedTokens());
+      reply(request, 1, 0);
+    }
+  }
+
+  // Guards against: a grant for a report of before the change is taken without what was used since.
+  @Test
+  void useDuringARequestIsDeductedFromItsGrantThoughTheLimitWasAwayMeanwhile() {
+    reply(requestFor(100), 1, 100);
+    GrantRequest renewal = requestFor(1_000);
+    assertTrue(client.tryAcquire(TENANT, 40, now));
+    client.limitsChanged(NO_TENANT);
+    client.limitsChanged(LIMITED);
+    reply(renewal, 1, 100);
+    assertEquals(60, client.usableTokens(TENANT, now));
+  }
+
+  // Guards against: a refund for a request of before the change hides what was used after it.
+  @Test
+  void refundOfReportedUseStaysWithoutEffectAfterTheLimitWasAway() {
+    reply(requestFor(100), 1, 100);
+    assertTrue(client.tryAcquire(TENANT, 40, now));
+    reply(requestFor(100), 1, 60);
+    client.limitsChanged(NO_TENANT);
+    client.limitsChanged(LIMITED);
+    client.refund(TENANT, 40);
+    assertEquals(60, client.usableTokens(TENANT, now));
+  }
+
+  // Guards against: a door keeps the counts of all tenants that it ever knew.
+  @Test
+  void countOfARemovedTenantIsForgottenOnceNoOwnerHasItsAccount() {
+    reply(requestFor(100), 1, 100);
+    assertTrue(client.tryAcquire(TENANT, 40, now));
+    client.limitsChanged(NO_TENANT);
+    advance(60_001);
+    assertTrue(client.poll(now).isEmpty());
+    client.limitsChanged(LIMITED);
+    assertEquals(0, requestFor(50).getTenants().get(0).getUsedTotal());
+  }
+
   private GrantRequest requestFor(long tokens) {
     client.queuedTokensChanged(TENANT, tokens, now);
     return nextRequest();
--- a/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
+++ b/control/src/test/java/nettletrail/control/grant/TenantBucketTest.java
@@ -89,6 +89,18 @@
     assertEquals(0, request(new DoorIncarnation("one", 2), 0, CAPACITY, 0));
   }
 
+  // Guards against: a door that counts from 0 again gets its used tokens a second time.
+  @Test
+  void tokensOfADoorWhoseCountWentBackAreNotCredited() {
+    after(60_000);
+    request(ONE, 0, CAPACITY, 0);
+    request(ONE, 1_000, CAPACITY, CAPACITY - 1_000);
+    assertEquals(0, request(ONE, 0, 0, 0));
+    assertEquals(0, request(OTHER, 0, CAPACITY, 0));
+    after(100);
+    assertEquals(1_000, request(OTHER, 0, 1_000, 0));
+  }
+
   @Test
   void staleRequestIsNotGranted() {
     after(60_000);
