Require keys if a configuration has a list of tenants, be it empty

Cause: whether keys are required was read off the number of tenants, so that an absent list and an empty one were the same in the model. The document, which is stored and sent, tells them apart.

Change: the model says whether the document has the list; an empty one requires keys and knows none. A patch can't take the list away. A whole document without it opens its routes, as before: `config put` and `config check` name them on the error stream, and each core logs them when the predecessor had the list (new event NT505).

--- a/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/nettletrail/configuration/ConfigurationDocument.java
@@ -107,6 +107,19 @@
     ModelValidator.requireValid(model);
   }
 
+  /** Whether requests need a key unless their route is open, see {@link RoutingTable}. */
+  public boolean keysRequired() {
+    return model.hasTenants();
+  }
+
+  /** The names of the routes that are served without a key, in the order of the document. */
+  public List<String> routesWithoutKey() {
+    return model.routes().stream()
+        .filter(route -> route.open() || !keysRequired())
+        .map(Route::name)
+        .toList();
+  }
+
   /** All tenants in the order of the document. */
   public List<Tenant> tenants() {
     return model.tenants();
--- a/configuration/src/main/java/nettletrail/configuration/ModelReader.java
+++ b/configuration/src/main/java/nettletrail/configuration/ModelReader.java
@@ -39,6 +39,7 @@
         reader.requiredExactLong("edition"),
         readItems(reader.objects(ROUTES), Route.class, RouteReader::read),
         readItems(reader.objects(SERVICES), Service.class, ServiceReader::read),
+        reader.has(TENANTS),
         readItems(reader.objects(TENANTS), Tenant.class, TenantReader::read),
         readLimits(reader.optionalObject("limits")));
   }
--- a/configuration/src/main/java/nettletrail/configuration/RoutingTable.java
+++ b/configuration/src/main/java/nettletrail/configuration/RoutingTable.java
@@ -79,9 +79,12 @@
     return model.limits();
   }
 
-  /** Whether requests need a key unless their route is open: true if there are tenants. */
+  /**
+   * Whether requests need a key unless their route is open: true if the document has a list of
+   * tenants. An empty list admits nobody, as after the removal of the last tenant.
+   */
   public boolean keysRequired() {
-    return !model.tenants().isEmpty();
+    return model.hasTenants();
   }
 
   /** All routes in the order of the document. */
--- a/configuration/src/test/java/nettletrail/configuration/DocumentPatchTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/DocumentPatchTest.java
@@ -128,6 +128,21 @@
     assertEquals("route split", rejection.location());
   }
 
+  // Guards against: the removal of the last tenant opens all routes to everyone.
+  @Test
+  void keysAreStillRequiredAfterTheRemovalOfTheLastTenant() throws ConfigurationException {
+    String patch = "{\"edition\":8,\"withdraw\":{\"senders\":[\"tenant-a\"]}}";
+
+    ConfigurationDocument document =
+        Documents.parse(Documents.EXAMPLE).patched(Documents.bytes(patch));
+    ConfigurationDocument stored =
+        ConfigurationDocument.parse(document.json(), Documents.parse(Documents.EXAMPLE));
+
+    assertTrue(document.tenants().isEmpty());
+    assertTrue(RoutingTable.compile(document).keysRequired());
+    assertTrue(RoutingTable.compile(stored).keysRequired());
+  }
+
   @Test
   void thePatchedDocumentItselfIsUnchanged() throws ConfigurationException {
     ConfigurationDocument document = Documents.parse(Documents.EXAMPLE);
--- a/configuration/src/test/java/nettletrail/configuration/RoutingTableTest.java
+++ b/configuration/src/test/java/nettletrail/configuration/RoutingTableTest.java
@@ -88,6 +88,15 @@
     assertNull(table.match("one.example", "/"));
   }
 
+  // Guards against: any key, and none, is accepted once the last tenant was removed.
+  @Test
+  void anEmptyListOfTenantsStillRequiresKeys() throws ConfigurationException {
+    String document = "{\"edition\":1,\"routes\":[],\"carriers\":[],\"senders\":%s}";
+
+    assertTrue(compile(document.formatted("[]")).keysRequired());
+    assertFalse(compile(document.formatted("null")).keysRequired());
+  }
+
   @Test
   void picksTheLongestPrefixOfTheHost() throws ConfigurationException {
     RoutingTable table = compile(Documents.EXAMPLE);
--- a/fleet/src/main/java/nettletrail/fleet/LoggedConfigurations.java
+++ b/fleet/src/main/java/nettletrail/fleet/LoggedConfigurations.java
@@ -13,12 +13,18 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Reads committed configurations, and logs each of them as committed or as unusable. */
+/**
+ * Reads committed configurations, and logs each of them as committed or as unusable, and whether it
+ * opens routes that required a key. One thread.
+ */
 final class LoggedConfigurations implements CommittedConfigurations {
   private static final Logger LOG = LoggerFactory.getLogger(LoggedConfigurations.class);
 
   private final ConfigurationReader reader = new ConfigurationReader();
 
+  /** Whether the last configuration that was read requires keys. */
+  private boolean keysRequired;
+
   @Override
   public Optional<Map<String, QuotaLimit>> limits(CommittedConfiguration committed) {
     try {
@@ -27,6 +33,7 @@
           "{} configuration {} is committed",
           LogEvent.CONFIGURATION_COMMITTED,
           committed.edition());
+      logOpenedRoutes(document);
       return Optional.of(QuotaLimits.of(document.tenants()));
     } catch (ConfigurationException unusable) {
       LOG.error(
@@ -37,4 +44,15 @@
       return Optional.empty();
     }
   }
+
+  private void logOpenedRoutes(ConfigurationDocument document) {
+    if (keysRequired && !document.keysRequired()) {
+      LOG.warn(
+          "{} configuration {} has no senders: these routes are open to everyone: {}",
+          LogEvent.ROUTES_OPENED,
+          document.edition(),
+          String.join(", ", document.routesWithoutKey()));
+    }
+    keysRequired = document.keysRequired();
+  }
 }
--- a/fleet/src/main/java/nettletrail/fleet/cli/ConfigCheckCommand.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ConfigCheckCommand.java
@@ -19,6 +19,7 @@
   @Override
   public ExitCode run(Console console) throws CommandException {
     ConfigurationDocument document = InputFile.readConfiguration(file);
+    InputFile.warnOfOpenRoutes(document, output.json, console);
     output.write(new ValidConfiguration(file, document.edition()), console);
     return ExitCode.DONE;
   }
--- a/fleet/src/main/java/nettletrail/fleet/cli/ConfigPutCommand.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ConfigPutCommand.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.restrictions.Required;
+import nettletrail.configuration.ConfigurationDocument;
 
 /** Replaces the configuration. */
 @Command(name = "put", description = "Replaces the whole configuration by a file's.")
@@ -18,8 +19,9 @@
 
   @Override
   public ExitCode run(Console console) throws CommandException {
-    byte[] document = InputFile.readConfiguration(file).json();
-    return change.send(core.client(), "PUT", document, output, console);
+    ConfigurationDocument document = InputFile.readConfiguration(file);
+    InputFile.warnOfOpenRoutes(document, output.json, console);
+    return change.send(core.client(), "PUT", document.json(), output, console);
   }
 
   @Override
--- a/fleet/src/main/java/nettletrail/fleet/cli/Console.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/Console.java
@@ -14,6 +14,15 @@
     err.println(failure.getMessage());
   }
 
+  /**
+   * Writes a warning to the stream for errors.
+   *
+   * @param json whether as one JSON object on one line, else as text
+   */
+  void printWarning(String warning, boolean json) {
+    err.println(json ? new JsonObject().put("warning", warning) : "warning: " + warning);
+  }
+
   /** Writes an error as one JSON object on one line. */
   void printJsonError(CommandException failure) {
     JsonObject error =
--- a/fleet/src/main/java/nettletrail/fleet/cli/InputFile.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/InputFile.java
@@ -25,6 +25,18 @@
     }
   }
 
+  /**
+   * Warns if the configuration requires no keys, so that its routes are open to everyone.
+   *
+   * @param json whether the warning is written as JSON
+   */
+  static void warnOfOpenRoutes(ConfigurationDocument document, boolean json, Console console) {
+    if (!document.keysRequired()) {
+      String routes = String.join(", ", document.routesWithoutKey());
+      console.printWarning("without senders these routes are open to everyone: " + routes, json);
+    }
+  }
+
   /**
    * The configuration in a file, of any edition.
    *
--- a/fleet/src/test/java/nettletrail/fleet/cli/OperatorClientTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/cli/OperatorClientTest.java
@@ -159,6 +159,24 @@
     assertEquals(1, run("config", "put", "--core", UNREACHABLE, file("{")));
   }
 
+  // Guards against: an operator doesn't notice that a configuration lets everyone in.
+  @Test
+  void routesThatAreOpenToEveryoneAreNamed() throws Exception {
+    String open =
+        """
+        {"edition":5,"routes":[{"name":"chat","station":"a.example","lane_prefix":"/",
+         "kind":"serial","timeout_ms":4000,"carrier":"model"}],"carriers":[{"name":"model"}]}
+        """;
+    String warning = "without senders these routes are open to everyone: chat";
+    assertEquals(0, run("config", "check", file(open)));
+    assertEquals("warning: " + warning, errors());
+    assertEquals(0, run("config", "check", "--json", file(open)));
+    assertEquals("{\"warning\":\"" + warning + "\"}", errors());
+    assertEquals(
+        0, run("config", "check", file(open.replaceFirst("\\}\\s*$", ",\"senders\":[]}"))));
+    assertEquals("", errors());
+  }
+
   @Test
   void checkSettingsReportsEveryFault() throws Exception {
     String settings =
--- a/protocol/src/main/java/nettletrail/protocol/event/LogEvent.java
+++ b/protocol/src/main/java/nettletrail/protocol/event/LogEvent.java
@@ -50,6 +50,8 @@
   CONFIGURATION_UNUSABLE("NT503"),
   /** A backend registered an address that can't be dialled. */
   BACKEND_ADDRESS_UNUSABLE("NT504"),
+  /** A committed configuration requires no keys any more: its routes are open to everyone. */
+  ROUTES_OPENED("NT505"),
 
   /** A write to the disk has failed. */
   STORAGE_FAILED("NT601"),
--- a/router/src/test/java/nettletrail/router/RouterRoutingChangeTest.java
+++ b/router/src/test/java/nettletrail/router/RouterRoutingChangeTest.java
@@ -150,6 +150,27 @@
     assertEquals(0, second.pendingRequests());
   }
 
+  // Guards against: requests with a revoked key, or without one, run once no tenant is left.
+  @Test
+  void noKeyIsAcceptedAfterTheRemovalOfTheLastTenant() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    String configuration = RouterFixture.configuration(6, "\"key-1\"");
+    int tenants = configuration.indexOf("\"senders\"");
+    route(RouterFixture.table(configuration.substring(0, tenants) + "\"senders\":[]}"));
+    TestClient client = fixture.client();
+    client.post("/once/x", "id-1", "", KEY);
+    assertEquals(401, client.read().status());
+    client.post("/once/x", "id-2", "");
+    assertEquals(401, client.read().status());
+    client.post("/open/x", "id-3", "");
+    backend.nextRequest().respond("200 OK", "");
+    assertEquals(200, client.read().status());
+    fixture.onLoop(() -> fixture.control.confirmed = false);
+    client.post("/once/x", "id-4", "", KEY);
+    assertEquals(503, client.read().status());
+    assertFalse(fixture.onLoop(fixture.router::isReady));
+  }
+
   @Test
   void anUnconfirmedRoutingTableRejectsNothingFinally() throws Exception {
     fixture.onLoop(() -> fixture.control.routingConfirmed = false);
