Admit bodies to a door's memory before they are read

Cause: bodies of incomplete requests were held in direct memory and counted only once complete; parts of bodies kept the whole buffers that they were read into. With the 64 MB used up, each read on the one event loop waited half a second in the JDK's reservation of direct memory and failed.

Change: BufferMemory, one account of what clients make a door hold, measured at an allocator of their channels' own. RequestBodyAdmission admits a body at its head if all of it fits beside what is held and still expected; else the request gets 503 with Retry-After at once and its body is dropped. Bodies of unknown length are rejected once the room is used up. Small bodies keep a quarter of the room. It replaces the count of complete bodies in ExchangeCompletion; the limit is the same.

--- a/router/src/main/java/nettletrail/router/BufferedResponse.java
+++ b/router/src/main/java/nettletrail/router/BufferedResponse.java
@@ -1,7 +1,6 @@
 package nettletrail.router;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -11,13 +10,13 @@
   static final int MAX_BYTES = 4 << 20;
 
   private final HttpResponse head;
-  private final ByteBufAllocator allocator;
+  private final BufferMemory memory;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private boolean tooLarge;
 
-  BufferedResponse(HttpResponse head, ByteBufAllocator allocator) {
+  BufferedResponse(HttpResponse head, BufferMemory memory) {
     this.head = head;
-    this.allocator = allocator;
+    this.memory = memory;
   }
 
   HttpResponse head() {
@@ -36,16 +35,22 @@
   @Override
   public void content(ByteBuf content) {
     int size = content.readableBytes();
-    if (tooLarge || body.readableBytes() + size > MAX_BYTES) {
+    if (tooLarge || !hasRoomFor(size)) {
       tooLarge = true;
       return;
     }
     if (body == Unpooled.EMPTY_BUFFER) {
-      body = allocator.buffer(size);
+      body = memory.allocator().buffer(size);
     }
     body.writeBytes(content, content.readerIndex(), size);
   }
 
+  private boolean hasRoomFor(int size) {
+    int bytes = body.readableBytes() + size;
+    boolean isSmall = bytes <= BufferMemory.SMALL_BODY_BYTES;
+    return bytes <= MAX_BYTES && (isSmall || !memory.isExhaustedForResponses());
+  }
+
   @Override
   public void flush() {}
 
--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -22,7 +22,9 @@
  * socket is not read. All on the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter
-    implements ExpectContinueHandler.Connection, ClientResponder.Connection {
+    implements ExpectContinueHandler.Connection,
+        RequestBodyAdmission.Connection,
+        ClientResponder.Connection {
   private final ClientConnectionOwner owner;
   private final RequestDecoder decoder;
   private final ExpectContinueHandler expectations = new ExpectContinueHandler(this);
@@ -44,6 +46,9 @@
 
   private boolean dispatching;
 
+  /** The request that is being read is answered already; the rest of it is dropped. */
+  private boolean answeredUnread;
+
   /** A complete request was read since the last {@link #channelReadComplete}. */
   private boolean requestRead;
 
@@ -53,7 +58,8 @@
   }
 
   /** Adds all handlers of a client connection to a new channel's pipeline. */
-  static void addTo(ChannelPipeline pipeline, ClientConnectionOwner owner, Limits limits) {
+  static void addTo(
+      ChannelPipeline pipeline, ClientConnectionOwner owner, Limits limits, BufferMemory memory) {
     ClientConnection connection = new ClientConnection(owner, limits);
     RequestAggregator aggregator =
         new RequestAggregator(
@@ -63,6 +69,7 @@
     pipeline.addLast(
         connection.decoder,
         connection.partial,
+        new RequestBodyAdmission(memory, limits.bodyBytes(), connection),
         new HttpResponseEncoder(),
         connection.expectations,
         aggregator,
@@ -196,6 +203,47 @@
     }
   }
 
+  @Override
+  public void rejectUnadmitted() {
+    if (ended || closing) {
+      return;
+    }
+    if (current == null && pipelined.isEmpty()) {
+      answeredUnread = true;
+      responder.reject(owner.withoutMemory());
+    } else {
+      closing = true; // closes after the responses to the earlier requests
+      LingeringClose.discardInput(channel.pipeline());
+    }
+  }
+
+  @Override
+  public void unadmittedRequestEnded() {
+    answeredUnread = false;
+    requestRead = true;
+    partial.resetFirstBytes();
+  }
+
+  @Override
+  public void rejectIncomplete() {
+    if (!ended && current == null && pipelined.isEmpty()) {
+      closing = true;
+      responder.reject(owner.withoutMemory());
+    } else if (!ended) {
+      closing = true; // closes after the responses to the earlier requests
+      LingeringClose.discardInput(channel.pipeline());
+    }
+  }
+
+  /** The rest of an incomplete request takes too long. */
+  void rejectOverdue() {
+    if (answeredUnread) {
+      channel.close();
+    } else {
+      rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+  }
+
   /** Writes a last response to a request that was not dispatched. */
   void rejectAndClose(HttpResponseStatus status) {
     closing = true;
--- a/router/src/main/java/nettletrail/router/ClientConnectionOwner.java
+++ b/router/src/main/java/nettletrail/router/ClientConnectionOwner.java
@@ -8,6 +8,9 @@
   /** Starts an exchange; it may end before this returns. */
   void start(Exchange exchange);
 
+  /** The rejection of a request for whose body there is no memory. */
+  Rejection withoutMemory();
+
   /** Whether responses should close their connections, since the process shuts down. */
   boolean isDraining();
 
--- a/router/src/main/java/nettletrail/router/ClientTimeouts.java
+++ b/router/src/main/java/nettletrail/router/ClientTimeouts.java
@@ -1,7 +1,6 @@
 package nettletrail.router;
 
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.TimeUnit;
 import nettletrail.configuration.Limits;
 
@@ -48,7 +47,7 @@
       channel.close();
     } else if (hasOnlyPartialRequest() && partial.isOverdue(now, headNanos, deadlines)) {
       if (connection.isClientConnected() && hasOnlyPartialRequest()) {
-        connection.rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+        connection.rejectOverdue();
       }
     } else if (now - idleSince > idleNanos) {
       closeIfIdle();
--- a/router/src/main/java/nettletrail/router/ExchangeCompletion.java
+++ b/router/src/main/java/nettletrail/router/ExchangeCompletion.java
@@ -17,14 +17,11 @@
   private final QuotaEnforcer quota;
   private final VirtualCounters counters;
   private final SplittableRandom random;
-  private final long maxBufferedBytes;
   private final Consumer<ServiceState> slotReleased;
   private final Consumer<String> tokensWithdrawn;
-  private long bufferedBytes;
 
   /**
    * @param random for the jitter of Retry-After
-   * @param maxBufferedBytes limit of the bodies of all exchanges together
    * @param slotReleased called, in a later turn of the loop, with a service that has queued
    *     requests and a free slot
    * @param tokensWithdrawn called, in a later turn of the loop, with a tenant of which a request no
@@ -35,24 +32,16 @@
       QuotaEnforcer quota,
       VirtualCounters counters,
       SplittableRandom random,
-      long maxBufferedBytes,
       Consumer<ServiceState> slotReleased,
       Consumer<String> tokensWithdrawn) {
     this.loop = loop;
     this.quota = quota;
     this.counters = counters;
     this.random = random;
-    this.maxBufferedBytes = maxBufferedBytes;
     this.slotReleased = slotReleased;
     this.tokensWithdrawn = tokensWithdrawn;
   }
 
-  /** Counts the exchange's body until its end; returns whether the limit permits it. */
-  boolean reserveBuffer(Exchange exchange) {
-    bufferedBytes += exchange.request().body().readableBytes();
-    return bufferedBytes <= maxBufferedBytes;
-  }
-
   /** No backend can take it, or no other attempt is permitted. */
   void rejectUnavailable(Exchange exchange) {
     reject(exchange, Rejection.unavailable(RetryAfter.withJitterMs(random)));
@@ -143,7 +132,6 @@
     }
     withdrawTokens(exchange);
     updateCounter(exchange, now);
-    bufferedBytes -= exchange.request().body().readableBytes();
     exchange.request().release();
     if (hadSlot) {
       releaseSlot(exchange.service());
--- a/router/src/main/java/nettletrail/router/RequestDispatcher.java
+++ b/router/src/main/java/nettletrail/router/RequestDispatcher.java
@@ -36,7 +36,11 @@
   private DrainWindow drainWindow;
 
   RequestDispatcher(
-      EventLoop loop, RouterSettings settings, ControlView control, UpstreamPool pool) {
+      EventLoop loop,
+      RouterSettings settings,
+      ControlView control,
+      UpstreamPool pool,
+      BufferMemory memory) {
     this.loop = loop;
     this.settings = settings;
     this.control = control;
@@ -50,7 +54,6 @@
             quota,
             counters,
             random,
-            settings.maxBufferedBytes(),
             this::dispatchQueued,
             tenant -> quotaGranted(List.of(tenant)));
     Retrier retrier = new Retrier(loop, control, completion);
@@ -62,7 +65,8 @@
     sender.onMoved(this::requeue);
     retrier.onRetry(sender::resend);
     handlers =
-        new ExchangeHandlers(sender, retrier, new ResponseHandler(retrier, completion), completion);
+        new ExchangeHandlers(
+            sender, retrier, new ResponseHandler(retrier, completion, memory), completion);
   }
 
   /** Creates an exchange; draws a random number. */
@@ -72,14 +76,15 @@
 
   // ---- Arrival ----
 
+  /** The rejection of a request for whose body there is no memory. */
+  Rejection withoutMemory() {
+    return Rejection.unavailable(RetryAfter.withJitterMs(random));
+  }
+
   /** Starts an exchange; it may end before this returns. */
   void start(Exchange exchange) {
     long now = System.nanoTime();
     ExchangeCompletion completion = handlers.completion();
-    if (!completion.reserveBuffer(exchange)) {
-      completion.rejectUnavailable(exchange);
-      return;
-    }
     resolver.resolve(exchange, now);
     if (exchange.resolution().rejection() != null) {
       completion.reject(exchange, exchange.resolution().rejection());
--- a/router/src/main/java/nettletrail/router/ResponseHandler.java
+++ b/router/src/main/java/nettletrail/router/ResponseHandler.java
@@ -16,10 +16,12 @@
 final class ResponseHandler {
   private final Retrier retrier;
   private final ExchangeCompletion completion;
+  private final BufferMemory memory;
 
-  ResponseHandler(Retrier retrier, ExchangeCompletion completion) {
+  ResponseHandler(Retrier retrier, ExchangeCompletion completion, BufferMemory memory) {
     this.retrier = retrier;
     this.completion = completion;
+    this.memory = memory;
   }
 
   /** The current attempt's final response has started. */
@@ -35,10 +37,10 @@
     exchange.response().relayWith(createRelay(exchange, head));
   }
 
-  private static ResponseRelay createRelay(Exchange exchange, HttpResponse head) {
+  private ResponseRelay createRelay(Exchange exchange, HttpResponse head) {
     ClientResponder client = exchange.client();
     if (!isEventStream(exchange, head)) {
-      return new BufferedResponse(head, client.allocator());
+      return new BufferedResponse(head, memory);
     }
     return new EventStreamResponse(
         client, head, exchange.route().resume(), exchange.request().lastEventId());
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -36,6 +36,7 @@
   private final RequestDispatcher dispatcher;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   private final int maxClients;
+  private final BufferMemory memory;
   private final ClientConnectionOwner owner = new ConnectionOwner();
   private Channel listener;
 
@@ -52,7 +53,8 @@
     maxClients = settings.maxConnections() / 2;
     UpstreamPool pool =
         new UpstreamPool(loop, settings.connectTimeoutMs(), settings.maxConnections() / 2);
-    dispatcher = new RequestDispatcher(loop, settings, control, pool);
+    memory = new BufferMemory(settings.maxBufferedBytes());
+    dispatcher = new RequestDispatcher(loop, settings, control, pool, memory);
   }
 
   /**
@@ -68,11 +70,12 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, memory.allocator())
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel client) {
-                    ClientConnection.addTo(client.pipeline(), owner, limits());
+                    ClientConnection.addTo(client.pipeline(), owner, limits(), memory);
                   }
                 })
             .bind(host, port);
@@ -178,6 +181,11 @@
     }
   }
 
+  /** The memory that it holds for its clients. */
+  BufferMemory memory() {
+    return memory;
+  }
+
   private Limits limits() {
     RoutingTable routing = control.routing();
     return routing == null ? Limits.DEFAULT : routing.limits();
@@ -195,6 +203,11 @@
       dispatcher.start(exchange);
     }
 
+    @Override
+    public Rejection withoutMemory() {
+      return dispatcher.withoutMemory();
+    }
+
     @Override
     public boolean isDraining() {
       return Router.this.isDraining();
--- a/router/src/main/java/nettletrail/router/RouterSettings.java
+++ b/router/src/main/java/nettletrail/router/RouterSettings.java
@@ -8,7 +8,7 @@
  * @param retrySlack retries that all doors may make in a window in addition, 0 or more
  * @param retryWindowMs window of the retry budget, in ms; at least 1
  * @param maxConnections to clients and backends together; at least 2
- * @param maxBufferedBytes of the bodies of all requests in progress; at least 1
+ * @param maxBufferedBytes that are held for clients, see {@link BufferMemory}; at least 1
  * @param connectTimeoutMs for connections to backends, in ms; at least 1
  * @param seed of all random choices
  */
--- a/router/src/test/java/nettletrail/router/RouterFixture.java
+++ b/router/src/test/java/nettletrail/router/RouterFixture.java
@@ -231,6 +231,15 @@
     return client;
   }
 
+  /** Closes the connections of all clients. */
+  void closeClients() throws Exception {
+    for (AutoCloseable each : closeables) {
+      if (each instanceof TestClient) {
+        each.close();
+      }
+    }
+  }
+
   /** Runs it on the router's loop. */
   Future<?> submit(Callable<?> task) {
     return loop.submit(task);
