Relay no response to HEAD as a stream

Cause: ResponseHandler.isEventStream didn't ask for the method.

Change: a response to HEAD is forwarded without a body, as on other routes.

--- a/router/src/main/java/nettletrail/router/ResponseHandler.java
+++ b/router/src/main/java/nettletrail/router/ResponseHandler.java
@@ -48,6 +48,7 @@
 
   private static boolean isEventStream(Exchange exchange, HttpResponse head) {
     return exchange.route().kind() == RouteKind.STREAM
+        && !exchange.attempt().isHeadRequest()
         && head.status().equals(HttpResponseStatus.OK)
         && ResponseValidator.isGenuine(head, exchange.request().attemptId())
         && !exchange.request().isHttp10();
