Order the steps of a test so that its request can't reach the wrong backend

RouterConnectionTest#a100ContinueFollowsThePendingResponses failed once beside other work ("no request came to b2"). It wrote the request's body before it replaced backend b1 by b2, so on a busy machine the request went to b1, which the test no longer serves. With a pause of 200 ms after the write it failed on the untouched code too. The backends are now replaced before the body is written; all assertions stay.

--- a/router/src/test/java/nettletrail/router/RouterConnectionTest.java
+++ b/router/src/test/java/nettletrail/router/RouterConnectionTest.java
@@ -183,9 +183,9 @@
     assertEquals(200, response.status());
     assertEquals("one", response.body());
     assertEquals(100, client.readHead().status());
-    client.write("ab");
     ScriptedBackend backend = fixture.backend("b2");
     fixture.backends("s", List.of(backend.endpoint()));
+    client.write("ab");
     ScriptedBackend.Received second = backend.nextRequest();
     assertEquals("ab", second.body);
     second.respond("200 OK", "two");
