Take the limit of bodies from the configuration in force at each head

Cause: the limit was given to the connection's aggregator when it was opened.

Change: RequestBodyAdmission reads the limit at each head and rejects larger bodies, of declared or unknown length, with 413 as before. A change in the middle of a body doesn't concern it.

Evidence: RouterConnectionTest#aChangedLimitHoldsForTheNextRequestOfAnOpenConnection failed before (504, the body of 20 bytes was passed on under the limit of 19), and passes; so do the other router tests.

--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.Supplier;
 import nettletrail.configuration.Limits;
 import nettletrail.core.PendingInput;
 import nettletrail.http.LingeringClose;
@@ -59,17 +60,19 @@
 
   /** Adds all handlers of a client connection to a new channel's pipeline. */
   static void addTo(
-      ChannelPipeline pipeline, ClientConnectionOwner owner, Limits limits, BufferMemory memory) {
-    ClientConnection connection = new ClientConnection(owner, limits);
+      ChannelPipeline pipeline,
+      ClientConnectionOwner owner,
+      Supplier<Limits> limits,
+      BufferMemory memory) {
+    ClientConnection connection = new ClientConnection(owner, limits.get());
+    // Bodies are limited before the aggregator, by the configuration in force.
     RequestAggregator aggregator =
-        new RequestAggregator(
-            limits.bodyBytes(),
-            () -> connection.rejectUnread(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE));
+        new RequestAggregator(Integer.MAX_VALUE, connection::rejectTooLarge);
     // The encoder is for the aggregator's 100 Continue; responses are written from before it.
     pipeline.addLast(
         connection.decoder,
         connection.partial,
-        new RequestBodyAdmission(memory, limits.bodyBytes(), connection),
+        new RequestBodyAdmission(memory, () -> limits.get().bodyBytes(), connection),
         new HttpResponseEncoder(),
         connection.expectations,
         aggregator,
@@ -203,6 +206,11 @@
     }
   }
 
+  @Override
+  public void rejectTooLarge() {
+    rejectUnread(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+  }
+
   @Override
   public void rejectUnadmitted() {
     if (ended || closing) {
--- a/router/src/main/java/nettletrail/router/RequestBodyAdmission.java
+++ b/router/src/main/java/nettletrail/router/RequestBodyAdmission.java
@@ -8,20 +8,25 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.function.IntSupplier;
 import nettletrail.router.text.DecimalNumber;
 
 /**
- * Admits the bodies of one connection's requests to the router's {@link BufferMemory}, before the
- * aggregator holds them. A request without room for its body is rejected at its head, one of
- * unknown length as soon as the room is used up. On the event loop.
+ * Admits the bodies of one connection's requests, before the aggregator holds them: by the limit of
+ * the configuration in force when the head was read, and to the router's {@link BufferMemory}. A
+ * request without room for its body is rejected at its head, one of unknown length as soon as the
+ * room is used up. On the event loop.
  */
 final class RequestBodyAdmission extends ChannelInboundHandlerAdapter {
   /** The connection, as this handler sees it. */
   interface Connection {
+    /** The body of the request whose head was decoded last is larger than the limit permits. */
+    void rejectTooLarge();
+
     /** There is no room for the body of the request whose head was decoded last. */
     void rejectUnadmitted();
 
-    /** The end of a request was read whose head was passed to {@link #rejectUnadmitted}. */
+    /** The end of a request was read that was rejected before its end. */
     void unadmittedRequestEnded();
 
     /** There is no room for the rest of a body, of which a part was passed on. */
@@ -32,12 +37,15 @@
   private static final double MIN_FILL = BufferMemory.SHARE_OF_LARGE_BODIES;
 
   private final BufferMemory memory;
-  private final int maxBodyBytes;
+  private final IntSupplier bodyLimit;
   private final Connection connection;
 
   /** Bytes of the current body that were admitted and haven't arrived yet. */
   private long expectedBytes;
 
+  /** The largest body that is permitted, as it was when the current head was read. */
+  private int maxBodyBytes;
+
   /** Whether the length of the current body was declared. */
   private boolean declared;
 
@@ -48,11 +56,11 @@
   private boolean rejected;
 
   /**
-   * @param maxBodyBytes a larger body is left to the aggregator, which rejects it
+   * @param bodyLimit the largest body that is permitted now, in bytes; read at each head
    */
-  RequestBodyAdmission(BufferMemory memory, int maxBodyBytes, Connection connection) {
+  RequestBodyAdmission(BufferMemory memory, IntSupplier bodyLimit, Connection connection) {
     this.memory = memory;
-    this.maxBodyBytes = maxBodyBytes;
+    this.bodyLimit = bodyLimit;
     this.connection = connection;
   }
 
@@ -77,12 +85,16 @@
     expectNoMore();
     rejected = false;
     receivedBytes = 0;
+    maxBodyBytes = bodyLimit.getAsInt();
     long length = DecimalNumber.parse(head.headers().get(HttpHeaderNames.CONTENT_LENGTH));
     declared = length >= 0;
-    if (length <= 0 || length > maxBodyBytes || head.decoderResult().isFailure()) {
+    if (length <= 0 || head.decoderResult().isFailure()) {
       return;
     }
-    if (memory.admit(length)) {
+    if (length > maxBodyBytes) {
+      rejected = true;
+      connection.rejectTooLarge();
+    } else if (memory.admit(length)) {
       expectedBytes = length;
     } else {
       rejected = true;
@@ -96,7 +108,13 @@
     long arrived = Math.min(bytes, expectedBytes);
     expectedBytes -= arrived;
     memory.noLongerExpected(arrived);
-    if (!rejected && !declared && bytes > 0 && !memory.hasRoomFor(bytes, receivedBytes)) {
+    if (rejected || declared || bytes == 0) {
+      return;
+    }
+    if (receivedBytes > maxBodyBytes) {
+      rejected = true;
+      connection.rejectTooLarge();
+    } else if (!memory.hasRoomFor(bytes, receivedBytes)) {
       rejected = true;
       connection.rejectIncomplete();
     }
--- a/router/src/main/java/nettletrail/router/Router.java
+++ b/router/src/main/java/nettletrail/router/Router.java
@@ -75,7 +75,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel client) {
-                    ClientConnection.addTo(client.pipeline(), owner, limits(), memory);
+                    ClientConnection.addTo(client.pipeline(), owner, Router.this::limits, memory);
                   }
                 })
             .bind(host, port);
--- a/router/src/test/java/nettletrail/router/RouterConnectionTest.java
+++ b/router/src/test/java/nettletrail/router/RouterConnectionTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import nettletrail.configuration.RoutingTable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -141,6 +142,41 @@
     assertTrue(client.isClosed());
   }
 
+  // Guards against: an open connection keeps the limit of the configuration it was opened under.
+  @Test
+  void aChangedLimitHoldsForTheNextRequestOfAnOpenConnection() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    TestClient client = fixture.client();
+    setBodyLimit(10);
+    client.post("/once/x", "id-1", "0123456789", KEY);
+    backend.nextRequest().respond("200 OK", "");
+    assertEquals(200, client.read().status());
+    setBodyLimit(20);
+    client.post("/once/x", "id-2", "0123456789abcdefghij", KEY);
+    backend.nextRequest().respond("200 OK", "");
+    assertEquals(200, client.read().status());
+    setBodyLimit(19);
+    client.post("/once/x", "id-3", "0123456789abcdefghij", KEY);
+    assertEquals(413, client.read().status());
+    assertTrue(client.isClosed());
+    TestClient chunked = fixture.client();
+    chunked.write(
+        "POST /once/x HTTP/1.1\r\nHost: a.example\r\n"
+            + KEY
+            + "\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\na\r\n0123456789\r\n");
+    assertEquals(413, chunked.read().status());
+    assertTrue(chunked.isClosed());
+    assertEquals(0, backend.pendingRequests());
+  }
+
+  private void setBodyLimit(int bytes) throws Exception {
+    RoutingTable table =
+        RouterFixture.table(
+            RouterFixture.configuration()
+                .replace("\"body_bytes\":4194304", "\"body_bytes\":" + bytes));
+    fixture.onLoop(() -> fixture.control.routing = table);
+  }
+
   @Test
   void aClientThatExpectsA100ContinueGetsIt() throws Exception {
     ScriptedBackend backend = fixture.backend("b1");
