--- a/review/stage-2/ReplacementCase.java
+++ b/review/stage-2/ReplacementCase.java
@@ -47,9 +47,9 @@
       awaitReplicas(stage, third, 5);
       Thread.sleep(5_000);
       stage.remove(first);
-      Thread.sleep(8_000);
+      Thread.sleep(6_000);
       stage.remove(second);
-      Thread.sleep(10_000);
+      Thread.sleep(8_000);
     }
     Stage.Reply reply = stage.change(stage.cores, "5", configuration(6, 500), 10_000);
     stage.note("operator: PUT edition 6 on 5: " + reply.status());
@@ -64,10 +64,10 @@
 
     // catch_up_s is 4 s, recover_s is 12 s: what is asked after 20 s lies behind both.
     Thread.sleep(20_000);
-    String read = stage.read(stage.cores, 10_000);
-    stage.note("operator: GET for 10 s: " + (read.isEmpty() ? "no 200 from any machine" : read.replaceAll("\\s+", " ")));
-    reply = stage.change(stage.cores, "6", configuration(8, 600), 10_000);
-    stage.note("operator: PUT edition 8 on 6, for 10 s: " + reply.status() + " " + reply.body());
+    String read = stage.read(stage.cores, 8_000);
+    stage.note("operator: GET for 8 s: " + (read.isEmpty() ? "no 200 from any machine" : read.replaceAll("\\s+", " ")));
+    reply = stage.change(stage.cores, "6", configuration(8, 600), 8_000);
+    stage.note("operator: PUT edition 8 on 6, for 8 s: " + reply.status() + " " + reply.body());
     int served = requests(stage, door, 20);
     stage.note("requests served: " + served + " of 20");
     noteGroup(stage);
@@ -76,7 +76,7 @@
     return lost || silent || served * 4 < 20 ? Stage.BROKEN : Stage.HELD;
   }
 
-  private static int requests(Stage stage, Stage.Machine door, int count) throws InterruptedException {
+  static int requests(Stage stage, Stage.Machine door, int count) throws InterruptedException {
     int served = 0;
     for (int i = 0; i < count; i++) {
       DoorClient.Answer answer = DoorClient.send(stage, door, "/desk/" + i, FIRST_KEY, 3_000);
