--- a/review/stage-2/Stage.java
+++ b/review/stage-2/Stage.java
@@ -77,9 +77,9 @@
   private final long startedAt = System.nanoTime();
   private int lastHost = BASE_HOST;
 
-  private Stage(Path folder) throws Exception {
+  private Stage(Path recordFile) throws Exception {
     directory = Files.createTempDirectory("case");
-    record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+    record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     prefix = freePrefix();
   }
 
@@ -88,9 +88,9 @@
   }
 
   /** Plays a case and ends this process with its result. */
-  static void main(String folder, Play play) {
+  static void main(String recordFile, Play play) {
     int result = CANNOT_RUN;
-    try (Stage stage = new Stage(Path.of(folder))) {
+    try (Stage stage = new Stage(Path.of(recordFile))) {
       Runtime.getRuntime().addShutdownHook(new Thread(stage::killAll));
       stage.note("trouble " + (stage.trouble ? "on" : "off"));
       try {
