Registry: too many tombstones drop the earliest withdrawals first, not the oldest backends

Cause: tombstones beyond 2,048 were dropped in the order in which their backends had registered. With that many within ten minutes, a backend that had run for long lost its tombstone at once, and a late heartbeat would have listed it as ready again.

Change: a backend moves to the end when it begins to drain or deregisters.

DurableWithdrawalsTest#earliestWithdrawalsAreDroppedFirst failed before (the newest tombstone was gone) and passes. Found by reading, not seen in service.

--- a/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
+++ b/control/src/main/java/nettletrail/control/registry/BackendRegistry.java
@@ -98,6 +98,10 @@
     }
     boolean same = entry.backend != null && BackendOrdering.sameContent(backend, entry.backend);
     boolean wasExpired = entry.expired;
+    boolean wasWithdrawn = entry.backend != null && BackendOrdering.isWithdrawn(entry.backend);
+    if (BackendOrdering.isWithdrawn(backend) && !wasWithdrawn) {
+      moveToEnd(backend.getId());
+    }
     entry.backend = backend;
     entry.lastSeenAt = now;
     entry.expired = false;
@@ -105,6 +109,11 @@
     return same && !wasExpired ? Change.REFRESHED : Change.CHANGED;
   }
 
+  /** When there are too many tombstones, those of the earliest withdrawals are dropped. */
+  private void moveToEnd(String id) {
+    entries.put(id, entries.remove(id));
+  }
+
   /**
    * Another core process saw this backend {@code ageMs} ago. Returns whether it was expired here
    * and is live again by that.
--- a/control/src/test/java/nettletrail/control/registry/DurableWithdrawalsTest.java
+++ b/control/src/test/java/nettletrail/control/registry/DurableWithdrawalsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -95,6 +96,20 @@
     assertEquals(MAX_REMEMBERED, registry.withdrawals().size());
   }
 
+  /** Guards against the loss of the newest withdrawal because its backend registered first. */
+  @Test
+  void earliestWithdrawalsAreDroppedFirst() {
+    registry.recordCall(backend("registered-first", BackendState.READY), 0);
+    for (int index = 0; index < MAX_REMEMBERED; index++) {
+      withdraw("b" + index, BackendState.GONE);
+    }
+    withdraw("registered-first", BackendState.GONE);
+    registry.expire(0);
+    assertEquals(BackendState.GONE, registry.get("registered-first").getState());
+    assertNull(registry.get("b0"));
+    assertEquals(MAX_REMEMBERED, registry.withdrawals().size());
+  }
+
   private void withdraw(String id, BackendState state) {
     registry.merge(backend(id, state), 0);
     withdrawals.changed();
