Config: history and rollback offer committed documents only, told by edition and digest

Cause: a stored document was named by its edition alone, which is unique among committed changes only. A disk also keeps versions that were accepted and never committed, and the status interface answered with any of that edition.

Change: a stored version counts as committed if the change that made it (edition and digest of the request) is among those of the newest committed version. The status interface answers with committed documents only and lists the others with "committed": false (a new key of status/config/versions, appended to its pinned form); history counts committed ones only.

Why this works: an owner builds on committed versions only, so the last change of a version stands for all before it.

--- a/control/src/main/java/nettletrail/control/shard/AppliedChanges.java
+++ b/control/src/main/java/nettletrail/control/shard/AppliedChanges.java
@@ -93,6 +93,17 @@
     return from;
   }
 
+  /**
+   * Whether two entries are the same change: the same edition, made by the same request. Entries of
+   * earlier releases have longer digests.
+   */
+  static boolean isSame(ConfigurationChange one, ConfigurationChange other) {
+    ByteBuffer digest = other.getDigest();
+    return one.getEdition() == other.getEdition()
+        && digest.remaining() >= DIGEST_BYTES
+        && sameDigest(one.getDigest(), digest.slice(digest.position(), DIGEST_BYTES));
+  }
+
   private static boolean sameDigest(ByteBuffer stored, ByteBuffer digest) {
     return stored.remaining() >= DIGEST_BYTES
         && stored.slice(stored.position(), DIGEST_BYTES).equals(digest);
--- a/control/src/main/java/nettletrail/control/shard/StoredConfiguration.java
+++ b/control/src/main/java/nettletrail/control/shard/StoredConfiguration.java
@@ -28,4 +28,19 @@
         state.documentBytes(),
         state.appliedChanges().changes());
   }
+
+  /**
+   * Whether this version is part of the history of a committed one: the change that made it is
+   * among those that the committed one remembers. Its edition doesn't tell that, since a version
+   * that only some replicas accepted, and that was never committed, may have the edition of another
+   * one that was. The last change stands for all before it, as an owner builds on committed
+   * versions only.
+   */
+  public boolean isCommittedIn(StoredConfiguration committed) {
+    if (changes.isEmpty()) {
+      return false;
+    }
+    ConfigurationChange last = changes.get(changes.size() - 1);
+    return committed.changes().stream().anyMatch(change -> AppliedChanges.isSame(change, last));
+  }
 }
--- a/fleet/src/main/java/nettletrail/fleet/CoreStatus.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreStatus.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import nettletrail.control.CoreRegistry;
 import nettletrail.control.ShardMap;
 import nettletrail.control.grant.QuotaStatus;
@@ -138,30 +139,42 @@
   }
 
   private void history(long call) {
-    StoredConfiguration configuration = shards.configuration();
-    if (configuration == null) {
+    withCommitted(call, committed -> respond(call, History.of(settings.node(), committed)));
+  }
+
+  /** Answers with 503 while no committed version is known here. */
+  private void withCommitted(long call, Consumer<StoredConfiguration> answer) {
+    StoredConfiguration committed = shards.configuration();
+    if (committed == null) {
       error(call, HttpResponseStatus.SERVICE_UNAVAILABLE, "no committed version is known here yet");
     } else {
-      respond(call, History.of(settings.node(), configuration));
+      answer.accept(committed);
     }
   }
 
   private void versions(long call) {
     storage.readVersions(
         ShardMap.CONFIGURATION_SHARD,
-        versions -> respond(call, versionsView(stored(versions))),
+        versions ->
+            withCommitted(
+                call, committed -> respond(call, versionsView(stored(versions), committed))),
         failure -> diskFailed(call, failure));
   }
 
   private void version(long call, String edition) {
     storage.readVersions(
         ShardMap.CONFIGURATION_SHARD,
-        versions -> document(call, edition, stored(versions)),
+        versions ->
+            withCommitted(call, committed -> document(call, edition, stored(versions), committed)),
         failure -> diskFailed(call, failure));
   }
 
-  private Versions versionsView(List<StoredConfiguration> versions) {
-    return new Versions(settings.node(), versions.stream().map(Version::of).toList());
+  private Versions versionsView(List<StoredConfiguration> versions, StoredConfiguration committed) {
+    return new Versions(
+        settings.node(),
+        versions.stream()
+            .map(version -> Version.of(version, version.isCommittedIn(committed)))
+            .toList());
   }
 
   private static List<StoredConfiguration> stored(List<ShardVersion> versions) {
@@ -171,17 +184,26 @@
         .toList();
   }
 
-  /** Answers with the newest stored version of an edition. */
-  private void document(long call, String edition, List<StoredConfiguration> versions) {
-    for (int i = versions.size() - 1; i >= 0; i--) {
-      StoredConfiguration version = versions.get(i);
-      if (Long.toString(version.edition()).equals(edition)) {
+  /**
+   * Answers with the committed document of an edition; one that was never committed is no answer.
+   */
+  private void document(
+      long call,
+      String edition,
+      List<StoredConfiguration> versions,
+      StoredConfiguration committed) {
+    String reason = "edition " + edition + " isn't on this disk any more";
+    for (StoredConfiguration version : versions) {
+      if (!Long.toString(version.edition()).equals(edition)) {
+        continue;
+      }
+      if (version.isCommittedIn(committed)) {
         server.answer(call, HttpResponseStatus.OK.code(), version.document());
         return;
       }
+      reason = "edition " + edition + " as it is on this disk was never committed";
     }
-    error(
-        call, HttpResponseStatus.NOT_FOUND, "edition " + edition + " isn't on this disk any more");
+    error(call, HttpResponseStatus.NOT_FOUND, reason);
   }
 
   private void diskFailed(long call, String failure) {
--- a/fleet/src/main/java/nettletrail/fleet/CoreStatusView.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreStatusView.java
@@ -179,16 +179,20 @@
   /** The configurations on this process's disk. */
   record Versions(String core, List<Version> versions) {}
 
-  /** A stored configuration; the checksum is in hexadecimal. */
-  record Version(long edition, long sequence, int bytes, String crc32c) {
-    static Version of(StoredConfiguration version) {
+  /**
+   * A stored configuration; the checksum is in hexadecimal. {@code committed}: whether the change
+   * that made it is known to be committed; one that isn't may have the edition of one that is.
+   */
+  record Version(long edition, long sequence, int bytes, String crc32c, boolean committed) {
+    static Version of(StoredConfiguration version, boolean committed) {
       CRC32C checksum = new CRC32C();
       checksum.update(version.document());
       return new Version(
           version.edition(),
           version.sequence(),
           version.document().length,
-          HexFormat.of().toHexDigits((int) checksum.getValue()));
+          HexFormat.of().toHexDigits((int) checksum.getValue()),
+          committed);
     }
   }
 }
--- a/fleet/src/main/java/nettletrail/fleet/cli/ConfigHistoryCommand.java
+++ b/fleet/src/main/java/nettletrail/fleet/cli/ConfigHistoryCommand.java
@@ -24,17 +24,19 @@
   @Override
   public ExitCode run(Console console) throws CommandException {
     CoreClient client = core.client();
-    Set<Long> onDisk = editionsOnDisk(client);
+    Set<Long> onDisk = committedOnDisk(client);
     output.write(new History(changes(client, onDisk)), console);
     return ExitCode.DONE;
   }
 
-  private static Set<Long> editionsOnDisk(CoreClient client) throws CommandException {
+  private static Set<Long> committedOnDisk(CoreClient client) throws CommandException {
     CoreResponse response = client.readStatus("config/versions").requireSuccess();
     try {
       Set<Long> editions = new HashSet<>();
       for (Any version : JsonIterator.deserialize(response.body()).get("versions")) {
-        editions.add(version.get("edition").toLong());
+        if (version.get("committed").toBoolean()) {
+          editions.add(version.get("edition").toLong());
+        }
       }
       return editions;
     } catch (JsonException | IndexOutOfBoundsException | NumberFormatException malformed) {
@@ -61,7 +63,7 @@
    * One change of the configuration.
    *
    * @param edition the edition that the change created
-   * @param onDisk whether a core still has the document of this edition
+   * @param onDisk whether the core still has the document that this change made
    * @param requestDigest SHA-256 of the operator's request, in hexadecimal
    */
   private record Change(long edition, boolean onDisk, String requestDigest) {
--- a/fleet/src/test/java/nettletrail/fleet/OperatorCommandsTest.java
+++ b/fleet/src/test/java/nettletrail/fleet/OperatorCommandsTest.java
@@ -191,6 +191,43 @@
     assertTrue(errors().contains("edition 99 isn't on this disk"), errors());
   }
 
+  /** Guards against a rollback that puts a change in force which was rejected. */
+  @Test
+  void rollbackNeverOffersAChangeThatWasLost() throws Exception {
+    core.close();
+    LostVersion.write(
+        folder.resolve("data"),
+        core.linkAddress(),
+        new LostVersion.Change(6, document(6, "1000")),
+        new LostVersion.Change(8, document(8, "3000")));
+    core = new TestCore(folder.resolve("data"), core.ip());
+    runUntilDone("config", "history", "--json");
+    assertEquals(8, json().get("changes", 1, "edition").toLong(), output());
+    assertEquals(3, runAt(core.address(), "config", "rollback", "6"), output());
+    assertTrue(errors().contains("was never committed"), errors());
+    assertEquals(8, currentEdition());
+    assertEquals(3_000, json().get("routes", 0, "timeout_ms").toInt());
+    Any versions = storedVersions();
+    assertEquals(6, versions.get(1, "edition").toLong(), versions.toString());
+    assertFalse(versions.get(1, "committed").toBoolean(), versions.toString());
+    assertEquals(8, versions.get(2, "edition").toLong(), versions.toString());
+    assertTrue(versions.get(2, "committed").toBoolean(), versions.toString());
+  }
+
+  private static String document(long edition, String timeout) {
+    return FIRST
+        .replace("\"edition\":5", "\"edition\":" + edition)
+        .replace("\"timeout_ms\":4000", "\"timeout_ms\":" + timeout);
+  }
+
+  private Any storedVersions() throws Exception {
+    URI uri = URI.create("http://" + core.address() + "/nettletrail/status/config/versions");
+    HttpRequest request = HttpRequest.newBuilder(uri).build();
+    String body =
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
+    return JsonIterator.deserialize(body).get("versions");
+  }
+
   @Test
   void snapshotComesBackAsANewEdition() throws Exception {
     String snapshot = folder.resolve("snapshot").toString();
--- a/fleet/src/test/java/nettletrail/fleet/TestCore.java
+++ b/fleet/src/test/java/nettletrail/fleet/TestCore.java
@@ -12,13 +12,19 @@
 /** A core of one in this process, on a loopback address of its own. */
 final class TestCore implements AutoCloseable {
   private static final int CONTROL_PORT = 8665;
+  private static final int LINK_PORT = 7680;
 
   private final String ip;
   private final CoreProcess process;
   private boolean closed;
 
   TestCore(Path dataDirectory) throws IOException, SettingsException, StartException {
-    ip = freeAddress();
+    this(dataDirectory, freeAddress());
+  }
+
+  /** A core at an address that an earlier one on this disk had. */
+  TestCore(Path dataDirectory, String ip) throws IOException, SettingsException, StartException {
+    this.ip = ip;
     String settings =
         """
         node=core-1
@@ -46,6 +52,11 @@
     process.serveMetrics(port);
   }
 
+  /** Where other processes of the fleet dial it. */
+  String linkAddress() {
+    return ip + ":" + LINK_PORT;
+  }
+
   /** The address that it has for itself. */
   String ip() {
     return ip;
