ApertureProcessesTest: the zone that goes and comes back is listed by one change

Trace: the test restarts the ten backends of zone c in a loop and lists each by a version of its own. A front door that polls between two of them sees a part of the zone, and rightly fills its set with the next ready one of the ring there, s-11, which is not in its set of the whole zone; the test allows for the list before and after the loop only.

Change: the stand-in site can list several backends by one version, and the test does so where the zone goes and where it comes back, so that no front door sees a part of it. All assertions and the allowed sets are as before.

--- a/app/src/test/java/nettletrail/app/aperture/ApertureProcessesTest.java
+++ b/app/src/test/java/nettletrail/app/aperture/ApertureProcessesTest.java
@@ -218,20 +218,16 @@
         assertFalse(zone.isEmpty());
         List<Set<String>> before = sets.now;
         zone.forEach(site::crash);
-        zone.forEach(each -> {
-            site.delist(each);
-            sets.listed.remove(each.name());
-        });
+        site.delistTogether(zone);
+        zone.forEach(each -> sets.listed.remove(each.name()));
         sets.changed();
         for (int door = 0; door < DOORS; door++) {
             assertTrue(before.get(door).containsAll(sets.now.get(door)), "the other zones' sets stay");
             assertTrue(sets.now.get(door).size() >= 12);
         }
         awaitWorkAt(site, "work at the other zones", sets.listed.keySet());
-        zone.forEach(each -> {
-            site.restart(each);
-            sets.listed.put(each.name(), each);
-        });
+        site.restartTogether(zone);
+        zone.forEach(each -> sets.listed.put(each.name(), each));
         sets.changed();
         assertEquals(before, sets.now);
         awaitWorkAt(site, "work at the zone that is back", sets.listed.keySet());
--- a/stand-ins/src/main/java/nettletrail/site/Site.java
+++ b/stand-ins/src/main/java/nettletrail/site/Site.java
@@ -105,14 +105,31 @@
         tell(backend, "SERVING", System.currentTimeMillis());
     }
 
+    /** All of them are there again, cold, and listed so by one change of the list. */
+    public void restartTogether(List<SiteBackend> restarted) {
+        restarted.forEach(SiteBackend::start);
+        tell(restarted, "SERVING", System.currentTimeMillis());
+    }
+
     /** Is listed no more. */
     public void delist(SiteBackend backend) {
         tell(backend, "DELETED", 0);
     }
 
+    /** None of them is listed any more, by one change of the list. */
+    public void delistTogether(List<SiteBackend> delisted) {
+        tell(delisted, "DELETED", 0);
+    }
+
     private void tell(SiteBackend backend, String status, long sinceMs) {
-        agent.set(backend.name(), backend.address(), zone(backend), status, sinceMs);
-        events.add(new Events.Told(backend.name(), status, System.nanoTime()));
+        tell(List.of(backend), status, sinceMs);
+    }
+
+    private void tell(List<SiteBackend> changed, String status, long sinceMs) {
+        agent.setAll(changed.stream()
+                .map(backend -> new StandInAgent.Listing(backend.name(), backend.address(), zone(backend), status, sinceMs))
+                .toList());
+        changed.forEach(backend -> events.add(new Events.Told(backend.name(), status, System.nanoTime())));
     }
 
     /** All breaks of the rules in what was noted so far. */
--- a/stand-ins/src/main/java/nettletrail/site/StandInAgent.java
+++ b/stand-ins/src/main/java/nettletrail/site/StandInAgent.java
@@ -28,6 +28,9 @@
 
 /** The discovery agent on loopback: the whole list, and watches that wait for what is newer. Any thread. */
 public final class StandInAgent implements AutoCloseable {
+    /** One row of the list as it is to be: status is SERVING, DRAINING or DELETED, sinceMs Unix time or 0 for long ago. */
+    public record Listing(String name, InetSocketAddress address, String zone, String status, long sinceMs) { }
+
     private record Entry(String address, String zone, String status, long sinceMs, long changedAt) { }
 
     private record Watch(ChannelHandlerContext on, long index) { }
@@ -62,10 +65,17 @@
     }
 
     /** The same of one that stands in this zone. */
-    public synchronized void set(String name, InetSocketAddress address, String zone, String status, long sinceMs) {
+    public void set(String name, InetSocketAddress address, String zone, String status, long sinceMs) {
+        setAll(List.of(new Listing(name, address, zone, status, sinceMs)));
+    }
+
+    /** Changes all of these entries by one version of the list, so that no watcher sees a part of the change. */
+    public synchronized void setAll(List<Listing> listings) {
         index++;
-        entries.put(name, new Entry(address.getAddress().getHostAddress() + ":" + address.getPort(), zone, status, sinceMs,
-                index));
+        for (Listing listing : listings) {
+            String address = listing.address().getAddress().getHostAddress() + ":" + listing.address().getPort();
+            entries.put(listing.name(), new Entry(address, listing.zone(), listing.status(), listing.sinceMs(), index));
+        }
         for (Watch watch : List.copyOf(watches)) {
             watches.remove(watch);
             answer(watch.on(), list(watch.index()));
