Core: failed members leave a group that is larger than a full one

No read, change or keyed request is ever answered again.

Cause: a failed member left a group of odd size only while a process asked to join. The group of five kept both former machines, and with the lost identity two of five were no majority.

Change: a full group has 2 x withstand + 1 members. From a larger one, failed members are removed without a joiner: after 3 s if it would tolerate fewer than withstand further losses with them, else after 15 s. A change names its kind (GroupChange).

Why this works: the former members are surplus by definition, the removal is committed by a majority of those that run, and after it the majority is that of the machines that run.

--- a/control/src/main/java/nettletrail/control/shard/GroupChanges.java
+++ b/control/src/main/java/nettletrail/control/shard/GroupChanges.java
@@ -18,9 +18,15 @@
  * member has failed if a joiner has its address with a new identity, that is with a new disk, or if
  * there was no contact with it for some seconds.
  *
- * <p>Precedence of the changes: remove a member whose identity was replaced at its address; add a
- * joiner to an even group; remove a failed member from an odd group for a joiner; add a joiner to
- * an odd group; remove a member without contact for long from an even group.
+ * <p>A full group has 2k + 1 members, where k losses are to be tolerated. A larger one holds
+ * members whose successors have joined before they ended. Failed members leave it without a joiner,
+ * so that it comes down to the processes that run: as soon as it would tolerate fewer than k
+ * further losses with them, and else after a longer time.
+ *
+ * <p>Precedence of the changes: remove a member whose identity was replaced at its address; remove
+ * a failed member from a group that is larger than a full one; add a joiner to an even group;
+ * remove a failed member from an odd group for a joiner; add a joiner to an odd group; remove a
+ * member without contact for long from an even group.
  */
 final class GroupChanges {
 
@@ -61,15 +67,15 @@
     joiners.put(member.getAddress(), new Joiner(member, firstRequestAt, now));
   }
 
-  /** The next group, or null if the group should stay. */
-  ReplicaGroup next(ReplicaGroup group, Member self, MemberContacts contacts, long now) {
+  /** The next step, or null if the group should stay. */
+  GroupChange next(ReplicaGroup group, Member self, MemberContacts contacts, long now) {
     joiners
         .values()
         .removeIf(joiner -> now - joiner.lastRequestAt() > settings.joinRequestValidityNanos());
     joiners.values().removeIf(joiner -> group.contains(joiner.member().getId()));
     Situation situation = new Situation(group, self, contacts, now);
-    ReplicaGroup proposed = proposedGroup(situation);
-    boolean viable = proposed != null && hasResponsiveMajority(proposed, situation);
+    GroupChange proposed = proposedChange(situation);
+    boolean viable = proposed != null && hasResponsiveMajority(proposed.group(), situation);
     return viable ? proposed : null;
   }
 
@@ -91,11 +97,15 @@
     return proposed.hasMajority(responsive);
   }
 
-  private ReplicaGroup proposedGroup(Situation situation) {
+  private GroupChange proposedChange(Situation situation) {
     ReplicaGroup group = situation.group();
     Member superseded = supersededMember(situation);
     if (superseded != null) {
-      return group.without(superseded.getId());
+      return GroupChange.removing(group, superseded, GroupChange.Kind.IDENTITY_REPLACED);
+    }
+    GroupChange reduction = reductionToFullGroup(situation);
+    if (reduction != null) {
+      return reduction;
     }
     Joiner joiner = joiners.values().stream().findFirst().orElse(null);
     boolean odd = group.size() % 2 == 1;
@@ -103,13 +113,13 @@
       return odd ? null : withoutUnresponsive(situation);
     }
     if (!odd) {
-      return group.with(joiner.member());
+      return GroupChange.adding(group, joiner.member());
     }
-    Member replaced = replacedBy(joiner, situation);
-    if (replaced != null) {
-      return group.without(replaced.getId());
+    GroupChange replacement = replacementBy(joiner, situation);
+    if (replacement != null) {
+      return replacement;
     }
-    return mayGrow(joiner, situation) ? group.with(joiner.member()) : null;
+    return mayGrow(joiner, situation) ? GroupChange.adding(group, joiner.member()) : null;
   }
 
   /**
@@ -127,20 +137,50 @@
     return null;
   }
 
-  private ReplicaGroup withoutUnresponsive(Situation situation) {
-    Member unresponsive = longestUnresponsive(situation, member -> settings.removeAfterNanos());
-    return unresponsive == null ? null : situation.group().without(unresponsive.getId());
+  /** The removal of a failed member from a group that is larger than a full one, or null. */
+  private GroupChange reductionToFullGroup(Situation situation) {
+    if (situation.group().size() <= settings.fullGroupSize()) {
+      return null;
+    }
+    if (furtherLossesTolerated(situation) < settings.toleratedLosses()) {
+      return withoutUnresponsive(situation);
+    }
+    Member surplus = longestUnresponsive(situation, member -> settings.removeSurplusAfterNanos());
+    return surplus == null
+        ? null
+        : GroupChange.removing(situation.group(), surplus, GroupChange.Kind.SURPLUS);
   }
 
-  /** The failed member of an odd group that a joiner replaces, or null. */
-  private Member replacedBy(Joiner joiner, Situation situation) {
+  /** How many members may still be lost before the others are no majority; negative without one. */
+  private int furtherLossesTolerated(Situation situation) {
+    int responsive = 0;
     for (Member member : situation.group().members()) {
+      boolean failed = situation.sinceLastContact(member) > settings.removeAfterNanos();
+      responsive += situation.isSelf(member) || !failed ? 1 : 0;
+    }
+    return responsive - situation.group().majority();
+  }
+
+  private GroupChange withoutUnresponsive(Situation situation) {
+    Member unresponsive = longestUnresponsive(situation, member -> settings.removeAfterNanos());
+    return unresponsive == null
+        ? null
+        : GroupChange.removing(situation.group(), unresponsive, GroupChange.Kind.UNRESPONSIVE);
+  }
+
+  /** The removal of the failed member of an odd group that a joiner replaces, or null. */
+  private GroupChange replacementBy(Joiner joiner, Situation situation) {
+    ReplicaGroup group = situation.group();
+    for (Member member : group.members()) {
       boolean sameAddress = member.getAddress().equals(joiner.member().getAddress());
       if (sameAddress && !situation.isSelf(member)) {
-        return member;
+        return GroupChange.removing(group, member, GroupChange.Kind.IDENTITY_REPLACED);
       }
     }
-    return longestUnresponsive(situation, member -> replaceAfter(member, situation));
+    Member failed = longestUnresponsive(situation, member -> replaceAfter(member, situation));
+    return failed == null
+        ? null
+        : GroupChange.removing(group, failed, GroupChange.Kind.UNRESPONSIVE_REPLACED);
   }
 
   /**
--- a/control/src/main/java/nettletrail/control/shard/OwnerWrites.java
+++ b/control/src/main/java/nettletrail/control/shard/OwnerWrites.java
@@ -64,9 +64,9 @@
       return;
     }
     OwnerState owner = stateMachine.owner();
-    ReplicaGroup changed = groupChanges.next(owner.committedGroup(), self, owner, now);
-    if (changed != null) {
-      owner.write(owner.committed().getValue(), changed, now);
+    GroupChange change = groupChanges.next(owner.committedGroup(), self, owner, now);
+    if (change != null) {
+      owner.write(owner.committed().getValue(), change.group(), now);
     }
   }
 }
--- a/control/src/main/java/nettletrail/control/shard/ShardSettings.java
+++ b/control/src/main/java/nettletrail/control/shard/ShardSettings.java
@@ -18,7 +18,10 @@
  * @param joinRequestValidityNanos how long a join request is valid
  * @param replaceAfterNanos time without contact after which a joiner replaces a member
  * @param replaceUnseenAfterNanos as replaceAfter, for a member that has never answered this owner
- * @param removeAfterNanos time without contact after which a member leaves an even group
+ * @param removeAfterNanos time without contact after which a member leaves an even group, or a
+ *     group that would tolerate too few further losses with it
+ * @param removeSurplusAfterNanos time without contact after which a member leaves a group that is
+ *     larger than a full one
  * @param fullGroupSize how many members a group needs to tolerate the configured losses
  * @param bootstrapTimeoutNanos how long after the first start of the system the owner delays writes
  *     while the group is not full
@@ -39,6 +42,7 @@
     long replaceAfterNanos,
     long replaceUnseenAfterNanos,
     long removeAfterNanos,
+    long removeSurplusAfterNanos,
     int fullGroupSize,
     long bootstrapTimeoutNanos,
     long ownerDiscoveryTimeoutNanos,
@@ -57,6 +61,7 @@
   private static final long REPLACE_AFTER_MS = 2_500;
   private static final long REPLACE_UNHEARD_AFTER_MS = 1_000;
   private static final long REMOVE_AFTER_MS = 3_000;
+  private static final long REMOVE_SURPLUS_AFTER_MS = 15_000;
   private static final int FULL_GROUP = 3;
   private static final long BOOTSTRAP_WAIT_MS = 2_000;
   private static final long OWNER_WAIT_MS = 700;
@@ -96,6 +101,7 @@
         millis(REPLACE_AFTER_MS),
         millis(REPLACE_UNHEARD_AFTER_MS),
         millis(REMOVE_AFTER_MS),
+        millis(REMOVE_SURPLUS_AFTER_MS),
         FULL_GROUP,
         millis(BOOTSTRAP_WAIT_MS),
         millis(OWNER_WAIT_MS),
@@ -118,6 +124,7 @@
         replaceAfterNanos,
         replaceUnseenAfterNanos,
         removeAfterNanos,
+        removeSurplusAfterNanos,
         2 * machines + 1,
         bootstrapTimeoutNanos,
         ownerDiscoveryTimeoutNanos,
@@ -125,6 +132,11 @@
         requestQueueCapacity);
   }
 
+  /** How many members a full group tolerates to lose. */
+  int toleratedLosses() {
+    return (fullGroupSize - 1) / 2;
+  }
+
   private static long millis(long value) {
     return TimeUnit.MILLISECONDS.toNanos(value);
   }
--- a/control/src/test/java/nettletrail/control/shard/RepairTimeTest.java
+++ b/control/src/test/java/nettletrail/control/shard/RepairTimeTest.java
@@ -132,6 +132,29 @@
         });
   }
 
+  /** Review/4: a group that kept the members that had left lost its majority with the next disk. */
+  @Test
+  void givenTwoPlannedReplacementsNewFirst_whenADiskIsLostLater_thenItIsAMemberAgainInTime() {
+    assertCompleteWithin(
+        "follower wiped after two planned replacements, the new ones first",
+        3,
+        CATCH_UP,
+        cluster -> {
+          List<SimulatedCore> former = List.of(cluster.core(0), cluster.core(1));
+          cluster.addCore().start(cluster.seeds(), false);
+          cluster.addCore().start(cluster.seeds(), false);
+          assertTrue(cluster.runUntil(cluster::groupIsComplete, TIMEOUT), cluster::describe);
+          cluster.runFor(CATCH_UP);
+          former.get(0).terminate();
+          cluster.remove(former.get(0));
+          cluster.runFor(millis(6_000));
+          former.get(1).terminate();
+          cluster.remove(former.get(1));
+          cluster.runFor(millis(8_000));
+          return wipe(cluster, follower(cluster));
+        });
+  }
+
   @Test
   void givenReplacement_whenAllCrashAfterIt_thenTheSuccessorIsAMemberInTime() {
     assertCompleteWithin(
--- a/fleet-emulator/src/main/java/nettletrail/emulator/explore/ReplicaGroupFactory.java
+++ b/fleet-emulator/src/main/java/nettletrail/emulator/explore/ReplicaGroupFactory.java
@@ -54,6 +54,7 @@
         defaults.replaceAfterNanos(),
         defaults.replaceUnseenAfterNanos(),
         defaults.removeAfterNanos(),
+        defaults.removeSurplusAfterNanos(),
         defaults.fullGroupSize(),
         defaults.bootstrapTimeoutNanos(),
         defaults.ownerDiscoveryTimeoutNanos(),
