Router: header_bytes holds from the next request on, also on open connections

New connections got 200.

Cause: the decoder takes its limits once, at the opening.

Change: HeaderLimitHandler stands before the decoder and replaces it between two requests if another limit is in force. Responses are written from its place in the pipeline, since the decoder's isn't fixed any more. RequestDecoder tells whether it is between two requests.

Why this works: the decoder is replaced only while it holds no byte and no part of a request, so nothing is lost, and a head that is being read keeps the limit it began under. The front door that runs alone shares the decoder; its limits are fixed.

--- a/front-door/src/main/java/nettletrail/http/RequestDecoder.java
+++ b/front-door/src/main/java/nettletrail/http/RequestDecoder.java
@@ -22,6 +22,9 @@
   /** Decoding is between the head and the end of the body, where lines are not header lines. */
   private boolean inBody;
 
+  /** Lines of a head have been consumed whose request is not complete yet. */
+  private boolean inHead;
+
   /** A line of the current head began with white space. */
   private boolean foldedLineSeen;
 
@@ -57,6 +60,11 @@
     return received;
   }
 
+  /** Whether the next byte is the first one of a request. */
+  public boolean isBetweenRequests() {
+    return !inHead && !inBody && actualReadableBytes() == 0;
+  }
+
   /**
    * Detects folded lines in the raw bytes: Netty joins a folded line to the previous one and skips
    * white space before the first line, so its result shows neither (RFC 9112 sections 2.2 and 5.2).
@@ -73,8 +81,10 @@
       foldedLineSeen |= hasFoldedLine(buffer, from, buffer.readerIndex());
     }
     if (out.size() == before) {
+      inHead |= !inBody && buffer.readerIndex() > from;
       return;
     }
+    inHead = false;
     if (out.get(before) instanceof HttpRequest head) {
       if (foldedLineSeen) {
         head.setDecoderResult(DecoderResult.failure(StrictFraming.foldedLine()));
--- a/router/src/main/java/nettletrail/router/ClientConnection.java
+++ b/router/src/main/java/nettletrail/router/ClientConnection.java
@@ -14,7 +14,6 @@
 import nettletrail.core.PendingInput;
 import nettletrail.http.LingeringClose;
 import nettletrail.http.RequestAggregator;
-import nettletrail.http.RequestDecoder;
 import nettletrail.http.RequestHeadValidator;
 
 /**
@@ -27,7 +26,7 @@
         RequestBodyAdmission.Connection,
         ClientResponder.Connection {
   private final ClientConnectionOwner owner;
-  private final RequestDecoder decoder;
+  private final HeaderLimitHandler headerLimit;
   private final ExpectContinueHandler expectations = new ExpectContinueHandler(this);
   private final PartialRequestTracker partial = new PartialRequestTracker();
   private final PipelinedRequests pipelined = new PipelinedRequests();
@@ -53,9 +52,9 @@
   /** A complete request was read since the last {@link #channelReadComplete}. */
   private boolean requestRead;
 
-  private ClientConnection(ClientConnectionOwner owner, Limits limits) {
+  private ClientConnection(ClientConnectionOwner owner, Supplier<Limits> limits) {
     this.owner = owner;
-    decoder = new RequestDecoder(limits.headerBytes(), limits.headerBytes());
+    headerLimit = new HeaderLimitHandler(() -> limits.get().headerBytes());
   }
 
   /** Adds all handlers of a client connection to a new channel's pipeline. */
@@ -64,20 +63,21 @@
       ClientConnectionOwner owner,
       Supplier<Limits> limits,
       BufferMemory memory) {
-    ClientConnection connection = new ClientConnection(owner, limits.get());
+    ClientConnection connection = new ClientConnection(owner, limits);
     // Bodies are limited before the aggregator, by the configuration in force.
     RequestAggregator aggregator =
         new RequestAggregator(Integer.MAX_VALUE, connection::rejectTooLarge);
     // The encoder is for the aggregator's 100 Continue; responses are written from before it.
     pipeline.addLast(
-        connection.decoder,
+        connection.headerLimit,
+        connection.headerLimit.decoder(),
         connection.partial,
         new RequestBodyAdmission(memory, () -> limits.get().bodyBytes(), connection),
         new HttpResponseEncoder(),
         connection.expectations,
         aggregator,
         connection);
-    connection.writer = new ResponseWriter(pipeline.context(RequestDecoder.class));
+    connection.writer = new ResponseWriter(pipeline.context(connection.headerLimit));
   }
 
   @Override
@@ -134,7 +134,7 @@
   /** Dispatches here and not while bytes are decoded, so that the socket may be read again. */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
-    boolean bytesRead = decoder.pollBytesReceived();
+    boolean bytesRead = headerLimit.decoder().pollBytesReceived();
     if (bytesRead && !requestRead && current == null && pipelined.isEmpty()) {
       partial.bytesRead();
     }
--- a/router/src/test/java/nettletrail/router/RouterConnectionTest.java
+++ b/router/src/test/java/nettletrail/router/RouterConnectionTest.java
@@ -170,13 +170,50 @@
   }
 
   private void setBodyLimit(int bytes) throws Exception {
-    RoutingTable table =
-        RouterFixture.table(
-            RouterFixture.configuration()
-                .replace("\"body_bytes\":4194304", "\"body_bytes\":" + bytes));
+    setLimit("\"body_bytes\":4194304", "\"body_bytes\":" + bytes);
+  }
+
+  private void setHeaderLimit(int bytes) throws Exception {
+    setLimit("\"header_bytes\":16384", "\"header_bytes\":" + bytes);
+  }
+
+  private void setLimit(String before, String after) throws Exception {
+    String configuration = RouterFixture.configuration();
+    assertTrue(configuration.contains(before));
+    RoutingTable table = RouterFixture.table(configuration.replace(before, after));
     fixture.onLoop(() -> fixture.control.routing = table);
   }
 
+  private static String headOf(int valueBytes) {
+    return "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id\r\n"
+        + KEY
+        + "\r\nContent-Length: 0\r\nX-Filler: "
+        + "f".repeat(valueBytes)
+        + "\r\n\r\n";
+  }
+
+  // Guards against review/8: open connections got 400 for heads that a new configuration allows.
+  @Test
+  void aChangedHeaderLimitHoldsForTheNextRequestOfAnOpenConnection() throws Exception {
+    ScriptedBackend backend = fixture.backend("b1");
+    setHeaderLimit(1_000);
+    TestClient client = fixture.client();
+    client.write(headOf(10));
+    backend.nextRequest().respond("200 OK", "");
+    assertEquals(200, client.read().status());
+    setHeaderLimit(4_000);
+    for (int request = 0; request < 2; request++) {
+      client.write(headOf(2_000));
+      backend.nextRequest().respond("200 OK", "");
+      assertEquals(200, client.read().status());
+    }
+    setHeaderLimit(1_000);
+    client.write(headOf(2_000));
+    assertEquals(400, client.read().status());
+    assertTrue(client.isClosed());
+    assertEquals(0, backend.pendingRequests());
+  }
+
   @Test
   void aClientThatExpectsA100ContinueGetsIt() throws Exception {
     ScriptedBackend backend = fixture.backend("b1");
