--- a/control/src/test/java/nettletrail/control/shard/BootstrapRecoveryTest.java
+++ b/control/src/test/java/nettletrail/control/shard/BootstrapRecoveryTest.java
@@ -202,6 +202,18 @@
     assertNothingIsFounded(cluster);
   }
 
+  @Test
+  void givenAMajorityOfWholeFoundersThatAreApart_whenTheThirdReachesBoth_thenItFoundsNothing() {
+    SimulatedCluster cluster = cluster(12, 3);
+    Disk.COMPLETE.apply(cluster.core(1), cluster.seeds());
+    Disk.COMPLETE.apply(cluster.core(2), cluster.seeds());
+    cluster.partition(cluster.core(1), cluster.core(2));
+    cluster.cores().forEach(core -> restart(cluster, core));
+    assertNothingIsFounded(cluster);
+    cluster.heal();
+    assertTakesAConfiguration(cluster, "healed:");
+  }
+
   @Test
   void givenASeedThatIsSilent_whenTheOthersAreEmpty_thenNothingIsFoundedUntilItAnswers() {
     SimulatedCluster cluster = cluster(11, 3);
--- a/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
+++ b/fleet/src/main/java/nettletrail/fleet/CoreProcess.java
@@ -185,6 +185,7 @@
           awaitLeft(left);
         });
     if (!left.awaitUninterruptibly(LEAVE_MS)) {
+      left.cancel(false);
       LOG.warn(
           "{} core: no answer to the request to leave the groups", LogEvent.GROUP_LEAVE_UNANSWERED);
     }
@@ -193,7 +194,7 @@
   private void awaitLeft(Promise<Void> left) {
     if (host.hasLeft()) {
       left.trySuccess(null);
-    } else {
+    } else if (!left.isCancelled()) {
       loop.schedule(() -> awaitLeft(left), CoreHost.TICK_MS, TimeUnit.MILLISECONDS);
     }
   }
